--- /dev/null
+++ b/geraniumlatch/src/command/config.rs
@@ -0,0 +1,71 @@
+//! `config`.
+
+use gl_model::{config, id};
+
+use crate::{api, command::status, error::Error, program, text};
+
+/// Prints the shared configuration that is in force.
+///
+/// # Errors
+///
+/// If no daemon answers.
+pub async fn show(api: &api::Api) -> Result<(), Error> {
+    let row: config::Row = api.get("/v1/config").await?;
+    text::json(&row);
+    Ok(())
+}
+
+/// Checks a file of the shared configuration.
+///
+/// # Errors
+///
+/// If it is wrong.
+pub fn check(file: &str) -> Result<(), Error> {
+    gl_config::shared::load(file)?;
+    println!("`{file}` is right");
+    Ok(())
+}
+
+/// Lists the accepted configurations.
+///
+/// # Errors
+///
+/// If the platform can't be reached.
+pub async fn history(api: &api::Api, options: &program::Options) -> Result<(), Error> {
+    let rows: Vec<config::Row> = api.get("/v1/config/history").await?;
+    match options.format {
+        text::Format::Json => text::json(&rows),
+        text::Format::Text => {
+            for row in rows {
+                println!("{}  accepted by {}", row.number, row.txn);
+            }
+        }
+    }
+    Ok(())
+}
+
+#[derive(serde::Serialize)]
+struct Change {
+    basis: id::Version,
+    content: config::Shared,
+}
+
+/// Accepts a file as the shared configuration and waits until it is in force on all daemons.
+///
+/// # Errors
+///
+/// If the file is wrong, the configuration was changed meanwhile, or a daemon takes too long.
+pub async fn apply(api: &api::Api, options: &program::Options, file: &str) -> Result<(), Error> {
+    let content = gl_config::shared::load(file)?;
+    let current: config::Row = api.get("/v1/config").await?;
+    let change = Change {
+        basis: current.number,
+        content,
+    };
+    let body = serde_json::to_string(&change).map_err(|e| Error::Usage {
+        detail: format!("{file}: {e}"),
+    })?;
+    let accepted: config::Row = api.post("/v1/config", &body).await?;
+    println!("accepted as number {}", accepted.number);
+    status::wait_for_config(api, options.wait, accepted.number).await
+}
--- /dev/null
+++ b/geraniumlatch/src/command/status.rs
@@ -0,0 +1,149 @@
+//! `status`.
+
+use std::{io, io::Write as _, time};
+
+use gl_model::{daemon, id, shard, size, vm};
+
+use crate::{api, error::Error, program, text};
+
+/// A job's tasks by state.
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Job {
+    name: id::JobId,
+    serving: bool,
+    cancelled: bool,
+    wanted: u32,
+    waiting: u32,
+    running: u32,
+    moving: u32,
+    done: u32,
+    failed: u32,
+    evictions: u32,
+    reasons: Vec<String>,
+}
+
+/// A worker.
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Worker {
+    vm: id::VmId,
+    domain: id::DomainId,
+    liveness: vm::Liveness,
+    capacity: size::Size,
+    promised: size::Size,
+    tasks: usize,
+}
+
+/// A shard.
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Shard {
+    shard: id::DomainId,
+    row: Option<shard::Row>,
+}
+
+/// The state of everything.
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Status {
+    jobs: Vec<Job>,
+    workers: Vec<Worker>,
+    daemons: Vec<daemon::Row>,
+    shards: Vec<Shard>,
+}
+
+/// Prints what runs where.
+///
+/// # Errors
+///
+/// If no daemon answers.
+pub async fn run(api: &api::Api, options: &program::Options) -> Result<(), Error> {
+    let status: Status = api.get("/v1/status").await?;
+    match options.format {
+        text::Format::Json => text::json(&status),
+        text::Format::Text => print(&status),
+    }
+    Ok(())
+}
+
+fn print(status: &Status) {
+    println!("jobs:");
+    for job in &status.jobs {
+        let kind = if job.serving { "service" } else { "batch" };
+        let end = if job.cancelled { "  cancelled" } else { "" };
+        println!(
+            "  {}  {kind}  wanted {}  running {}  waiting {}  moving {}  done {}  failed {}  evictions {}{end}",
+            job.name,
+            job.wanted,
+            job.running,
+            job.waiting,
+            job.moving,
+            job.done,
+            job.failed,
+            job.evictions
+        );
+        for reason in &job.reasons {
+            println!("    {reason}");
+        }
+    }
+    println!("workers:");
+    for w in &status.workers {
+        let room = w.capacity.minus(&w.promised);
+        println!(
+            "  {}  {}  {:?}  tasks {}  room {room}",
+            w.vm, w.domain, w.liveness, w.tasks
+        );
+    }
+    println!("daemons:");
+    for d in &status.daemons {
+        println!(
+            "  {}  {}  {}  config {}",
+            d.id, d.domain, d.listen, d.config
+        );
+    }
+    println!("shards:");
+    for s in &status.shards {
+        let owner = s.row.as_ref().and_then(|row| row.owner.as_ref());
+        let owner = owner.map_or("nobody", |owner| owner.as_str());
+        println!("  {}  owned by {owner}", s.shard);
+    }
+}
+
+/// The wait between two looks.
+const POLL: time::Duration = time::Duration::from_millis(200);
+
+/// Waits until all daemons have a configuration in force, and shows the progress on a terminal.
+///
+/// # Errors
+///
+/// If that takes longer than `seconds`.
+pub async fn wait_for_config(
+    api: &api::Api,
+    seconds: u64,
+    number: id::Version,
+) -> Result<(), Error> {
+    let until = time::Instant::now() + time::Duration::from_secs(seconds);
+    loop {
+        let status: Status = api.get("/v1/status").await?;
+        let all = status.daemons.len();
+        let there = status.daemons.iter().filter(|d| d.config >= number).count();
+        if there == all {
+            println!("in force on {there} of {all} daemons");
+            return Ok(());
+        }
+        if time::Instant::now() >= until {
+            let what = format!("number {number} is in force on {there} of {all} daemons");
+            return Err(Error::Waited { seconds, what });
+        }
+        progress(&format!("in force on {there} of {all} daemons"));
+        ntex::time::sleep(POLL).await;
+    }
+}
+
+fn progress(line: &str) {
+    if io::IsTerminal::is_terminal(&io::stderr()) {
+        eprint!("\r{line}");
+        let _ = io::stderr().flush();
+    }
+}
--- /dev/null
+++ b/geraniumlatch/src/main.rs
@@ -0,0 +1,8 @@
+//! The operators' command-line client; all that it does is in the library.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    geraniumlatch::program::main(&arguments)
+}
--- /dev/null
+++ b/geraniumlatch/src/program.rs
@@ -0,0 +1,158 @@
+//! The command line.
+
+use std::{net, process};
+
+use crate::{api, command, error::Error, text};
+
+const USAGE: &str = "Usage: geraniumlatch [OPTIONS] COMMAND\n\n\
+Commands:\n\
+    submit FILE          make a plan for the intents of a YAML file and print it\n\
+    plans                list all plans\n\
+    plan ID              print a plan\n\
+    confirm ID           put a plan in force\n\
+    cancel JOB...        make a plan that cancels jobs and print it\n\
+    status               what runs where\n\
+    config show          print the shared configuration\n\
+    config check FILE    check a file of the shared configuration\n\
+    config apply FILE    accept a file as the shared configuration\n\
+    config history       list the accepted configurations\n\
+    drain vm VM          keep a VM from new work and move its tasks away\n\
+    drain undo VM        let a VM have new work again\n\
+    drain daemon         stop the daemon given by --server gracefully\n\
+    burn                 the report on service-level burn\n\n\
+Exit codes: 0 done, 1 refused, 2 wrong arguments or file, 3 no daemon answers,\n\
+    4 stale, 5 not confirmed, 6 not yet after --wait, 7 answer lost";
+const DEFAULT_SERVER: &str = "127.0.0.1:8080";
+const SERVER_VARIABLE: &str = "GERANIUMLATCH_SERVER";
+const KEY_VARIABLE: &str = "GERANIUMLATCH_KEY";
+const DEFAULT_WAIT_SECONDS: u64 = 30;
+
+/// Options that all commands share.
+pub struct Options {
+    /// How to print.
+    pub format: text::Format,
+    /// Whether a change is confirmed beforehand.
+    pub yes: bool,
+    /// How long to wait until a change is in force everywhere, in seconds.
+    pub wait: u64,
+}
+
+/// Runs the program and returns its exit code.
+pub fn main(arguments: &[String]) -> process::ExitCode {
+    match run(arguments) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            let code = error.code();
+            eprintln!("{:?}", miette::Report::new(error));
+            process::ExitCode::from(code)
+        }
+    }
+}
+
+fn options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options.optmulti(
+        "s",
+        "server",
+        "a daemon's address; more are tried in turn",
+        "IP:PORT",
+    );
+    options.optopt("k", "key-file", "a file with the operators' key", "FILE");
+    options.optopt("f", "format", "`text` or `json`", "FORMAT");
+    options.optflag("y", "yes", "confirm without a question");
+    options.optopt(
+        "w",
+        "wait",
+        "wait at most this long for a change",
+        "SECONDS",
+    );
+    options
+}
+
+fn usage(detail: String) -> Error {
+    Error::Usage { detail }
+}
+
+fn run(arguments: &[String]) -> Result<(), Error> {
+    let options = options();
+    let matches = options.parse(arguments).map_err(|e| usage(e.to_string()))?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return Ok(());
+    }
+    if matches.opt_present("version") {
+        println!("geraniumlatch {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let shared = shared(&matches)?;
+    let command = command::parse(&matches.free)?;
+    if let command::Command::ConfigCheck { file } = &command {
+        return command::config::check(file);
+    }
+    let servers = servers(&matches)?;
+    let key = key(&matches)?;
+    let system = ntex::rt::System::new("geraniumlatch", ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let api = api::Api::new(servers, key).await;
+        command::run(&api, &shared, command).await
+    })
+}
+
+fn shared(matches: &getopts::Matches) -> Result<Options, Error> {
+    let format = match matches.opt_str("format").as_deref() {
+        None | Some("text") => text::Format::Text,
+        Some("json") => text::Format::Json,
+        Some(other) => {
+            return Err(usage(format!(
+                "`{other}` is no format; give `text` or `json`"
+            )));
+        }
+    };
+    let wait = match matches.opt_str("wait") {
+        None => DEFAULT_WAIT_SECONDS,
+        Some(text) => text
+            .parse()
+            .map_err(|_| usage(format!("`{text}` is no number of seconds")))?,
+    };
+    Ok(Options {
+        format,
+        yes: matches.opt_present("yes"),
+        wait,
+    })
+}
+
+fn servers(matches: &getopts::Matches) -> Result<Vec<net::SocketAddr>, Error> {
+    let mut given = matches.opt_strs("server");
+    if given.is_empty() {
+        given = std::env::var(SERVER_VARIABLE).into_iter().collect();
+    }
+    if given.is_empty() {
+        given.push(DEFAULT_SERVER.to_owned());
+    }
+    let all = given.iter().flat_map(|list| list.split(','));
+    all.map(|text| {
+        let wrong = || {
+            usage(format!(
+                "`{text}` is no address; give an IP number and a port"
+            ))
+        };
+        text.trim().parse().map_err(|_| wrong())
+    })
+    .collect()
+}
+
+fn key(matches: &getopts::Matches) -> Result<String, Error> {
+    if let Some(file) = matches.opt_str("key-file") {
+        let read = std::fs::read_to_string(&file);
+        let key = read.map_err(|e| usage(format!("the key file `{file}`: {e}")))?;
+        return Ok(key.trim().to_owned());
+    }
+    let missing = || {
+        usage(format!(
+            "no key is given; use `--key-file` or set {KEY_VARIABLE}"
+        ))
+    };
+    std::env::var(KEY_VARIABLE).map_err(|_| missing())
+}
--- /dev/null
+++ b/geraniumlatch/src/text.rs
@@ -0,0 +1,69 @@
+//! Printing.
+
+use std::fmt::Write as _;
+
+use gl_model::plan;
+
+/// How to print.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// Prints a value as JSON.
+pub fn json<T: serde::Serialize>(value: &T) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("the answer can't be printed ({error}); use `--format text`"),
+    }
+}
+
+/// A plan in one line.
+pub fn summary(plan: &plan::Plan) -> String {
+    let queued: u32 = plan.queued.iter().map(|q| q.tasks).sum();
+    let unplaced: u32 = plan.unplaced.iter().map(|u| u.tasks).sum();
+    format!(
+        "{} placed, {} evicted, {queued} waiting, {unplaced} not placed, {} jobs cancelled",
+        plan.placements.len(),
+        plan.evictions.len(),
+        plan.cancels.len()
+    )
+}
+
+/// A plan as text: what would run where, what would move, what waits, and what can't be placed.
+pub fn plan(plan: &plan::Plan) -> String {
+    let mut out = format!("plan {} ({:?}): {}\n", plan.id, plan.state, summary(plan));
+    let mut line = |text: String| {
+        // Writing to a string can't fail.
+        let _ = writeln!(out, "{text}");
+    };
+    for p in &plan.placements {
+        line(format!("  run     {}  on {} in {}", p.task, p.vm, p.shard));
+    }
+    for e in &plan.evictions {
+        line(format!("  evict   {}  from {} for {}", e.task, e.vm, e.by));
+    }
+    for q in &plan.queued {
+        line(format!("  wait    {} tasks of {}", q.tasks, q.job));
+    }
+    for u in &plan.unplaced {
+        line(format!(
+            "  refuse  {} tasks of {}: {}",
+            u.tasks, u.job, u.reason
+        ));
+    }
+    for c in &plan.cancels {
+        line(format!("  cancel  {c}"));
+    }
+    for part in plan.parts.iter().filter(|part| part.row.grant > 0) {
+        let (job, grant) = (&part.row.spec.name, part.row.grant);
+        line(format!(
+            "  grant   {job} may evict up to {grant} batch tasks in {}",
+            part.shard
+        ));
+    }
+    out
+}
--- /dev/null
+++ b/geraniumlatchd/src/control/owners.rs
@@ -0,0 +1,444 @@
+//! The shards that this daemon owns or may claim.
+
+use std::{collections, sync};
+
+use gl_lease::{rendezvous, shard};
+use gl_model::{config, id, job, key, task, time, txn, vm, worker};
+use gl_peer::frame;
+use gl_platform::{Agents as _, Table as _};
+use gl_schedule::{owner, world};
+use tokio::sync::oneshot;
+
+use crate::{clock, control, settle};
+
+/// How much longer each further choice waits before it claims a shard that nobody took.
+const RANK_WAIT: time::Span = time::Span::seconds(1);
+/// How often the jobs of owned shards are read.
+const JOBS: time::Span = time::Span::seconds(1);
+/// How long a claim may take.
+const CLAIM_LIMIT: time::Span = time::Span::seconds(3);
+
+/// A shard that was claimed, with all of its rows.
+pub struct Claimed {
+    settings: owner::Settings,
+    rows: owner::Rows,
+}
+
+struct Owned {
+    owner: owner::Owner,
+    inputs: Vec<owner::Input>,
+    counters: world::Counters,
+    jobs_due: time::Timestamp,
+    released: bool,
+}
+
+/// The shards of this daemon.
+pub struct Owners {
+    io: control::Io,
+    owned: collections::BTreeMap<id::DomainId, Owned>,
+    claiming: collections::BTreeSet<id::DomainId>,
+    free_since: collections::BTreeMap<id::DomainId, time::Timestamp>,
+    list: vm::List,
+    releasing: Vec<oneshot::Sender<()>>,
+    stopped: bool,
+}
+
+impl Owners {
+    /// A daemon that owns nothing.
+    pub fn new(io: control::Io) -> Self {
+        Self {
+            io,
+            owned: collections::BTreeMap::new(),
+            claiming: collections::BTreeSet::new(),
+            free_since: collections::BTreeMap::new(),
+            list: vm::List::default(),
+            releasing: Vec::new(),
+            stopped: false,
+        }
+    }
+
+    /// Takes the list of VMs in.
+    pub fn take_list(&mut self, list: &vm::List) {
+        if *list == self.list {
+            return;
+        }
+        self.list = list.clone();
+        for owned in self.owned.values_mut() {
+            owned.inputs.push(owner::Input::List(list.clone()));
+        }
+    }
+
+    /// Takes a new configuration in.
+    pub fn take_config(&mut self, content: &config::Shared) {
+        for owned in self.owned.values_mut() {
+            owned
+                .inputs
+                .push(owner::Input::Config(Box::new(content.clone())));
+        }
+    }
+
+    /// Gives an owner something to take in, unless it belongs to an earlier ownership.
+    pub fn input(&mut self, shard: &id::DomainId, epoch: Option<id::Epoch>, input: owner::Input) {
+        if let Some(owned) = self.owned.get_mut(shard)
+            && epoch.is_none_or(|epoch| epoch == owned.owner.epoch())
+        {
+            owned.inputs.push(input);
+        }
+    }
+
+    /// Has the jobs of all owned shards read at once.
+    pub fn stir(&mut self) {
+        for owned in self.owned.values_mut() {
+            owned.jobs_due = time::Timestamp::default();
+        }
+    }
+
+    /// Looks for shards that this daemon should claim, and for ones that it has lost.
+    pub fn take_rows(&mut self, rows: Vec<control::ShardRow>, now: time::Timestamp) {
+        let options = shard::Options::from(&self.io.node.config.lock().content.leases);
+        for read in rows {
+            let epoch = read.row.as_ref().map(|row| row.epoch).unwrap_or_default();
+            if let Some(owned) = self.owned.get(&read.shard) {
+                if epoch > owned.owner.epoch() {
+                    let ended = owned.owner.epoch();
+                    self.drop_shard(&read.shard, ended);
+                }
+                continue;
+            }
+            let is_free = read
+                .row
+                .as_ref()
+                .is_none_or(|row| shard::remaining(row, now, &options).is_none());
+            if !is_free {
+                self.free_since.remove(&read.shard);
+                continue;
+            }
+            let since = *self.free_since.entry(read.shard.clone()).or_insert(now);
+            if now.since(since) >= self.turn(&read.shard, now) {
+                self.claim(read, now);
+            }
+        }
+    }
+
+    /// How long this daemon leaves a free shard to those that should rather own it, or that own
+    /// fewer.
+    fn turn(&self, shard: &id::DomainId, now: time::Timestamp) -> time::Span {
+        let node = &self.io.node;
+        let members = node.members.lock();
+        let alive: Vec<&id::DaemonId> = members.alive(now).iter().map(|row| &row.id).collect();
+        let rank = rendezvous::rank(shard, &alive, &node.me.id);
+        time::Span(RANK_WAIT.0 * (rank + self.owned.len() + self.claiming.len()) as u64)
+    }
+
+    fn claim(&mut self, read: control::ShardRow, now: time::Timestamp) {
+        let is_settled = self.io.node.ready.load(sync::atomic::Ordering::Relaxed);
+        if self.stopped || !is_settled || !self.claiming.insert(read.shard.clone()) {
+            return;
+        }
+        let io = self.io.clone();
+        ntex::rt::spawn(async move {
+            let shard = read.shard.clone();
+            let event = match claim(&io, read, now).await {
+                Some(claimed) => control::Event::Claimed(Box::new(claimed)),
+                None => control::Event::Unclaimed(shard),
+            };
+            let _ = io.events.send(event);
+        })
+        .detach();
+    }
+
+    /// Notes that a claim failed.
+    pub fn take_unclaimed(&mut self, shard: &id::DomainId) {
+        self.claiming.remove(shard);
+        self.free_since.remove(shard);
+    }
+
+    /// Starts to own a shard.
+    pub fn take_claimed(&mut self, claimed: Claimed, now: time::Timestamp) {
+        let shard = claimed.settings.shard.clone();
+        self.take_unclaimed(&shard);
+        let owner = owner::Owner::new(claimed.settings, claimed.rows, now);
+        log::info!("shard={shard} state=owned epoch={}", owner.epoch());
+        let owned = Owned {
+            owner,
+            inputs: vec![owner::Input::List(self.list.clone())],
+            counters: world::Counters::default(),
+            jobs_due: now + JOBS,
+            released: false,
+        };
+        self.owned.insert(shard, owned);
+        self.note_shards();
+        self.io.node.metrics.event("shard-claimed", 1);
+    }
+
+    /// Stops owning a shard whose epoch has ended.
+    pub fn drop_shard(&mut self, shard: &id::DomainId, epoch: id::Epoch) {
+        let is_ended = self
+            .owned
+            .get(shard)
+            .is_some_and(|owned| owned.owner.epoch() == epoch);
+        if is_ended {
+            self.owned.remove(shard);
+            self.note_shards();
+            log::info!("shard={shard} state=lost epoch={epoch}");
+            self.io.node.metrics.event("shard-lost", 1);
+        }
+        self.answer_released();
+    }
+
+    fn note_shards(&self) {
+        *self.io.node.shards.lock() = self.owned.keys().cloned().collect();
+    }
+
+    /// Gives all shards back, each as soon as its commit under way is settled.
+    pub fn release(&mut self, done: oneshot::Sender<()>) {
+        self.stopped = true;
+        self.releasing.push(done);
+        self.answer_released();
+    }
+
+    fn answer_released(&mut self) {
+        if self.stopped && self.owned.is_empty() {
+            for done in self.releasing.drain(..) {
+                let _ = done.send(());
+            }
+        }
+    }
+
+    /// Runs the systems of all owned shards.
+    pub fn tick(&mut self, now: time::Timestamp) {
+        let shards: Vec<id::DomainId> = self.owned.keys().cloned().collect();
+        for shard in shards {
+            self.tick_shard(&shard, now);
+        }
+    }
+
+    fn tick_shard(&mut self, shard: &id::DomainId, now: time::Timestamp) {
+        let Some(owned) = self.owned.get_mut(shard) else {
+            return;
+        };
+        if owned.released {
+            return;
+        }
+        if owned.jobs_due <= now {
+            owned.jobs_due = now + JOBS;
+            read_jobs(&self.io, shard);
+        }
+        let inputs = std::mem::take(&mut owned.inputs);
+        let actions = if self.stopped {
+            owned.owner.absorb(now, inputs);
+            Vec::new()
+        } else {
+            owned.owner.run(now, inputs)
+        };
+        let epoch = owned.owner.epoch();
+        note_counters(&self.io, &owned.owner.world.counters, &mut owned.counters);
+        if self.stopped
+            && let Some(txn) = owned.owner.release()
+        {
+            owned.released = true;
+            give_back(&self.io, shard, epoch, txn);
+        }
+        for action in actions {
+            act(&self.io, shard, epoch, action, now);
+        }
+    }
+}
+
+/// The row of a shard, which tells whether a commit took effect.
+struct Marker {
+    key: String,
+    txn: id::TxnId,
+}
+
+impl Marker {
+    fn new(shard: &id::DomainId, txn: &txn::Txn) -> Self {
+        Self {
+            key: key::shard(shard),
+            txn: txn.id.clone(),
+        }
+    }
+}
+
+impl settle::Marker for Marker {
+    fn key(&self) -> &str {
+        &self.key
+    }
+
+    fn is_mine(&self, row: &txn::Row) -> bool {
+        settle::value::<gl_model::shard::Row>(row).is_some_and(|row| row.txn == self.txn)
+    }
+}
+
+async fn claim(io: &control::Io, read: control::ShardRow, now: time::Timestamp) -> Option<Claimed> {
+    let me = &io.node.me.id;
+    let config = io.node.config.lock().content.clone();
+    let options = shard::Options::from(&config.leases);
+    let inherited = read.row.as_ref().map(|row| row.horizon).unwrap_or_default();
+    let id = id::TxnId(format!("claim/{}/{me}/{}", read.shard, now.0));
+    let row = shard::claim(read.row.as_ref(), me, &id, now, &options).ok()?;
+    let key = key::shard(&read.shard);
+    let txn = txn::Txn {
+        id,
+        checks: vec![txn::Check {
+            key: key.clone(),
+            version: read.version,
+        }],
+        writes: vec![txn::Write {
+            key,
+            value: serde_json::to_string(&row).ok(),
+        }],
+    };
+    let marker = Marker::new(&read.shard, &txn);
+    let fate = settle::transact(&io.platform, &txn, &marker, Some(now + CLAIM_LIMIT)).await;
+    let settle::Fate::Committed(version) = fate else {
+        return None;
+    };
+    let rows = read_rows(&io.platform, &read.shard).await?;
+    let settings = owner::Settings {
+        daemon: me.clone(),
+        shard: read.shard,
+        row,
+        version,
+        inherited,
+        config,
+    };
+    Some(Claimed { settings, rows })
+}
+
+fn versioned<R: serde::de::DeserializeOwned>(rows: &[txn::Row]) -> Vec<owner::Versioned<R>> {
+    let parse = |row: &txn::Row| {
+        Some(owner::Versioned {
+            row: settle::value(row)?,
+            version: row.version,
+        })
+    };
+    rows.iter().filter_map(parse).collect()
+}
+
+fn jobs(rows: &[txn::Row]) -> Vec<owner::Job> {
+    let job = |v: owner::Versioned<job::Row>| owner::Job {
+        row: v.row,
+        version: v.version,
+    };
+    versioned(rows).into_iter().map(job).collect()
+}
+
+/// Reads all rows of a shard.
+pub async fn read_rows(
+    table: &dyn gl_platform::Table,
+    shard: &id::DomainId,
+) -> Option<owner::Rows> {
+    let read_jobs = table.scan(&key::jobs(shard)).await.ok()?;
+    let tasks = table.scan(&key::tasks(shard)).await.ok()?;
+    let ledgers = table.scan(&key::ledgers(shard)).await.ok()?;
+    Some(owner::Rows {
+        jobs: jobs(&read_jobs),
+        tasks: versioned::<task::Row>(&tasks),
+        ledgers: versioned::<vm::Ledger>(&ledgers),
+    })
+}
+
+fn read_jobs(io: &control::Io, shard: &id::DomainId) {
+    let (io, shard) = (io.clone(), shard.clone());
+    ntex::rt::spawn(async move {
+        let Ok(rows) = io.platform.scan(&key::jobs(&shard)).await else {
+            return;
+        };
+        let input = Box::new(owner::Input::Jobs(jobs(&rows)));
+        let _ = io.events.send(control::Event::Input {
+            shard,
+            epoch: None,
+            input,
+        });
+    })
+    .detach();
+}
+
+fn act(
+    io: &control::Io,
+    shard: &id::DomainId,
+    epoch: id::Epoch,
+    action: owner::Action,
+    now: time::Timestamp,
+) {
+    match action {
+        owner::Action::Commit(txn) => commit(io, shard, epoch, txn),
+        owner::Action::Sync { vm, agent, message } => sync(io, shard, epoch, vm, agent, message),
+        owner::Action::Publish(set) => {
+            io.node.router.lock().take_routes(&set, now);
+            io.node.broadcast(&frame::Frame::Routes(set));
+        }
+        owner::Action::Note(note) => log::info!("shard={shard} {note}"),
+    }
+}
+
+fn commit(io: &control::Io, shard: &id::DomainId, epoch: id::Epoch, txn: txn::Txn) {
+    let (io, shard) = (io.clone(), shard.clone());
+    ntex::rt::spawn(async move {
+        let marker = Marker::new(&shard, &txn);
+        let event = match settle::transact(&io.platform, &txn, &marker, None).await {
+            settle::Fate::Committed(version) => control::Event::Committed {
+                shard,
+                epoch,
+                version,
+            },
+            _ => control::Event::Lost { shard, epoch },
+        };
+        let _ = io.events.send(event);
+    })
+    .detach();
+}
+
+fn give_back(io: &control::Io, shard: &id::DomainId, epoch: id::Epoch, txn: txn::Txn) {
+    let (io, shard) = (io.clone(), shard.clone());
+    ntex::rt::spawn(async move {
+        let marker = Marker::new(&shard, &txn);
+        let limit = clock::now() + CLAIM_LIMIT;
+        let _ = settle::transact(&io.platform, &txn, &marker, Some(limit)).await;
+        let _ = io.events.send(control::Event::Lost { shard, epoch });
+    })
+    .detach();
+}
+
+fn sync(
+    io: &control::Io,
+    shard: &id::DomainId,
+    epoch: id::Epoch,
+    vm: id::VmId,
+    agent: std::net::SocketAddr,
+    message: worker::Sync,
+) {
+    let (io, shard) = (io.clone(), shard.clone());
+    ntex::rt::spawn(async move {
+        let input = match io.platform.sync(agent, &message).await {
+            Ok(report) => owner::Input::Report(vm, report),
+            Err(_) => owner::Input::Silent(vm),
+        };
+        let (epoch, input) = (Some(epoch), Box::new(input));
+        let _ = io.events.send(control::Event::Input {
+            shard,
+            epoch,
+            input,
+        });
+    })
+    .detach();
+}
+
+fn note_counters(io: &control::Io, counters: &world::Counters, last: &mut world::Counters) {
+    let metrics = &io.node.metrics;
+    metrics.event("task-started", counters.starts - last.starts);
+    metrics.event("task-evicted", counters.evictions - last.evictions);
+    metrics.event("task-retried", counters.retries - last.retries);
+    metrics.event("task-given-up", counters.failures - last.failures);
+    metrics.event("task-lapsed", counters.lapses - last.lapses);
+    metrics.event("task-throttled", counters.throttles - last.throttles);
+    metrics.event("task-done", counters.done - last.done);
+    metrics.event(
+        "worker-quarantined",
+        counters.quarantines - last.quarantines,
+    );
+    metrics.event("commit", counters.commits - last.commits);
+    metrics.event("row-written", counters.rows - last.rows);
+    *last = *counters;
+}
--- /dev/null
+++ b/geraniumlatchd/src/operators/config.rs
@@ -0,0 +1,138 @@
+//! The shared configuration: accepted once in the table, then in force everywhere.
+
+use gl_model::{config, id, key, time, txn};
+use gl_peer::frame;
+use gl_platform::Table as _;
+use ntex::{util, web};
+
+use super::{Desk, Fault, Kind, access};
+use crate::{clock, settle};
+
+/// How long an accept may take.
+const LIMIT: time::Span = time::Span::seconds(10);
+
+/// A wish to replace the configuration.
+#[gl_derive::domain]
+pub struct Change {
+    /// The number that it is meant to replace.
+    pub basis: id::Version,
+    /// The new content.
+    pub content: config::Shared,
+}
+
+/// Shows the configuration that is in force here.
+pub async fn show(request: web::HttpRequest, desk: web::types::State<Desk>) -> web::HttpResponse {
+    if let Some(refusal) = access::refusal(&desk, &request) {
+        return refusal;
+    }
+    let config = desk.node.config.lock().clone();
+    web::HttpResponse::Ok().json(&config)
+}
+
+/// All accepted configurations, oldest first.
+pub async fn history(
+    request: web::HttpRequest,
+    desk: web::types::State<Desk>,
+) -> web::HttpResponse {
+    if let Some(refusal) = access::refusal(&desk, &request) {
+        return refusal;
+    }
+    match desk.platform.scan(key::HISTORY).await {
+        Err(error) => Fault::platform(&error),
+        Ok(rows) => {
+            let rows: Vec<config::Row> = rows.iter().filter_map(settle::value).collect();
+            web::HttpResponse::Ok().json(&rows)
+        }
+    }
+}
+
+/// Accepts a configuration: a compare-and-set from the number that it is meant to replace to
+/// the next one.
+pub async fn apply(
+    request: web::HttpRequest,
+    body: util::Bytes,
+    desk: web::types::State<Desk>,
+) -> web::HttpResponse {
+    if let Some(refusal) = access::refusal(&desk, &request) {
+        return refusal;
+    }
+    let change: Change = match serde_json::from_slice(&body) {
+        Ok(change) => change,
+        Err(error) => return Fault::answer(Kind::Bad, &format!("{error}; correct the file")),
+    };
+    if let Err(fault) = gl_config::shared::check(&change.content) {
+        return Fault::answer(Kind::Bad, &fault.to_string());
+    }
+    accept(&desk, change).await
+}
+
+struct Marker(id::TxnId);
+
+impl settle::Marker for Marker {
+    fn key(&self) -> &str {
+        key::CONFIG
+    }
+
+    fn is_mine(&self, row: &txn::Row) -> bool {
+        settle::value::<config::Row>(row).is_some_and(|row| row.txn == self.0)
+    }
+}
+
+async fn accept(desk: &Desk, change: Change) -> web::HttpResponse {
+    let stored = match desk.platform.read(key::CONFIG).await {
+        Ok(row) => row,
+        Err(error) => return Fault::platform(&error),
+    };
+    let version = stored.as_ref().map(|row| row.version).unwrap_or_default();
+    let current: Option<config::Row> = stored.as_ref().and_then(settle::value);
+    let number = current.map(|row| row.number).unwrap_or_default();
+    if number != change.basis {
+        return stale(number);
+    }
+    let now = clock::now();
+    let id = id::TxnId(format!("config/{}/{}", desk.node.me.id, now.0));
+    let row = config::Row {
+        number: number.next(),
+        txn: id.clone(),
+        content: change.content,
+    };
+    let value = serde_json::to_string(&row).ok();
+    let txn = txn::Txn {
+        id: id.clone(),
+        checks: vec![txn::Check {
+            key: key::CONFIG.to_owned(),
+            version,
+        }],
+        writes: vec![
+            txn::Write {
+                key: key::CONFIG.to_owned(),
+                value: value.clone(),
+            },
+            txn::Write {
+                key: key::history(row.number),
+                value,
+            },
+        ],
+    };
+    let marker = Marker(id);
+    let fate = settle::transact(desk.platform.as_ref(), &txn, &marker, Some(now + LIMIT));
+    match fate.await {
+        settle::Fate::Committed(_) => {
+            desk.node.take_config(&row);
+            desk.node
+                .broadcast(&frame::Frame::Config(Box::new(row.clone())));
+            web::HttpResponse::Ok().json(&row)
+        }
+        settle::Fate::Conflict => stale(number.next()),
+        settle::Fate::Refused(error) => Fault::platform(&error),
+        settle::Fate::Open(error) => Fault::open(&error),
+    }
+}
+
+fn stale(number: id::Version) -> web::HttpResponse {
+    let message = format!(
+        "the configuration is at number {number} by now; read it, make your change anew and \
+         apply it again"
+    );
+    Fault::answer(Kind::Stale, &message)
+}
--- /dev/null
+++ b/geraniumlatchd/src/operators/mod.rs
@@ -0,0 +1,122 @@
+//! Answers operators' requests: plans, status, configuration, drains and the burn report.
+
+mod access;
+mod burn;
+mod config;
+mod drain;
+mod plans;
+mod status;
+
+use std::{rc, sync};
+
+use ntex::web;
+
+use crate::node;
+
+/// What one server thread has to answer operators with.
+#[derive(Clone)]
+pub struct Desk {
+    /// The daemon.
+    pub node: sync::Arc<node::Node>,
+    /// The platform.
+    pub platform: rc::Rc<gl_platform::Http>,
+}
+
+/// The body of every error answer.
+#[gl_derive::domain]
+pub struct Fault {
+    /// What kind of fault it is, for programs.
+    pub kind: Kind,
+    /// What happened and what to do.
+    pub message: String,
+}
+
+/// The kinds of faults.
+#[gl_derive::tag]
+pub enum Kind {
+    /// The request is wrong.
+    Bad,
+    /// The state has changed since the plan or the configuration was read.
+    Stale,
+    /// There is no such thing.
+    Missing,
+    /// The platform can't be reached; nothing is known to have changed.
+    Platform,
+    /// The platform's answer was lost; the change may be in force.
+    Open,
+    /// The key is wrong.
+    Key,
+}
+
+impl Fault {
+    /// The fault as an answer.
+    pub fn answer(kind: Kind, message: &str) -> web::HttpResponse {
+        let mut response = match kind {
+            Kind::Bad => web::HttpResponse::BadRequest(),
+            Kind::Stale => web::HttpResponse::Conflict(),
+            Kind::Missing => web::HttpResponse::NotFound(),
+            Kind::Platform => web::HttpResponse::ServiceUnavailable(),
+            Kind::Open => web::HttpResponse::GatewayTimeout(),
+            Kind::Key => web::HttpResponse::Unauthorized(),
+        };
+        response.json(&Self {
+            kind,
+            message: message.to_owned(),
+        })
+    }
+
+    /// The answer when a read failed.
+    pub fn platform(error: &gl_platform::Error) -> web::HttpResponse {
+        let message = format!("{error}; nothing was changed");
+        Self::answer(Kind::Platform, &message)
+    }
+
+    /// The answer when a change may be in force.
+    pub fn open(error: &gl_platform::Error) -> web::HttpResponse {
+        let message = format!("{error}; look at the state before you repeat the change");
+        Self::answer(Kind::Open, &message)
+    }
+}
+
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+async fn readyz(node: web::types::State<sync::Arc<node::Node>>) -> web::HttpResponse {
+    if node.is_ready() {
+        web::HttpResponse::Ok().body("ready\n")
+    } else {
+        web::HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+async fn metrics(node: web::types::State<sync::Arc<node::Node>>) -> web::HttpResponse {
+    web::HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(node.metrics.render())
+}
+
+/// Adds all operators' routes.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config.service((
+        web::resource("/healthz").route(web::get().to(healthz)),
+        web::resource("/readyz").route(web::get().to(readyz)),
+        web::resource("/metrics").route(web::get().to(metrics)),
+        web::resource("/v1/plans")
+            .route(web::post().to(plans::submit))
+            .route(web::get().to(plans::list)),
+        web::resource("/v1/plans/{id}").route(web::get().to(plans::show)),
+        web::resource("/v1/plans/{id}/confirm").route(web::post().to(plans::confirm)),
+        web::resource("/v1/cancel").route(web::post().to(plans::cancel)),
+        web::resource("/v1/status").route(web::get().to(status::status)),
+        web::resource("/v1/config")
+            .route(web::get().to(config::show))
+            .route(web::post().to(config::apply)),
+        web::resource("/v1/config/history").route(web::get().to(config::history)),
+        web::resource("/v1/drain/daemon").route(web::post().to(drain::daemon)),
+        web::resource("/v1/drain/vm/{vm}")
+            .route(web::post().to(drain::vm))
+            .route(web::delete().to(drain::undo)),
+        web::resource("/v1/burn").route(web::get().to(burn::burn)),
+    ));
+}
--- /dev/null
+++ b/geraniumlatchd/src/program.rs
@@ -0,0 +1,129 @@
+//! The command line, the settings and the start of all parts.
+
+use std::{net, process, sync};
+
+use gl_config::daemon as settings;
+
+use crate::{clock, control, error, node, proxy, shutdown};
+
+const USAGE: &str = "Usage: geraniumlatchd --config FILE [--check]\n\n\
+    Proxies calls, serves operators, and owns shards of the scheduling state.\n\
+    SIGTERM stops it gracefully. SIGHUP is ignored.\n\
+    Exit codes: 0 stopped as asked, 1 a fault while running, 2 wrong settings or arguments.";
+const EXIT_FAULT: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+
+/// What the command line asks for.
+enum Request {
+    Help(String),
+    Version,
+    Check(Box<settings::Settings>),
+    Run(Box<settings::Settings>),
+}
+
+/// Runs the program and returns its exit code.
+pub fn main(arguments: &[String]) -> process::ExitCode {
+    match request(arguments).and_then(carry_out) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            let code = match error {
+                error::Error::Usage { .. } | error::Error::Settings(_) => EXIT_SETTINGS,
+                _ => EXIT_FAULT,
+            };
+            eprintln!("{:?}", miette::Report::new(error));
+            process::ExitCode::from(code)
+        }
+    }
+}
+
+fn request(arguments: &[String]) -> Result<Request, error::Error> {
+    let mut options = getopts::Options::new();
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options.optopt("c", "config", "the settings file", "FILE");
+    options.optflag("", "check", "check the settings file and exit");
+    let usage = |detail: String| error::Error::Usage { detail };
+    let matches = options.parse(arguments).map_err(|e| usage(e.to_string()))?;
+    if matches.opt_present("help") {
+        return Ok(Request::Help(options.usage(USAGE)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Request::Version);
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(usage(format!("`{extra}` isn't expected here")));
+    }
+    let file = matches.opt_str("config");
+    let file = file.ok_or_else(|| usage("the option `--config FILE` is missing".to_owned()))?;
+    let settings = settings::load(&file)?;
+    if matches.opt_present("check") {
+        return Ok(Request::Check(Box::new(settings)));
+    }
+    Ok(Request::Run(Box::new(settings)))
+}
+
+fn carry_out(request: Request) -> Result<(), error::Error> {
+    match request {
+        Request::Help(text) => println!("{text}"),
+        Request::Version => println!("geraniumlatchd {}", env!("CARGO_PKG_VERSION")),
+        Request::Check(settings) => println!("the settings of `{}` are right", settings.daemon),
+        Request::Run(settings) => return run(*settings),
+    }
+    Ok(())
+}
+
+fn setup<E: std::fmt::Display>(what: &'static str) -> impl FnOnce(E) -> error::Error {
+    move |e| error::Error::Setup {
+        what,
+        detail: e.to_string(),
+    }
+}
+
+fn bind(field: &'static str, address: net::SocketAddr) -> Result<net::TcpListener, error::Error> {
+    let refuse = |e: std::io::Error| error::Error::Listen {
+        field,
+        address,
+        detail: e.to_string(),
+    };
+    net::TcpListener::bind(address).map_err(refuse)
+}
+
+fn run(settings: settings::Settings) -> Result<(), error::Error> {
+    let level = match settings.log.level {
+        settings::Level::Error => "error",
+        settings::Level::Warn => "warn",
+        settings::Level::Info => "info",
+        settings::Level::Debug => "debug",
+    };
+    let logger = flexi_logger::Logger::try_with_str(level).map_err(setup("the log"))?;
+    let _logger = logger.start().map_err(setup("the log"))?;
+    let listen = bind("listen", settings.listen)?;
+    let mesh = bind("mesh", settings.mesh)?;
+    let listen_address = listen.local_addr().map_err(setup("the listening socket"))?;
+    let mesh_address = mesh.local_addr().map_err(setup("the mesh's socket"))?;
+    let node = node::Node::new(settings, listen_address, mesh_address, clock::now());
+    let node = sync::Arc::new(node.map_err(setup("the metrics"))?);
+    let system = ntex::rt::System::new("geraniumlatchd", ntex::rt::DefaultRuntime);
+    system.block_on(serve(node, listen, mesh))
+}
+
+async fn serve(
+    node: sync::Arc<node::Node>,
+    listen: net::TcpListener,
+    mesh: net::TcpListener,
+) -> Result<(), error::Error> {
+    shutdown::watch(&node)?;
+    let control = control::start(&node, mesh).await?;
+    let server = proxy::server::start(&node, listen).map_err(setup("the server"))?;
+    println!(
+        "daemon={} listen={} mesh={}",
+        node.me.id, node.me.listen, node.me.mesh
+    );
+    log::info!(
+        "daemon={} state=started listen={}",
+        node.me.id,
+        node.me.listen
+    );
+    shutdown::run(&node, control, server).await;
+    Ok(())
+}
--- /dev/null
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -0,0 +1,435 @@
+//! The way of one call through the daemon.
+
+use std::{sync, sync::atomic};
+
+use gl_meter::tally;
+use gl_model::{call, id, time};
+use gl_route::{call as route, ending};
+use ntex::{http, util, web};
+
+use crate::{clock, node, proxy};
+use proxy::{answer, attempt, claims, request};
+
+/// The largest answer that is stored for an unrepeatable call's retry, in bytes.
+const STORED_BYTES: usize = 64 << 10;
+/// The share of a call's time that storing its claim may take.
+const CLAIM_SHARE: f64 = 0.5;
+/// The time after which a caller is told to come back when no claim could be stored.
+const CLAIM_RETRY: time::Span = time::Span::seconds(2);
+
+/// What one server thread has to carry calls with.
+#[derive(Clone)]
+pub struct Carrier {
+    /// The daemon.
+    pub node: sync::Arc<node::Node>,
+    /// The clients to backend servers.
+    pub clients: attempt::Clients,
+    /// The claims on keys.
+    pub claims: claims::Claims,
+}
+
+/// Counts a call as in progress.
+struct Progress(sync::Arc<node::Node>);
+
+impl Progress {
+    fn new(node: &sync::Arc<node::Node>) -> Self {
+        node.flight.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(sync::Arc::clone(node))
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.0.flight.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// The final answer of a call and how it counts.
+struct End {
+    response: web::HttpResponse,
+    outcome: call::Outcome,
+    server: time::Span,
+    vm: Option<id::VmId>,
+}
+
+impl End {
+    const fn own(response: web::HttpResponse, outcome: call::Outcome) -> Self {
+        Self {
+            response,
+            outcome,
+            server: time::Span::ZERO,
+            vm: None,
+        }
+    }
+}
+
+/// Carries one call.
+pub async fn call(
+    original: web::HttpRequest,
+    payload: web::types::Payload,
+    carrier: web::types::State<Carrier>,
+) -> web::HttpResponse {
+    let node = &carrier.node;
+    let _progress = Progress::new(node);
+    let now = clock::now();
+    let number = node.calls.fetch_add(1, atomic::Ordering::Relaxed);
+    let request = match request::parse(node, &original, number, now) {
+        Ok(request) => request,
+        Err(error) => return answer::bad(&error.to_string()),
+    };
+    let limits = node.config.lock().content.limits;
+    let body = match read(payload, limits.body_bytes).await {
+        Ok(body) => body,
+        Err(TooLarge) => return answer::too_large(limits.body_bytes),
+    };
+    let end = match (&request.key, request.call.repeat) {
+        (Some(key), call::Repeat::Never) => {
+            claimed(
+                &carrier,
+                &request,
+                key,
+                &original,
+                body,
+                limits.answer_bytes,
+            )
+            .await
+        }
+        _ => {
+            carry(&carrier, &request, &original, body, limits.answer_bytes)
+                .await
+                .end
+        }
+    };
+    note(node, &request, &end);
+    let mut response = end.response;
+    if node.is_draining() {
+        response
+            .head_mut()
+            .set_connection_type(http::ConnectionType::Close);
+    }
+    response
+}
+
+struct TooLarge;
+
+async fn read(mut payload: web::types::Payload, limit: usize) -> Result<util::Bytes, TooLarge> {
+    let mut body = util::BytesMut::new();
+    while let Some(Ok(chunk)) = payload.recv().await {
+        if body.len() + chunk.len() > limit {
+            return Err(TooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn note(node: &node::Node, request: &request::Request, end: &End) {
+    let now = clock::now();
+    let took = now.since(request.began);
+    let kind = match end.outcome {
+        call::Outcome::Complete if took <= request.goal => tally::End::Good,
+        call::Outcome::Complete => tally::End::Late,
+        call::Outcome::NotRun => tally::End::NotRun,
+        call::Outcome::Unknown => tally::End::Unknown,
+    };
+    node.metrics
+        .end(&request.call.service, end.outcome, took, end.server);
+    let is_known = node.router.lock().promise(&request.call.service).is_some();
+    if is_known {
+        let service = &request.call.service;
+        node.board
+            .lock()
+            .add(&node.me.id, service, kind, end.vm.as_ref(), now);
+    }
+}
+
+/// Carries a keyed unrepeatable call: nothing is sent before its claim is stored.
+async fn claimed(
+    carrier: &Carrier,
+    request: &request::Request,
+    key: &str,
+    original: &web::HttpRequest,
+    body: util::Bytes,
+    limit: usize,
+) -> End {
+    let (service, id) = (&request.call.service, &request.call.id);
+    let share = request
+        .call
+        .deadline
+        .since(request.began)
+        .scaled(CLAIM_SHARE);
+    let claim = carrier
+        .claims
+        .claim(service, key, id, request.began + share)
+        .await;
+    match claim {
+        claims::Claimed::Own { .. } => {}
+        claims::Claimed::Other(Some(stored)) => {
+            return End::own(answer::stored(&stored), call::Outcome::Complete);
+        }
+        claims::Claimed::Other(None) => {
+            return End::own(answer::claimed(), call::Outcome::Unknown);
+        }
+        claims::Claimed::Unproved => {
+            carrier.claims.release(service, key, id);
+            carrier.node.metrics.shed("no-claim");
+            let response = answer::not_run("its key can't be claimed now", CLAIM_RETRY);
+            return End::own(response, call::Outcome::NotRun);
+        }
+    }
+    let carried = carry(carrier, request, original, body, limit).await;
+    match (carried.end.outcome, &carried.answer) {
+        (call::Outcome::NotRun, _) => carrier.claims.release(service, key, id),
+        (call::Outcome::Complete, Some(answer)) => store(carrier, request, key, answer),
+        _ => {}
+    }
+    carried.end
+}
+
+fn store(carrier: &Carrier, request: &request::Request, key: &str, answer: &attempt::Answer) {
+    let Ok(body) = std::str::from_utf8(&answer.body) else {
+        return;
+    };
+    if body.len() > STORED_BYTES {
+        return;
+    }
+    let content = answer
+        .headers
+        .iter()
+        .find(|(name, _)| *name == http::header::CONTENT_TYPE)
+        .and_then(|(_, value)| value.to_str().ok().map(str::to_owned));
+    let stored = call::Answer {
+        status: answer.status.as_u16(),
+        content,
+        body: body.to_owned(),
+    };
+    carrier
+        .claims
+        .answer(&request.call.service, key, &request.call.id, stored);
+}
+
+struct Carried {
+    end: End,
+    answer: Option<attempt::Answer>,
+}
+
+impl Carried {
+    const fn own(response: web::HttpResponse, outcome: call::Outcome) -> Self {
+        Self {
+            end: End::own(response, outcome),
+            answer: None,
+        }
+    }
+}
+
+/// Sends a call to backend servers until one answers it or it is given up.
+async fn carry(
+    carrier: &Carrier,
+    request: &request::Request,
+    original: &web::HttpRequest,
+    body: util::Bytes,
+    limit: usize,
+) -> Carried {
+    let node = &carrier.node;
+    let mut record = ending::Record::default();
+    let mut tried: Vec<id::TaskId> = Vec::new();
+    let mut last: Option<id::VmId> = None;
+    loop {
+        let verdict = decide(node, request, &tried).await;
+        let ticket = match verdict {
+            route::Verdict::Send(ticket) => ticket,
+            route::Verdict::Refuse(refusal) => {
+                return give_up(node, &record, refusal, last);
+            }
+            route::Verdict::Wait => continue,
+        };
+        let slot = attempt::Slot::new(sync::Arc::clone(node), ticket.clone());
+        last = vm_of(node, &ticket);
+        let tried_now = attempt::run(
+            &carrier.clients,
+            &ticket,
+            request,
+            original,
+            body.clone(),
+            limit,
+        )
+        .await;
+        slot.finish(tried_now.ending);
+        let is_retried = matches!(tried_now.ending, ending::Ending::Whole { failed: true, .. })
+            && request.call.repeat == call::Repeat::Safe
+            && tried.is_empty();
+        match record.next(tried_now.ending, request.call.repeat) {
+            ending::Next::Answer if is_retried && may_retry(node, request, &ticket) => {}
+            ending::Next::Answer => return complete(tried_now, last),
+            ending::Next::Stop(outcome) => {
+                let mut carried = Carried::own(answer::unknown(cause(tried_now.ending)), outcome);
+                carried.end.vm = last;
+                return carried;
+            }
+            ending::Next::Again(_) => {}
+        }
+        node.metrics.retry(cause(tried_now.ending));
+        tried.push(ticket.task);
+    }
+}
+
+/// Whether a repeatable call whose backend server failed may go to another one.
+fn may_retry(node: &node::Node, request: &request::Request, ticket: &route::Ticket) -> bool {
+    let router = node.router.lock();
+    let others = router
+        .services()
+        .find(|(name, _)| **name == request.call.service);
+    let is_other = |b: &gl_route::backend::Backend| b.task != ticket.task && !b.leaving;
+    others.is_some_and(|(_, service)| service.backends().iter().any(is_other))
+}
+
+fn vm_of(node: &node::Node, ticket: &route::Ticket) -> Option<id::VmId> {
+    let router = node.router.lock();
+    let service = router
+        .services()
+        .find(|(name, _)| **name == ticket.service)?;
+    let backend = service
+        .1
+        .backends()
+        .iter()
+        .find(|b| b.task == ticket.task)?;
+    Some(backend.vm.clone())
+}
+
+const fn cause(ending: ending::Ending) -> &'static str {
+    match ending {
+        ending::Ending::Whole { .. } => "backend-server-failed",
+        ending::Ending::Refused { .. } => "refused",
+        ending::Ending::Unsent => "no-connection",
+        ending::Ending::Broken => "answer-cut-short",
+        ending::Ending::Abandoned => "caller-gone",
+        ending::Ending::TimedOut => "no-answer-in-time",
+    }
+}
+
+/// Asks the router, and waits in its queue if need be.
+async fn decide(
+    node: &sync::Arc<node::Node>,
+    request: &request::Request,
+    tried: &[id::TaskId],
+) -> route::Verdict {
+    match ask(node, request, tried) {
+        Asked::Decided(verdict) => verdict,
+        Asked::Queued(waiting) => waiting.verdict().await,
+    }
+}
+
+enum Asked {
+    Decided(route::Verdict),
+    Queued(Waiting),
+}
+
+/// The router stays locked until the place in the queue has its receiver, so that it can't be
+/// woken before.
+fn ask(node: &sync::Arc<node::Node>, request: &request::Request, tried: &[id::TaskId]) -> Asked {
+    let call = &request.call;
+    let now = clock::now();
+    let mut router = node.router.lock();
+    let verdict = if tried.is_empty() {
+        router.admit(call, now)
+    } else {
+        router.retry(call, tried, now)
+    };
+    if verdict != route::Verdict::Wait {
+        return Asked::Decided(verdict);
+    }
+    let receiver = node.wait(&call.id);
+    Asked::Queued(Waiting::new(node, request, receiver))
+}
+
+/// A place in the queue, which is given up when the caller goes away.
+struct Waiting {
+    node: sync::Arc<node::Node>,
+    service: id::JobId,
+    call: id::CallId,
+    receiver: Option<tokio::sync::oneshot::Receiver<route::Verdict>>,
+}
+
+impl Waiting {
+    fn new(
+        node: &sync::Arc<node::Node>,
+        request: &request::Request,
+        receiver: tokio::sync::oneshot::Receiver<route::Verdict>,
+    ) -> Self {
+        Self {
+            node: sync::Arc::clone(node),
+            service: request.call.service.clone(),
+            call: request.call.id.clone(),
+            receiver: Some(receiver),
+        }
+    }
+
+    async fn verdict(mut self) -> route::Verdict {
+        let lost = route::Refusal {
+            reason: route::Reason::Overload,
+            after: CLAIM_RETRY,
+        };
+        let Some(receiver) = self.receiver.as_mut() else {
+            return route::Verdict::Refuse(lost);
+        };
+        let verdict = receiver.await;
+        self.receiver = None;
+        verdict.unwrap_or(route::Verdict::Refuse(lost))
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
+        self.node.forget(&self.service, &self.call);
+        if let Ok(route::Verdict::Send(ticket)) = receiver.try_recv() {
+            drop(attempt::Slot::new(sync::Arc::clone(&self.node), ticket));
+        }
+    }
+}
+
+/// The final answer of a call that no backend server answered.
+fn give_up(
+    node: &node::Node,
+    record: &ending::Record,
+    refusal: route::Refusal,
+    vm: Option<id::VmId>,
+) -> Carried {
+    let reason = refusal.reason.as_str();
+    let outcome = record.outcome();
+    let response = match outcome {
+        call::Outcome::NotRun => {
+            node.metrics.shed(reason);
+            answer::not_run(reason, refusal.after)
+        }
+        _ => answer::unknown(reason),
+    };
+    let mut carried = Carried::own(response, outcome);
+    carried.end.vm = vm;
+    carried
+}
+
+fn complete(outcome: attempt::Outcome, vm: Option<id::VmId>) -> Carried {
+    let server = attempt::latency(&outcome.ending);
+    let Some(answer) = outcome.answer else {
+        return Carried::own(answer::unknown("no answer"), call::Outcome::Unknown);
+    };
+    let mut response = web::HttpResponse::build(answer.status);
+    for (name, value) in &answer.headers {
+        response.header(name.clone(), value.clone());
+    }
+    response.header(call::OUTCOME, call::Outcome::Complete.as_str());
+    let response = response.body(answer.body.clone());
+    let end = End {
+        response,
+        outcome: call::Outcome::Complete,
+        server,
+        vm,
+    };
+    Carried {
+        end,
+        answer: Some(answer),
+    }
+}
--- /dev/null
+++ b/geraniumlatchd/src/proxy/mod.rs
@@ -0,0 +1,8 @@
+//! Carries calls from callers to backend servers.
+
+pub mod answer;
+pub mod attempt;
+pub mod claims;
+pub mod handler;
+pub mod request;
+pub mod server;
--- /dev/null
+++ b/geraniumlatchd/src/proxy/request.rs
@@ -0,0 +1,144 @@
+//! What a caller's request asks for.
+
+use gl_model::{call, id, time};
+use gl_route::call as route;
+use ntex::{http, web};
+
+use crate::node;
+
+/// The longest timeout that a caller may ask for.
+const LONGEST: time::Span = time::Span::seconds(600);
+/// The shortest timeout when the caller gives none.
+const SHORTEST_DEFAULT: time::Span = time::Span::seconds(1);
+/// How many of the service's deadlines the timeout is when the caller gives none.
+const DEADLINES: u64 = 2;
+/// The longest key for an unrepeatable call.
+const KEY_LENGTH: usize = 128;
+/// The path before a call's service.
+const PREFIX: &str = "/v1/call/";
+
+/// A checked request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// What the router decides about.
+    pub call: route::Call,
+    /// When it came in.
+    pub began: time::Timestamp,
+    /// The time within which the service should answer it.
+    pub goal: time::Span,
+    /// The caller's key, if it gave one.
+    pub key: Option<String>,
+    /// The path and query for the backend server.
+    pub target: String,
+}
+
+/// Why a request is refused as it stands.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The path names no service.
+    #[error("the path names no service; call /v1/call/SERVICE/PATH")]
+    Path,
+    /// The timeout is no number.
+    #[error("the header geraniumlatch-timeout-ms must be a number from 1 to 600000")]
+    Timeout,
+    /// The header holds another word.
+    #[error("the header geraniumlatch-repeat must be `safe` or `never`")]
+    Repeat,
+    /// The key is too long or holds other characters.
+    #[error("the header idempotency-key must be 1 to 128 printable ASCII characters without `/`")]
+    Key,
+}
+
+fn header<'a>(request: &'a web::HttpRequest, name: &str) -> Option<&'a str> {
+    request
+        .headers()
+        .get(name)
+        .map(|value| value.to_str().unwrap_or(""))
+}
+
+fn is_idempotent(method: &http::Method) -> bool {
+    let idempotent = [
+        http::Method::GET,
+        http::Method::HEAD,
+        http::Method::OPTIONS,
+        http::Method::TRACE,
+        http::Method::PUT,
+        http::Method::DELETE,
+    ];
+    idempotent.contains(method)
+}
+
+fn repeat(request: &web::HttpRequest) -> Result<call::Repeat, Error> {
+    match header(request, call::REPEAT) {
+        Some("safe") => Ok(call::Repeat::Safe),
+        Some("never") => Ok(call::Repeat::Never),
+        Some(_) => Err(Error::Repeat),
+        None if is_idempotent(request.method()) => Ok(call::Repeat::Safe),
+        None => Ok(call::Repeat::Never),
+    }
+}
+
+fn timeout(request: &web::HttpRequest) -> Result<Option<time::Span>, Error> {
+    let Some(text) = header(request, call::TIMEOUT) else {
+        return Ok(None);
+    };
+    let millis: u64 = text.parse().map_err(|_| Error::Timeout)?;
+    let span = time::Span::millis(millis);
+    if millis == 0 || span > LONGEST {
+        Err(Error::Timeout)
+    } else {
+        Ok(Some(span))
+    }
+}
+
+fn key(request: &web::HttpRequest) -> Result<Option<String>, Error> {
+    let Some(key) = header(request, call::KEY) else {
+        return Ok(None);
+    };
+    let is_plain = key.chars().all(|c| c.is_ascii_graphic() && c != '/');
+    if key.is_empty() || key.len() > KEY_LENGTH || !is_plain {
+        return Err(Error::Key);
+    }
+    Ok(Some(key.to_owned()))
+}
+
+/// Checks a request that came in at `now` as this daemon's call number `number`.
+///
+/// # Errors
+///
+/// If a header or the path isn't what it should be.
+pub fn parse(
+    node: &node::Node,
+    request: &web::HttpRequest,
+    number: u64,
+    now: time::Timestamp,
+) -> Result<Request, Error> {
+    let rest = request.path().strip_prefix(PREFIX).ok_or(Error::Path)?;
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return Err(Error::Path);
+    }
+    let service = id::JobId::from(service);
+    let promised = node
+        .router
+        .lock()
+        .promise(&service)
+        .map(|promise| promise.deadline);
+    let goal = promised.unwrap_or(SHORTEST_DEFAULT);
+    let default = time::Span(goal.0.saturating_mul(DEADLINES)).max(SHORTEST_DEFAULT);
+    let span = timeout(request)?.unwrap_or(default);
+    let query = request.query_string();
+    let mark = if query.is_empty() { "" } else { "?" };
+    Ok(Request {
+        call: route::Call {
+            id: id::CallId(format!("{}/{number}", node.me.id)),
+            service,
+            deadline: now + span,
+            repeat: repeat(request)?,
+        },
+        began: now,
+        goal,
+        key: key(request)?,
+        target: format!("/{path}{mark}{query}"),
+    })
+}
--- /dev/null
+++ b/geraniumlatchd/src/proxy/server.rs
@@ -0,0 +1,72 @@
+//! The HTTP server of callers and operators.
+
+use std::{io, net, rc, sync};
+
+use gl_model::time;
+use ntex::{http, web};
+
+use crate::{node, operators, proxy};
+use proxy::{attempt, claims, handler};
+
+/// Server threads; the daemon's VMs are small.
+const THREADS: usize = 2;
+/// The largest body that operators may send, in bytes.
+const OPERATOR_BYTES: usize = 4 << 20;
+/// How long an idle connection of a caller stays open.
+const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
+
+/// The platform's client of one thread.
+pub async fn platform(node: &node::Node) -> gl_platform::Http {
+    let settings = gl_platform::Settings {
+        addresses: node.settings.platform.clone(),
+        timeout: time::Span::millis(node.settings.limits.platform_ms),
+    };
+    gl_platform::Http::new(settings).await
+}
+
+/// Starts the server on `socket`.
+///
+/// # Errors
+///
+/// If the socket can't be used.
+pub fn start(
+    node: &sync::Arc<node::Node>,
+    socket: net::TcpListener,
+) -> io::Result<ntex::server::Server> {
+    let limits = node.settings.limits;
+    let drain = u16::try_from(limits.drain_ms / 1_000 + 1).unwrap_or(u16::MAX);
+    let config = http::HttpServiceConfig::new()
+        .set_max_headers(limits.headers)
+        .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE));
+    let shared = sync::Arc::clone(node);
+    let server = web::HttpServer::new(async move || {
+        let platform = rc::Rc::new(platform(&shared).await);
+        let clients = attempt::Clients::new().await;
+        let carrier = clients.ok().map(|clients| handler::Carrier {
+            node: sync::Arc::clone(&shared),
+            clients,
+            claims: claims::Claims::start(rc::Rc::clone(&platform) as rc::Rc<_>),
+        });
+        let desk = operators::Desk {
+            node: sync::Arc::clone(&shared),
+            platform,
+        };
+        let mut app = web::App::new()
+            .state(desk)
+            .state(sync::Arc::clone(&shared))
+            .state(web::types::JsonConfig::default().limit(OPERATOR_BYTES));
+        if let Some(carrier) = carrier {
+            app = app.state(carrier);
+        }
+        app.service(web::resource("/v1/call/{tail}*").to(handler::call))
+            .configure(operators::routes)
+    })
+    .workers(THREADS)
+    .maxconn(limits.connections / THREADS)
+    .disable_signals()
+    .shutdown_timeout(ntex::time::Seconds(drain))
+    .config(ntex::SharedCfg::new("geraniumlatchd").add(config))
+    .listen(socket)?
+    .run();
+    Ok(server)
+}
--- /dev/null
+++ b/gl-config/src/intent.rs
@@ -0,0 +1,38 @@
+//! Files of intents.
+
+use gl_model::intent;
+use gl_schedule::plan;
+
+use crate::{error::Error, parse};
+
+/// Reads and checks a file of intents.
+///
+/// # Errors
+///
+/// The first fault, with its place and remedy.
+pub fn load(file: &str) -> Result<intent::File, Error> {
+    parse(file, &parse::read(file)?)
+}
+
+/// Checks the text of a file of intents.
+///
+/// # Errors
+///
+/// The first fault, with its place and remedy.
+pub fn parse(file: &str, text: &str) -> Result<intent::File, Error> {
+    let intents: intent::File = parse::yaml(file, text)?;
+    plan::check(&intents).map_err(|error| {
+        let field = match &error {
+            plan::Error::Range { field, .. } => field,
+            plan::Error::Empty => "intents",
+            _ => "name",
+        };
+        let place = parse::place_of(text, field);
+        let whole = error.to_string();
+        let (detail, remedy) = whole
+            .split_once("; ")
+            .unwrap_or((&whole, "correct the file"));
+        parse::fault(file, text, detail.to_owned(), place, remedy.to_owned())
+    })?;
+    Ok(intents)
+}
--- /dev/null
+++ b/gl-meter/src/burn.rs
@@ -0,0 +1,165 @@
+//! How fast services spend their error budgets (The Site Reliability Workbook, chapter 5).
+
+use gl_model::{id, time};
+
+use crate::{board, tally};
+
+/// Minutes that the chart shows.
+const CHART_MINUTES: u64 = 30;
+/// The burn rate over one hour and five minutes that calls an operator at once.
+const PAGE_RATE: f64 = 14.4;
+/// The burn rate over six hours and thirty minutes that opens a ticket.
+const TICKET_RATE: f64 = 6.0;
+
+/// What a service promises.
+#[gl_derive::domain]
+pub struct Objective {
+    /// The service.
+    pub service: id::JobId,
+    /// The share of calls that must be whole within the deadline, from 0 to 1.
+    pub share: f64,
+}
+
+/// The state of a service's alerts.
+#[gl_derive::tag]
+pub enum Alert {
+    /// The budget lasts.
+    Quiet,
+    /// The budget is spent too fast over hours.
+    Ticket,
+    /// The budget is being spent within days.
+    Page,
+}
+
+/// The counts and the burn rate of one window.
+#[gl_derive::domain]
+pub struct Window {
+    /// Its length in minutes.
+    pub minutes: u64,
+    /// All calls.
+    pub calls: u64,
+    /// Calls that count against the objective.
+    pub bad: u64,
+    /// The share of bad calls as a multiple of the share that the objective allows.
+    pub rate: f64,
+}
+
+/// What spent the budget at one VM.
+#[gl_derive::domain]
+pub struct Culprit {
+    /// The VM.
+    pub vm: id::VmId,
+    /// Calls that count against the objective.
+    pub calls: u64,
+}
+
+/// The report of one service.
+#[gl_derive::domain]
+pub struct Service {
+    /// What it promises.
+    pub objective: Objective,
+    /// The share of the longest window's error budget that is left, from 1 downwards.
+    pub left: f64,
+    /// The windows, shortest first.
+    pub windows: Vec<Window>,
+    /// The state of its alerts.
+    pub alert: Alert,
+    /// Late calls in the longest window.
+    pub late: u64,
+    /// Calls that did not run in the longest window.
+    pub not_run: u64,
+    /// Calls with an unknown outcome in the longest window.
+    pub unknown: u64,
+    /// The VMs with the most bad calls, worst first.
+    pub culprits: Vec<Culprit>,
+    /// The share of good calls in each of the last minutes, oldest first; none without calls.
+    pub chart: Vec<Option<f64>>,
+}
+
+/// The report of all services.
+#[gl_derive::domain]
+pub struct Report {
+    /// When it was made.
+    pub at: time::Timestamp,
+    /// The services.
+    pub services: Vec<Service>,
+    /// Daemons that are alive but have not told their counts lately.
+    pub missing: Vec<id::DaemonId>,
+}
+
+/// The lengths of the windows, in minutes, shortest first.
+pub const WINDOWS: [u64; 4] = [5, 30, 60, 360];
+/// The VMs that a report names at most.
+const CULPRITS: usize = 5;
+
+fn window(
+    board: &board::Board,
+    objective: &Objective,
+    minutes: u64,
+    now: time::Timestamp,
+) -> Window {
+    let sum = board.sum(&objective.service, time::Span::seconds(minutes * 60), now);
+    let (calls, bad) = (sum.total(), sum.bad());
+    let share = if calls == 0 {
+        0.0
+    } else {
+        bad as f64 / calls as f64
+    };
+    let allowed = (1.0 - objective.share).max(f64::EPSILON);
+    Window {
+        minutes,
+        calls,
+        bad,
+        rate: share / allowed,
+    }
+}
+
+fn alert(windows: &[Window]) -> Alert {
+    let rate = |minutes: u64| {
+        windows
+            .iter()
+            .find(|w| w.minutes == minutes)
+            .map_or(0.0, |w| w.rate)
+    };
+    if rate(60) >= PAGE_RATE && rate(5) >= PAGE_RATE {
+        Alert::Page
+    } else if rate(360) >= TICKET_RATE && rate(30) >= TICKET_RATE {
+        Alert::Ticket
+    } else {
+        Alert::Quiet
+    }
+}
+
+/// The report of one service.
+pub fn service(board: &board::Board, objective: &Objective, now: time::Timestamp) -> Service {
+    let windows: Vec<Window> = WINDOWS
+        .iter()
+        .map(|minutes| window(board, objective, *minutes, now))
+        .collect();
+    let longest = board.sum(&objective.service, tally::MEMORY, now);
+    let mut culprits: Vec<Culprit> = longest
+        .culprits
+        .iter()
+        .map(|(vm, calls)| Culprit {
+            vm: vm.clone(),
+            calls: *calls,
+        })
+        .collect();
+    culprits.sort_by_key(|culprit| std::cmp::Reverse(culprit.calls));
+    culprits.truncate(CULPRITS);
+    let good = |tally: &tally::Tally| {
+        (tally.total() > 0).then(|| tally.good as f64 / tally.total() as f64)
+    };
+    let series = board.by_minute(&objective.service, CHART_MINUTES, now);
+    Service {
+        objective: objective.clone(),
+        left: 1.0 - windows.last().map_or(0.0, |w| w.rate),
+        alert: alert(&windows),
+        windows,
+        late: longest.late,
+        not_run: longest.not_run,
+        unknown: longest.unknown,
+        culprits,
+        chart: series.iter().map(good).collect(),
+    }
+}
--- /dev/null
+++ b/gl-meter/src/text.rs
@@ -0,0 +1,64 @@
+//! The burn report as text.
+
+use std::fmt::Write as _;
+
+use crate::burn;
+
+/// The levels of the chart, from no good calls to only good ones.
+const LEVELS: [char; 8] = ['▁', '▂', '▃', '▄', '▅', '▆', '▇', '█'];
+
+fn level(share: Option<f64>) -> char {
+    let Some(share) = share else { return '·' };
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped"
+    )]
+    let at = (share.clamp(0.0, 1.0) * (LEVELS.len() - 1) as f64).floor() as usize;
+    LEVELS[at.min(LEVELS.len() - 1)]
+}
+
+/// The report of one service as lines of text.
+fn service(out: &mut String, service: &burn::Service) -> std::fmt::Result {
+    let objective = &service.objective;
+    let share = objective.share * 100.0;
+    let left = service.left * 100.0;
+    writeln!(
+        out,
+        "{}  objective {share:.3}%  budget left {left:.1}%  {:?}",
+        objective.service, service.alert
+    )?;
+    for w in &service.windows {
+        writeln!(
+            out,
+            "  {:>3} min  {:>9} calls  {:>7} bad  burn {:.2}",
+            w.minutes, w.calls, w.bad, w.rate
+        )?;
+    }
+    writeln!(
+        out,
+        "  late {}  not-run {}  unknown {}",
+        service.late, service.not_run, service.unknown
+    )?;
+    for culprit in &service.culprits {
+        writeln!(out, "  vm {}  {} bad calls", culprit.vm, culprit.calls)?;
+    }
+    let chart: String = service.chart.iter().map(|share| level(*share)).collect();
+    writeln!(out, "  good by minute  {chart}")
+}
+
+/// The report as text with one small chart a service.
+pub fn render(report: &burn::Report) -> String {
+    let mut out = String::new();
+    for s in &report.services {
+        // Writing to a string can't fail.
+        let _ = service(&mut out, s);
+    }
+    if report.services.is_empty() {
+        out.push_str("no service has had calls yet\n");
+    }
+    for daemon in &report.missing {
+        let _ = writeln!(out, "missing: {daemon} has not told its counts lately");
+    }
+    out
+}
--- /dev/null
+++ b/gl-model/src/call.rs
@@ -0,0 +1,90 @@
+//! What is said of a call.
+
+use std::{fmt, str};
+
+/// The name of the header that carries a call's outcome.
+pub const OUTCOME: &str = "geraniumlatch-outcome";
+/// The name of the header that carries a call's timeout, in milliseconds.
+pub const TIMEOUT: &str = "geraniumlatch-timeout-ms";
+/// The name of the header that says whether a call may run more than once.
+pub const REPEAT: &str = "geraniumlatch-repeat";
+/// The name of the header that carries the caller's key for an unrepeatable call.
+pub const KEY: &str = "idempotency-key";
+/// The name of the header that carries the call's identity to the backend server and back.
+pub const CALL: &str = "geraniumlatch-call";
+/// The name of the header that carries the incarnation of the task that a call is meant for.
+pub const TASK: &str = "geraniumlatch-task";
+/// The name of the header with which a backend server says that it refused a call unrun.
+pub const REFUSED: &str = "geraniumlatch-refused";
+/// The name of the header in which a backend server reports the requests that it runs.
+pub const LOAD: &str = "geraniumlatch-load";
+
+/// How a call ended.
+#[gl_derive::tag]
+pub enum Outcome {
+    /// The whole answer of a backend server is passed on.
+    Complete,
+    /// The call did not run and will not run.
+    NotRun,
+    /// The call may have run; its answer is lost.
+    Unknown,
+}
+
+impl Outcome {
+    /// The outcome as the header's value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl str::FromStr for Outcome {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "complete" => Ok(Self::Complete),
+            "not-run" => Ok(Self::NotRun),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Whether a call may run more than once.
+#[gl_derive::tag]
+pub enum Repeat {
+    /// It may be sent to several backend servers.
+    Safe,
+    /// It is sent to one backend server at most.
+    Never,
+}
+
+/// A claim on an idempotency key, stored before the call is sent to a backend server.
+#[gl_derive::domain]
+pub struct Claim {
+    /// The call that holds the key.
+    pub call: crate::id::CallId,
+    /// The stored answer, once the call is complete.
+    pub answer: Option<Answer>,
+}
+
+/// A stored answer, which a repeated call with the same key gets.
+#[gl_derive::domain]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type, if the backend server gave one.
+    pub content: Option<String>,
+    /// The body, as text.
+    pub body: String,
+}
--- /dev/null
+++ b/gl-schedule/src/system/routes.rs
@@ -0,0 +1,99 @@
+//! Publishes where the shard's services can be reached.
+
+use gl_model::{id, job, route, task, vm, worker};
+
+use crate::world;
+
+/// The routes as last published.
+pub struct Routes {
+    set: route::Set,
+}
+
+impl Routes {
+    /// Nothing published yet.
+    pub fn new(shard: &id::DomainId, epoch: id::Epoch) -> Self {
+        let set = route::Set {
+            shard: shard.clone(),
+            epoch,
+            version: 0,
+            entries: Vec::new(),
+            promises: Vec::new(),
+        };
+        Self { set }
+    }
+
+    /// The routes if they have changed.
+    ///
+    /// An owner that has not heard its workers yet publishes nothing, so that what its
+    /// predecessor published stays in use.
+    pub fn run(&mut self, world: &world::World) -> Option<route::Set> {
+        let asked = |(_, w): (&id::VmId, &world::Worker)| w.statuses.is_some();
+        if self.set.version == 0 && !world.workers.iter().any(asked) {
+            return None;
+        }
+        let next = route::Set {
+            entries: entries(world),
+            promises: promises(world),
+            ..self.set.clone()
+        };
+        if self.set.version > 0 && next == self.set {
+            return None;
+        }
+        self.set = route::Set {
+            version: self.set.version + 1,
+            ..next
+        };
+        Some(self.set.clone())
+    }
+}
+
+fn entries(world: &world::World) -> Vec<route::Entry> {
+    let serving =
+        |(_, stored): &(&id::JobId, &world::Stored<job::Row>)| stored.row.spec.is_service();
+    let mut entries = Vec::new();
+    for (name, stored) in world.jobs.iter().filter(serving) {
+        for slot in &stored.row.slots {
+            entries.extend(entry(world, &stored.row, &id::TaskId::of(name, slot.index)));
+        }
+    }
+    entries
+}
+
+fn promises(world: &world::World) -> Vec<route::Promise> {
+    let promise = |(_, stored): (&id::JobId, &world::Stored<job::Row>)| match &stored.row.spec.work
+    {
+        job::Work::Service(s) if s.serves == stored.row.spec.name => Some(route::Promise {
+            service: s.serves.clone(),
+            deadline: s.deadline,
+            objective: s.objective,
+        }),
+        _ => None,
+    };
+    world.jobs.iter().filter_map(promise).collect()
+}
+
+fn entry(world: &world::World, job: &job::Row, task: &id::TaskId) -> Option<route::Entry> {
+    let job::Work::Service(service) = &job.spec.work else {
+        return None;
+    };
+    let row = &world.tasks.get(task)?.row;
+    let (task::State::Running { vm } | task::State::Starting { vm }) = &row.state else {
+        return None;
+    };
+    let worker = world.workers.get(vm)?;
+    if worker.vm.liveness == vm::Liveness::Leaving {
+        return None;
+    }
+    let status = worker.statuses.as_ref()?.get(task)?;
+    let worker::Phase::Running(Some(address)) = status.phase else {
+        return None;
+    };
+    (status.incarnation == row.incarnation).then(|| route::Entry {
+        service: service.serves.clone(),
+        task: task.clone(),
+        incarnation: row.incarnation,
+        vm: vm.clone(),
+        address,
+        slots: worker.vm.slots,
+    })
+}
--- /dev/null
+++ b/gl-standin/src/cluster.rs
@@ -0,0 +1,453 @@
+//! Starts the stand-ins and the daemons as processes on loopback, and hurts them.
+
+use std::{
+    io,
+    io::{BufRead as _, Write as _},
+    net, path, process, time,
+};
+
+use gl_model::{id, vm};
+
+use crate::{caller, http, platform, runs, worker};
+
+/// The operators' key of all started daemons.
+pub const KEY: &str = "an-operator-key-for-tests";
+
+/// A started process, which is killed when it is dropped.
+pub struct Process {
+    child: process::Child,
+    /// The addresses that it printed, in their order.
+    pub addresses: Vec<net::SocketAddr>,
+}
+
+/// The path of a program that the workspace builds, beside the running test or example.
+///
+/// # Errors
+///
+/// If it isn't there.
+pub fn program(name: &str) -> io::Result<path::PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let candidates: Vec<path::PathBuf> = folders
+        .flat_map(|f| [f.join(name), f.join("examples").join(name)])
+        .collect();
+    let missing = || {
+        let message =
+            format!("{name} isn't built; run `cargo build --workspace --bins --examples`");
+        io::Error::new(io::ErrorKind::NotFound, message)
+    };
+    candidates
+        .into_iter()
+        .find(|path| path.is_file())
+        .ok_or_else(missing)
+}
+
+fn addresses(line: &str) -> Vec<net::SocketAddr> {
+    let values = line
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    let values = values.filter(|(key, _)| *key == "listen" || *key == "mesh");
+    values
+        .flat_map(|(_, value)| value.split(','))
+        .filter_map(|text| text.parse().ok())
+        .collect()
+}
+
+impl Process {
+    /// Starts a program and waits for the line with its addresses.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started or ends before it prints them.
+    pub fn start(program: &path::Path, arguments: &[String], log: &path::Path) -> io::Result<Self> {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)?;
+        let mut child = process::Command::new(program)
+            .args(arguments)
+            .stdin(process::Stdio::null())
+            .stdout(process::Stdio::piped())
+            .stderr(log)
+            .spawn()?;
+        let stdout = child
+            .stdout
+            .take()
+            .ok_or_else(|| io::Error::other("no output"))?;
+        let mut line = String::new();
+        io::BufReader::new(stdout).read_line(&mut line)?;
+        let addresses = addresses(&line);
+        if addresses.is_empty() {
+            let status = child.wait()?;
+            return Err(io::Error::other(format!(
+                "{} ended at once: {status}",
+                program.display()
+            )));
+        }
+        Ok(Self { child, addresses })
+    }
+
+    /// Where it takes requests.
+    pub fn address(&self) -> net::SocketAddr {
+        self.addresses[0]
+    }
+
+    /// Sends a signal to it.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = i32::try_from(self.child.id())
+            .ok()
+            .and_then(rustix::process::Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Asks it to stop gracefully.
+    pub fn terminate(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Stops its execution until [`Process::thaw()`].
+    pub fn freeze(&self) {
+        self.signal(rustix::process::Signal::STOP);
+    }
+
+    /// Goes on with its execution.
+    pub fn thaw(&self) {
+        self.signal(rustix::process::Signal::CONT);
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits until it has ended and returns its exit code; none if `limit` passes.
+    pub async fn ended(&mut self, limit: time::Duration) -> Option<i32> {
+        let until = time::Instant::now() + limit;
+        while time::Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.code().unwrap_or(-1));
+            }
+            ntex::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a cluster consists of.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The failure domains.
+    pub domains: Vec<String>,
+    /// Workers in each failure domain.
+    pub workers: usize,
+    /// Worker processes in each failure domain; each holds an even part of the workers.
+    pub processes: usize,
+    /// Daemons.
+    pub daemons: usize,
+    /// How much faster than declared batch tasks run.
+    pub speed: u64,
+    /// How long a stopping daemon takes new calls, in milliseconds.
+    pub notice_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            domains: vec!["north".to_owned(), "middle".to_owned(), "south".to_owned()],
+            workers: 3,
+            processes: 3,
+            daemons: 3,
+            speed: 1,
+            notice_ms: 500,
+        }
+    }
+}
+
+/// A platform, workers and daemons.
+pub struct Cluster {
+    /// The platform.
+    pub platform: Process,
+    /// The workers' processes.
+    pub workers: Vec<Process>,
+    /// The daemons.
+    pub daemons: Vec<Process>,
+    /// The daemons that calls are sent to.
+    pub balancer: caller::Balancer,
+    settings: Settings,
+    dir: tempfile::TempDir,
+    started: usize,
+}
+
+/// The longest wait for the cluster to reach a state.
+pub const LIMIT: time::Duration = time::Duration::from_secs(60);
+
+impl Cluster {
+    /// Starts all processes and waits until every daemon takes calls.
+    ///
+    /// # Errors
+    ///
+    /// If one doesn't start.
+    pub async fn start(settings: Settings) -> io::Result<Self> {
+        let dir = tempfile::tempdir()?;
+        let standin = program("standin")?;
+        let log = dir.path().join("standins.log");
+        let platform = Process::start(&standin, &["platform".to_owned()], &log)?;
+        let mut cluster = Self {
+            platform,
+            workers: Vec::new(),
+            daemons: Vec::new(),
+            balancer: caller::Balancer::default(),
+            settings,
+            dir,
+            started: 0,
+        };
+        for domain in cluster.settings.domains.clone() {
+            let processes = cluster.settings.processes;
+            for part in 0..processes {
+                let count = cluster.settings.workers / processes
+                    + usize::from(part < cluster.settings.workers % processes);
+                let started = cluster.start_workers(&domain, part, count)?;
+                cluster.workers.push(started);
+            }
+        }
+        for _ in 0..cluster.settings.daemons {
+            cluster.add_daemon().await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts one process with `count` workers, which make up a rack.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't start.
+    pub fn start_workers(&self, domain: &str, rack: usize, count: usize) -> io::Result<Process> {
+        let arguments = [
+            "workers".to_owned(),
+            self.platform.address().to_string(),
+            domain.to_owned(),
+            format!("{domain}-r{rack}"),
+            count.to_string(),
+            self.settings.speed.to_string(),
+        ];
+        Process::start(
+            &program("standin")?,
+            &arguments,
+            &self.dir.path().join("standins.log"),
+        )
+    }
+
+    /// The text of a daemon's settings.
+    pub fn daemon_settings(&self, name: &str, domain: &str) -> String {
+        let peers: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|d| d.addresses[1].to_string())
+            .collect();
+        format!(
+            "daemon: {name}\ndomain: {domain}\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\n\
+             platform: [\"{}\"]\npeers: {peers:?}\noperator-key: {KEY}\n\
+             limits:\n  notice-ms: {}\n  drain-ms: 20000\n  platform-ms: 1000\n",
+            self.platform.address(),
+            self.settings.notice_ms,
+        )
+    }
+
+    /// Starts one more daemon and waits until it takes calls.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't.
+    pub async fn add_daemon(&mut self) -> io::Result<()> {
+        let number = self.started;
+        self.started += 1;
+        let domain = self.settings.domains[number % self.settings.domains.len()].clone();
+        let name = format!("entry-{number}");
+        let file = self.dir.path().join(format!("{name}.yaml"));
+        let text = self.daemon_settings(&name, &domain);
+        std::fs::File::create(&file)?.write_all(text.as_bytes())?;
+        let arguments = ["--config".to_owned(), file.display().to_string()];
+        let log = self.dir.path().join(format!("{name}.log"));
+        let daemon = Process::start(&program("geraniumlatchd")?, &arguments, &log)?;
+        let address = daemon.address();
+        self.daemons.push(daemon);
+        self.until(|| async { is_ok(&format!("http://{address}/readyz")).await })
+            .await?;
+        self.balancer.lock().push(address);
+        Ok(())
+    }
+
+    /// Waits until `reached` is true.
+    ///
+    /// # Errors
+    ///
+    /// If [`LIMIT`] passes.
+    pub async fn until<F: Future<Output = bool>>(&self, reached: impl Fn() -> F) -> io::Result<()> {
+        let until = time::Instant::now() + LIMIT;
+        while time::Instant::now() < until {
+            if reached().await {
+                return Ok(());
+            }
+            ntex::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        Err(io::Error::other(format!(
+            "not reached within {LIMIT:?}\n{}",
+            self.logs()
+        )))
+    }
+
+    /// What all processes logged, for a failed test.
+    pub fn logs(&self) -> String {
+        let mut all = String::new();
+        for entry in std::fs::read_dir(self.dir.path())
+            .into_iter()
+            .flatten()
+            .flatten()
+        {
+            if entry.path().extension().is_some_and(|e| e == "log") {
+                all.push_str(&format!("== {}\n", entry.path().display()));
+                all.push_str(&std::fs::read_to_string(entry.path()).unwrap_or_default());
+            }
+        }
+        all
+    }
+
+    /// Takes a daemon out of the balancer.
+    pub fn unbalance(&self, daemon: usize) {
+        let address = self.daemons[daemon].address();
+        self.balancer.lock().retain(|known| *known != address);
+    }
+
+    /// Runs the operators' client against the given daemon and returns its output.
+    ///
+    /// # Errors
+    ///
+    /// With what it printed if its exit code isn't zero.
+    pub fn client(&self, daemon: usize, arguments: &[&str]) -> Result<String, String> {
+        let program = program("geraniumlatch").map_err(|e| e.to_string())?;
+        let output = process::Command::new(program)
+            .args(["--server", &self.daemons[daemon].address().to_string()])
+            .args(arguments)
+            .env("GERANIUMLATCH_KEY", KEY)
+            .stdin(process::Stdio::null())
+            .output()
+            .map_err(|e| e.to_string())?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if output.status.success() {
+            return Ok(text);
+        }
+        let error = String::from_utf8_lossy(&output.stderr);
+        Err(format!(
+            "{} {text}{error}",
+            output.status.code().unwrap_or(-1)
+        ))
+    }
+
+    /// Submits a file's text and confirms the plan; returns the printed plan.
+    ///
+    /// # Errors
+    ///
+    /// If either is refused.
+    pub fn confirm(&self, daemon: usize, intents: &str) -> Result<String, String> {
+        let file = self.dir.path().join("intents.yaml");
+        std::fs::write(&file, intents).map_err(|e| e.to_string())?;
+        let plan = self.client(daemon, &["submit", &file.display().to_string()])?;
+        let id = plan.split_whitespace().nth(1).ok_or("no plan")?;
+        self.client(daemon, &["--yes", "confirm", id])?;
+        Ok(plan)
+    }
+
+    /// Switches faults of the platform on.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't answer.
+    pub async fn hurt_platform(&self, faults: &platform::Faults) -> Result<String, String> {
+        http::post(
+            &format!("http://{}/admin/fault", self.platform.address()),
+            faults,
+        )
+        .await
+    }
+
+    /// Has the list of VMs say something of a VM.
+    ///
+    /// # Errors
+    ///
+    /// If the platform doesn't answer.
+    pub async fn list(&self, vm: &id::VmId, liveness: vm::Liveness) -> Result<String, String> {
+        let listing = platform::Listing {
+            vm: vm.clone(),
+            liveness,
+        };
+        http::post(
+            &format!("http://{}/admin/listing", self.platform.address()),
+            &listing,
+        )
+        .await
+    }
+
+    /// Switches faults of a worker on.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't answer.
+    pub async fn hurt_worker(
+        &self,
+        worker: net::SocketAddr,
+        faults: &worker::Faults,
+    ) -> Result<String, String> {
+        http::post(&format!("http://{worker}/admin/fault"), faults).await
+    }
+
+    /// What ran on all workers that still answer.
+    pub async fn runs(&self) -> Vec<runs::Log> {
+        let mut logs = Vec::new();
+        for address in self.workers.iter().flat_map(|process| &process.addresses) {
+            logs.extend(http::get::<runs::Log>(&format!("http://{address}/admin/log")).await);
+        }
+        logs
+    }
+
+    /// The tasks of services that run now.
+    pub async fn serving(&self) -> usize {
+        let logs = self.runs().await;
+        let runs = logs.iter().flat_map(|log| &log.runs);
+        runs.filter(|run| run.serving && run.to.is_none()).count()
+    }
+
+    /// Waits until so many tasks of services run and every daemon can reach them.
+    ///
+    /// # Errors
+    ///
+    /// If [`LIMIT`] passes.
+    pub async fn until_serving(&self, tasks: usize, service: &str) -> io::Result<()> {
+        self.until(|| async { self.serving().await >= tasks })
+            .await?;
+        let daemons = self.balancer.lock().clone();
+        for daemon in daemons {
+            let url = format!("http://{daemon}/v1/call/{service}/echo");
+            self.until(|| async { is_ok(&url).await }).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether a GET of `url` is answered well.
+pub async fn is_ok(url: &str) -> bool {
+    let client = ntex::client::Client::new().await;
+    client
+        .get(url)
+        .send()
+        .await
+        .is_ok_and(|response| response.status().is_success())
+}
