--- a/geraniumlatchd/src/control/gossip.rs
+++ b/geraniumlatchd/src/control/gossip.rs
@@ -77,6 +77,7 @@
     }
     node.members.lock().expire(now);
     set_peers(node, now);
+    set_place(node, now);
 }
 
 fn tell(node: &node::Node, now: model::Timestamp) {
@@ -106,6 +107,16 @@
     }
 }
 
+/// Tells the router which part of the backend servers is this daemon's.
+fn set_place(node: &node::Node, now: model::Timestamp) {
+    let members = node.members.lock();
+    let others = members.alive(now);
+    let place = others.iter().filter(|row| row.id < node.me.id).count();
+    let daemons = others.iter().filter(|row| row.id != node.me.id).count() + 1;
+    drop(members);
+    node.router.lock().set_place(place, daemons, now);
+}
+
 /// Dials all daemons that are known, and those that the settings name.
 pub fn set_peers(node: &node::Node, now: model::Timestamp) {
     let Some(mesh) = node.mesh() else { return };
--- a/geraniumlatchd/src/node.rs
+++ b/geraniumlatchd/src/node.rs
@@ -53,6 +53,7 @@
         queue: shared.limits.queue_calls,
         retries: shared.limits.retry_share,
         ejected: shared.limits.eject_share,
+        headroom: shared.limits.headroom,
         admission: true,
     }
 }
--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -4,7 +4,7 @@
 
 use gl_meter::tally;
 use gl_model::{call, id, time};
-use gl_route::{call as route, ending};
+use gl_route::{call as route, ending, service};
 use ntex::{http, util, web};
 
 use crate::{clock, node, proxy};
@@ -234,8 +234,9 @@
     let mut record = ending::Record::default();
     let mut tried: Vec<id::TaskId> = Vec::new();
     let mut last: Option<id::VmId> = None;
+    let mut cost = service::Cost::Load;
     loop {
-        let verdict = decide(node, request, &tried).await;
+        let verdict = decide(node, request, &tried, cost).await;
         let ticket = match verdict {
             route::Verdict::Send(ticket) => ticket,
             route::Verdict::Refuse(refusal) => {
@@ -268,6 +269,7 @@
             }
             ending::Next::Again(_) => {}
         }
+        cost = tried_now.ending.cost();
         node.metrics.retry(cause(tried_now.ending));
         tried.push(ticket.task);
     }
@@ -312,8 +314,9 @@
     node: &sync::Arc<node::Node>,
     request: &request::Request,
     tried: &[id::TaskId],
+    cost: service::Cost,
 ) -> route::Verdict {
-    match ask(node, request, tried) {
+    match ask(node, request, tried, cost) {
         Asked::Decided(verdict) => verdict,
         Asked::Queued(waiting) => waiting.verdict().await,
     }
@@ -326,14 +329,19 @@
 
 /// The router stays locked until the place in the queue has its receiver, so that it can't be
 /// woken before.
-fn ask(node: &sync::Arc<node::Node>, request: &request::Request, tried: &[id::TaskId]) -> Asked {
+fn ask(
+    node: &sync::Arc<node::Node>,
+    request: &request::Request,
+    tried: &[id::TaskId],
+    cost: service::Cost,
+) -> Asked {
     let call = &request.call;
     let now = clock::now();
     let mut router = node.router.lock();
     let verdict = if tried.is_empty() {
         router.admit(call, now)
     } else {
-        router.retry(call, tried, now)
+        router.retry(call, tried, cost, now)
     };
     if verdict != route::Verdict::Wait {
         return Asked::Decided(verdict);
--- a/gl-config/src/shared.rs
+++ b/gl-config/src/shared.rs
@@ -112,6 +112,11 @@
             "limits.retry-share",
             "a share from 0 to 1",
         ),
+        (
+            within(limits.headroom, 1.0, 8.0),
+            "limits.headroom",
+            "a number from 1 to 8",
+        ),
         (
             within(limits.eject_share, 0.0, 1.0),
             "limits.eject-share",
--- a/gl-model/src/config.rs
+++ b/gl-model/src/config.rs
@@ -90,6 +90,8 @@
     pub queue_calls: usize,
     /// Retries as a share of calls, from 0 to 1.
     pub retry_share: f64,
+    /// Calls that daemons send at once as a multiple of a service's slots, from 1 to 8.
+    pub headroom: f64,
     /// The largest share of a service's backend servers that may be ejected, from 0 to 1.
     pub eject_share: f64,
 }
@@ -101,6 +103,7 @@
             answer_bytes: 8 << 20,
             queue_calls: 512,
             retry_share: 0.1,
+            headroom: 1.5,
             eject_share: 0.3,
         }
     }
--- a/gl-route/src/ending.rs
+++ b/gl-route/src/ending.rs
@@ -2,6 +2,8 @@
 
 use gl_model::{call, time};
 
+use crate::service;
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -29,6 +31,16 @@
     TimedOut,
 }
 
+impl Ending {
+    /// What another attempt costs the backend servers.
+    pub const fn cost(&self) -> service::Cost {
+        match self {
+            Self::Unsent => service::Cost::Free,
+            _ => service::Cost::Load,
+        }
+    }
+}
+
 /// What the daemon does after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/gl-route/src/router.rs
+++ b/gl-route/src/router.rs
@@ -13,19 +13,19 @@
     /// The seed of all random choices.
     pub seed: u64,
     /// Makes the chooser of a service.
-    pub chooser: fn() -> Box<dyn choice::Chooser>,
+    pub chooser: Maker,
 }
 
-fn least_wait() -> Box<dyn choice::Chooser> {
-    Box::new(choice::LeastWait::default())
-}
+/// Makes choosers.
+pub type Maker = Box<dyn Fn() -> Box<dyn choice::Chooser> + Send>;
 
 impl Default for Settings {
     fn default() -> Self {
+        let chooser: Maker = Box::new(|| Box::new(choice::Subset::default()));
         Self {
             limits: service::Limits::default(),
             seed: 1,
-            chooser: least_wait,
+            chooser,
         }
     }
 }
@@ -33,12 +33,19 @@
 /// How often ejected backend servers are looked at.
 const REOPEN: time::Span = time::Span::millis(50);
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Place {
+    place: usize,
+    daemons: usize,
+}
+
 /// The routing tables of one daemon.
 pub struct Router {
     settings: Settings,
     services: table::Table<id::JobId, service::Service>,
     sets: table::Table<id::DomainId, route::Set>,
     leaving: leaving::Leaving,
+    place: Place,
     reopened: time::Timestamp,
 }
 
@@ -50,6 +57,10 @@
             services: table::Table::default(),
             sets: table::Table::default(),
             leaving: leaving::Leaving::default(),
+            place: Place {
+                place: 0,
+                daemons: 1,
+            },
             reopened: time::Timestamp::default(),
         }
     }
@@ -83,10 +94,23 @@
         let service = self.services.or_insert_with(name, || {
             service::Service::new(name, settings.limits, (settings.chooser)(), settings.seed)
         });
+        service.set_place(self.place.place, self.place.daemons, now);
         service.set_routes(&entries, now);
         service.set_leaving(&self.leaving, now);
     }
 
+    /// Tells that this daemon is the one at `place` of `daemons` that are alive.
+    pub fn set_place(&mut self, place: usize, daemons: usize, now: time::Timestamp) {
+        let next = Place { place, daemons };
+        if next == self.place {
+            return;
+        }
+        self.place = next;
+        for (_, service) in self.services.iter_mut() {
+            service.set_place(place, daemons, now);
+        }
+    }
+
     /// What a service promises, if any shard publishes it.
     pub fn promise(&self, service: &id::JobId) -> Option<&route::Promise> {
         let all = self.sets.iter().flat_map(|(_, set)| &set.promises);
@@ -141,10 +165,11 @@
         &mut self,
         call: &call::Call,
         tried: &[id::TaskId],
+        cost: service::Cost,
         now: time::Timestamp,
     ) -> call::Verdict {
         match self.services.get_mut(&call.service) {
-            Some(service) => service.retry(call, tried, now),
+            Some(service) => service.retry(call, tried, cost, now),
             None => no_service(),
         }
     }
--- a/gl-route/src/service.rs
+++ b/gl-route/src/service.rs
@@ -7,8 +7,6 @@
 
 use crate::{backend, budget, call, choice, ending, share};
 
-/// The share of a backend server's slots below which a daemon may pass its own share.
-const BORROW: f64 = 0.75;
 /// The weight of a new latency in the service's average.
 const LATENCY_WEIGHT: f64 = 0.02;
 /// The latency that is expected before one was measured.
@@ -33,6 +31,8 @@
     pub retries: f64,
     /// The share of backend servers that may be ejected at once.
     pub ejected: f64,
+    /// Calls that may be under way as a multiple of this daemon's share of the slots.
+    pub headroom: f64,
     /// Whether calls wait for slots; without, every call is sent at once, as a baseline.
     pub admission: bool,
 }
@@ -44,6 +44,7 @@
             queue: shared.queue_calls,
             retries: shared.retry_share,
             ejected: shared.eject_share,
+            headroom: shared.headroom,
             admission: true,
         }
     }
@@ -65,6 +66,15 @@
     pub verdict: call::Verdict,
 }
 
+/// What a retry costs the backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cost {
+    /// The last attempt never reached a backend server, so another one adds no load.
+    Free,
+    /// The last attempt reached a backend server.
+    Load,
+}
+
 /// One service as a daemon sees it.
 pub struct Service {
     name: id::JobId,
@@ -72,6 +82,7 @@
     backends: Vec<backend::Backend>,
     places: collections::BTreeMap<id::TaskId, usize>,
     open: Vec<usize>,
+    near: Vec<usize>,
     slots: u32,
     flight: u32,
     queue: collections::VecDeque<Waiting>,
@@ -97,6 +108,7 @@
             backends: Vec::new(),
             places: collections::BTreeMap::new(),
             open: Vec::new(),
+            near: Vec::new(),
             slots: 0,
             flight: 0,
             queue: collections::VecDeque::new(),
@@ -154,6 +166,12 @@
         self.reopen(now);
     }
 
+    /// Tells that this daemon is the one at `place` of `daemons`.
+    pub fn set_place(&mut self, place: usize, daemons: usize, now: time::Timestamp) {
+        self.chooser.set_place(place, daemons);
+        self.reopen(now);
+    }
+
     /// Takes ejected backend servers whose time is over back.
     pub fn reopen(&mut self, now: time::Timestamp) {
         let open = self
@@ -162,6 +180,12 @@
             .enumerate()
             .filter(|(_, b)| b.is_open(now));
         self.open = open.map(|(at, _)| at).collect();
+        self.near = self
+            .open
+            .iter()
+            .copied()
+            .filter(|at| self.chooser.prefers(*at))
+            .collect();
         self.slots = self.open.iter().map(|at| self.backends[*at].slots).sum();
     }
 
@@ -177,12 +201,13 @@
         &mut self,
         call: &call::Call,
         tried: &[id::TaskId],
+        cost: Cost,
         now: time::Timestamp,
     ) -> call::Verdict {
         if now >= call.deadline {
             return self.refuse(call::Reason::Late);
         }
-        if !self.budget.spend() {
+        if cost == Cost::Load && !self.budget.spend() {
             return self.refuse(call::Reason::Budget);
         }
         self.decide(call, tried, now)
@@ -231,9 +256,13 @@
     }
 
     fn take_slot(&mut self, tried: &[id::TaskId], now: time::Timestamp) -> Option<call::Ticket> {
-        let mut at = self
-            .chooser
-            .choose(&self.backends, &self.open, now, &mut self.random);
+        let field = choice::Field {
+            backends: &self.backends,
+            open: &self.open,
+            near: &self.near,
+            typical: self.latency,
+        };
+        let mut at = self.chooser.choose(field, now, &mut self.random);
         if tried.contains(&self.backends[at].task) {
             let other = |at: &&usize| !tried.contains(&self.backends[**at].task);
             let offset = self.random.random_range(0..self.open.len());
@@ -255,21 +284,12 @@
         })
     }
 
-    /// Whether a call may go to a backend server now: within this daemon's share while the
-    /// backend server isn't full, and beyond it while the backend server has idle slots.
+    /// Whether a call may go to a backend server now: this daemon keeps its calls within its
+    /// share of all slots, with some headroom that keeps the slots busy between two calls.
     fn has_slot(&self, at: usize, now: time::Timestamp) -> bool {
         let backend = &self.backends[at];
-        if !backend.is_open(now) {
-            return false;
-        }
-        let load = backend.load(now);
-        let slots = f64::from(backend.slots);
-        let is_within_share = f64::from(self.flight) < self.own_slots(now);
-        if is_within_share {
-            load < slots
-        } else {
-            load < slots * BORROW
-        }
+        let most = self.own_slots(now) * self.limits.headroom;
+        backend.is_open(now) && f64::from(self.flight) < most.max(1.0)
     }
 
     fn refuse(&mut self, reason: call::Reason) -> call::Verdict {
--- /dev/null
+++ b/gl-route/tests/route/mod.rs
@@ -0,0 +1,6 @@
+pub mod fake;
+
+mod ending;
+mod leaving;
+mod load;
+mod router;
