test(config): bad input names its place and its remedy

Cause: an unknown field was shown at the start of its block, and an address that is no IP number without a place, as the YAML reader tells no more; the nearest name was looked for between backquotes that the reader doesn't print. Conclusion: places are searched in the text where the reader has none.

--- a/geraniumlatch/src/command/mod.rs
+++ b/geraniumlatch/src/command/mod.rs
@@ -64,6 +64,47 @@
     Burn,
 }
 
+/// The help of a command, or none if the words begin with no command.
+pub fn help(words: &[String]) -> Option<&'static str> {
+    Some(match words.first()?.as_str() {
+        "submit" => {
+            "Usage: geraniumlatch submit FILE\n\n\
+             Makes a plan for the intents of a YAML file, stores it and prints what would run\n\
+             where, what would be evicted, what would wait, and what can't be placed and why.\n\
+             Nothing changes before `geraniumlatch confirm`."
+        }
+        "plans" => "Usage: geraniumlatch plans\n\nLists all plans with their states.",
+        "plan" => "Usage: geraniumlatch plan ID\n\nPrints one plan.",
+        "confirm" => {
+            "Usage: geraniumlatch confirm ID\n\n\
+             Puts a plan in force if the state that it was made from still stands. If not, nothing\n\
+             changes, a fresh plan is printed, and the exit code is 4. Asks on a terminal; off a\n\
+             terminal `--yes` must be given."
+        }
+        "cancel" => {
+            "Usage: geraniumlatch cancel JOB...\n\n\
+             Makes a plan that cancels jobs and prints it. Services drain before they stop."
+        }
+        "status" => "Usage: geraniumlatch status\n\nPrints the jobs, workers, daemons and shards.",
+        "config" => {
+            "Usage: geraniumlatch config show | check FILE | apply FILE | history\n\n\
+             The shared configuration. `apply` accepts a file as the next number, then waits and\n\
+             prints on how many daemons it is in force."
+        }
+        "drain" => {
+            "Usage: geraniumlatch drain vm VM | undo VM | daemon\n\n\
+             Keeps a VM from new work and moves its tasks away, takes that back, or stops the\n\
+             daemon given by --server gracefully."
+        }
+        "burn" => {
+            "Usage: geraniumlatch burn\n\n\
+             Prints, for each service, its objective, the error budget left, the burn rate over\n\
+             5 min, 30 min, 1 h and 6 h, the state of its alerts, and what spent the budget where."
+        }
+        _ => return None,
+    })
+}
+
 /// Reads the words of the command line.
 ///
 /// # Errors
--- a/geraniumlatch/src/program.rs
+++ b/geraniumlatch/src/program.rs
@@ -79,7 +79,10 @@
     let options = options();
     let matches = options.parse(arguments).map_err(|e| usage(e.to_string()))?;
     if matches.opt_present("help") {
-        println!("{}", options.usage(USAGE));
+        println!(
+            "{}",
+            options.usage(command::help(&matches.free).unwrap_or(USAGE))
+        );
         return Ok(());
     }
     if matches.opt_present("version") {
--- a/gl-config/src/parse.rs
+++ b/gl-config/src/parse.rs
@@ -1,6 +1,6 @@
 //! Reads YAML and turns the reader's errors into ones with a place and a remedy.
 
-use std::sync;
+use std::{net, sync};
 
 use serde::de;
 
@@ -23,6 +23,13 @@
             let column = usize::try_from(at.column()).unwrap_or(1);
             span(text, row, column)
         });
+        let place =
+            place.or_else(|| place_of_address(text).filter(|_| detail.contains(NO_ADDRESS)));
+        // The reader tells where the block begins that holds an unknown field.
+        let unknown = detail
+            .strip_prefix("unknown field `")
+            .and_then(|rest| rest.split('`').next());
+        let place = unknown.and_then(|field| place_of(text, field)).or(place);
         let remedy = remedy(&detail);
         fault(file, text, detail, place, remedy)
     })
@@ -74,20 +81,47 @@
     (offset, 1).into()
 }
 
+/// What the reader says of a text that is no address.
+const NO_ADDRESS: &str = "invalid socket address syntax";
+/// The fields that hold addresses.
+const ADDRESS_FIELDS: [&str; 4] = ["listen", "mesh", "platform", "peers"];
+
+/// The place of the first address that is none. The reader doesn't tell it.
+fn place_of_address(text: &str) -> Option<miette::SourceSpan> {
+    let is_wrong = |line: &str| {
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let values = value
+            .split(&['[', ']', ',', '"', ' '][..])
+            .filter(|part| !part.is_empty());
+        ADDRESS_FIELDS.contains(&name.trim())
+            && values
+                .into_iter()
+                .any(|part| part.parse::<net::SocketAddr>().is_err())
+    };
+    let line = text.lines().find(|line| is_wrong(line))?;
+    place_of(text, line.split(':').next()?.trim())
+}
+
 /// What to do about an error of the reader; an unknown field gets the nearest known name.
 fn remedy(detail: &str) -> String {
-    let mut quoted = detail.split('`').skip(1).step_by(2);
-    let Some(wrong) = quoted.next() else {
+    if detail.contains(NO_ADDRESS) {
+        return "give an IP number and a port, such as 10.0.0.5:8080".to_owned();
+    }
+    let Some(wrong) = detail.split('`').nth(1) else {
         return "correct the marked place; `docs/settings.md` lists all fields".to_owned();
     };
     if detail.contains("missing field") {
         return format!("add `{wrong}:` with its value");
     }
-    let closest = quoted
-        .map(|known| (strsim::jaro_winkler(wrong, known), known))
+    let known = detail
+        .split_once("expected one of ")
+        .map_or("", |(_, names)| names);
+    let known = known.split(" at line ").next().unwrap_or("").split(", ");
+    let closest = known
+        .map(|name| (strsim::jaro_winkler(wrong, name), name))
         .max_by(|a, b| a.0.total_cmp(&b.0));
     match closest {
-        Some((closeness, known)) if closeness >= CLOSENESS => format!("did you mean `{known}`?"),
+        Some((closeness, name)) if closeness >= CLOSENESS => format!("did you mean `{name}`?"),
         _ => format!("`{wrong}` isn't known here; `docs/settings.md` lists all fields"),
     }
 }
--- /dev/null
+++ b/gl-config/tests/config/mod.rs
@@ -0,0 +1,2 @@
+mod files;
+mod pages;
