--- a/geraniumlatch/src/command/status.rs
+++ b/geraniumlatch/src/command/status.rs
@@ -2,64 +2,17 @@
 
 use std::{io, io::Write as _, time};
 
-use gl_model::{daemon, id, shard, size, vm};
+use gl_model::{id, status};
 
 use crate::{api, error::Error, program, text};
 
-/// A job's tasks by state.
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Job {
-    name: id::JobId,
-    serving: bool,
-    cancelled: bool,
-    wanted: u32,
-    waiting: u32,
-    running: u32,
-    moving: u32,
-    done: u32,
-    failed: u32,
-    evictions: u32,
-    reasons: Vec<String>,
-}
-
-/// A worker.
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Worker {
-    vm: id::VmId,
-    domain: id::DomainId,
-    liveness: vm::Liveness,
-    capacity: size::Size,
-    promised: size::Size,
-    tasks: usize,
-}
-
-/// A shard.
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Shard {
-    shard: id::DomainId,
-    row: Option<shard::Row>,
-}
-
-/// The state of everything.
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Status {
-    jobs: Vec<Job>,
-    workers: Vec<Worker>,
-    daemons: Vec<daemon::Row>,
-    shards: Vec<Shard>,
-}
-
 /// Prints what runs where.
 ///
 /// # Errors
 ///
 /// If no daemon answers.
 pub async fn run(api: &api::Api, options: &program::Options) -> Result<(), Error> {
-    let status: Status = api.get("/v1/status").await?;
+    let status: status::Status = api.get("/v1/status").await?;
     match options.format {
         text::Format::Json => text::json(&status),
         text::Format::Text => print(&status),
@@ -67,7 +20,7 @@
     Ok(())
 }
 
-fn print(status: &Status) {
+fn print(status: &status::Status) {
     println!("jobs:");
     for job in &status.jobs {
         let kind = if job.serving { "service" } else { "batch" };
@@ -125,7 +78,7 @@
 ) -> Result<(), Error> {
     let until = time::Instant::now() + time::Duration::from_secs(seconds);
     loop {
-        let status: Status = api.get("/v1/status").await?;
+        let status: status::Status = api.get("/v1/status").await?;
         let all = status.daemons.len();
         let there = status.daemons.iter().filter(|d| d.config >= number).count();
         if there == all {
--- a/geraniumlatchd/src/operators/status.rs
+++ b/geraniumlatchd/src/operators/status.rs
@@ -2,79 +2,13 @@
 
 use std::collections;
 
-use gl_model::{daemon, id, job, key, shard, size, task, vm};
+use gl_model::{daemon, id, job, key, status, task, vm};
 use gl_platform::Table as _;
 use ntex::web;
 
 use super::{Desk, Fault, access};
 use crate::{clock, control, settle};
 
-/// A job's tasks by state.
-#[gl_derive::domain]
-pub struct Job {
-    /// The job.
-    pub name: id::JobId,
-    /// Whether it answers calls.
-    pub serving: bool,
-    /// Whether it was cancelled.
-    pub cancelled: bool,
-    /// Tasks that it asks for.
-    pub wanted: u32,
-    /// Tasks that wait.
-    pub waiting: u32,
-    /// Tasks that run or are about to.
-    pub running: u32,
-    /// Tasks that make room.
-    pub moving: u32,
-    /// Tasks that finished.
-    pub done: u32,
-    /// Tasks that were given up.
-    pub failed: u32,
-    /// Evictions so far.
-    pub evictions: u32,
-    /// Why tasks were given up.
-    pub reasons: Vec<String>,
-}
-
-/// A worker.
-#[gl_derive::domain]
-pub struct Worker {
-    /// The VM.
-    pub vm: id::VmId,
-    /// Its failure domain.
-    pub domain: id::DomainId,
-    /// What the list says.
-    pub liveness: vm::Liveness,
-    /// What it has.
-    pub capacity: size::Size,
-    /// What is promised on it.
-    pub promised: size::Size,
-    /// How many tasks hold a promise.
-    pub tasks: usize,
-}
-
-/// A shard.
-#[gl_derive::domain]
-pub struct Shard {
-    /// The shard.
-    pub shard: id::DomainId,
-    /// Its row.
-    pub row: Option<shard::Row>,
-}
-
-/// The state of everything.
-#[gl_derive::domain]
-pub struct Status {
-    /// The jobs.
-    pub jobs: Vec<Job>,
-    /// The workers.
-    pub workers: Vec<Worker>,
-    /// The daemons that are alive.
-    pub daemons: Vec<daemon::Row>,
-    /// The shards.
-    pub shards: Vec<Shard>,
-}
-
 /// The state of everything, as stored.
 pub async fn status(request: web::HttpRequest, desk: web::types::State<Desk>) -> web::HttpResponse {
     if let Some(refusal) = access::refusal(&desk, &request) {
@@ -86,12 +20,12 @@
     }
 }
 
-async fn read(desk: &Desk) -> Result<Status, gl_platform::Error> {
+async fn read(desk: &Desk) -> Result<status::Status, gl_platform::Error> {
     let now = clock::now();
     let list = desk.node.list.lock().clone();
     let domains: collections::BTreeSet<id::DomainId> =
         list.vms.iter().map(|vm| vm.domain.clone()).collect();
-    let mut status = Status {
+    let mut status = status::Status {
         jobs: Vec::new(),
         workers: Vec::new(),
         daemons: Vec::new(),
@@ -107,7 +41,7 @@
         add_jobs(&mut status.jobs, &rows);
         add_workers(&mut status.workers, &list, &shard, &rows);
         let row = desk.platform.read(&key::shard(&shard)).await?;
-        status.shards.push(Shard {
+        status.shards.push(status::Shard {
             row: row.as_ref().and_then(settle::value),
             shard,
         });
@@ -131,10 +65,10 @@
     u32::try_from(n).unwrap_or(u32::MAX)
 }
 
-fn entry<'a>(jobs: &'a mut Vec<Job>, row: &job::Row) -> Option<&'a mut Job> {
+fn entry<'a>(jobs: &'a mut Vec<status::Job>, row: &job::Row) -> Option<&'a mut status::Job> {
     let name = &row.spec.name;
     if !jobs.iter().any(|job| job.name == *name) {
-        jobs.push(Job {
+        jobs.push(status::Job {
             name: name.clone(),
             serving: row.spec.is_service(),
             cancelled: row.cancelled,
@@ -151,7 +85,7 @@
     jobs.iter_mut().find(|job| job.name == *name)
 }
 
-fn add_jobs(jobs: &mut Vec<Job>, rows: &gl_schedule::owner::Rows) {
+fn add_jobs(jobs: &mut Vec<status::Job>, rows: &gl_schedule::owner::Rows) {
     for stored in &rows.jobs {
         let Some(job) = entry(jobs, &stored.row) else {
             continue;
@@ -170,7 +104,7 @@
     }
 }
 
-fn add_task(job: &mut Job, row: &task::Row) {
+fn add_task(job: &mut status::Job, row: &task::Row) {
     job.evictions += row.evictions;
     match &row.state {
         task::State::Pending { .. } | task::State::Parked { .. } => job.waiting += 1,
@@ -186,14 +120,14 @@
 }
 
 fn add_workers(
-    workers: &mut Vec<Worker>,
+    workers: &mut Vec<status::Worker>,
     list: &vm::List,
     shard: &id::DomainId,
     rows: &gl_schedule::owner::Rows,
 ) {
     for vm in list.vms.iter().filter(|vm| vm.domain == *shard) {
         let ledger = rows.ledgers.iter().find(|ledger| ledger.row.vm == vm.id);
-        workers.push(Worker {
+        workers.push(status::Worker {
             vm: vm.id.clone(),
             domain: vm.domain.clone(),
             liveness: vm.liveness,
--- a/geraniumlatchd/src/proxy/claims.rs
+++ b/geraniumlatchd/src/proxy/claims.rs
@@ -49,7 +49,8 @@
     table: rc::Rc<dyn Table>,
 }
 
-fn bucket(now: model::Timestamp) -> u64 {
+/// The bucket of time in which a claim is made now.
+pub const fn bucket(now: model::Timestamp) -> u64 {
     now.0 / BUCKET.0
 }
 
--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -293,23 +293,14 @@
 /// Whether a repeatable call whose backend server failed may go to another one.
 fn may_retry(node: &node::Node, request: &request::Request, ticket: &route::Ticket) -> bool {
     let router = node.router.lock();
-    let others = router
-        .services()
-        .find(|(name, _)| **name == request.call.service);
     let is_other = |b: &gl_route::backend::Backend| b.task != ticket.task && !b.leaving;
-    others.is_some_and(|(_, service)| service.backends().iter().any(is_other))
+    let service = router.service(&request.call.service);
+    service.is_some_and(|service| service.backends().iter().any(is_other))
 }
 
 fn vm_of(node: &node::Node, ticket: &route::Ticket) -> Option<id::VmId> {
     let router = node.router.lock();
-    let service = router
-        .services()
-        .find(|(name, _)| **name == ticket.service)?;
-    let backend = service
-        .1
-        .backends()
-        .iter()
-        .find(|b| b.task == ticket.task)?;
+    let backend = router.service(&ticket.service)?.backend(&ticket.task)?;
     Some(backend.vm.clone())
 }
 
--- a/gl-model/src/key.rs
+++ b/gl-model/src/key.rs
@@ -75,9 +75,17 @@
     format!("vm/{shard}/{vm}")
 }
 
+/// The prefix of all claims.
+pub const CLAIMS: &str = "claim/";
+
+/// The bucket of time that a claim's key names.
+pub fn claim_bucket(key: &str) -> Option<u64> {
+    key.strip_prefix(CLAIMS)?.split('/').next()?.parse().ok()
+}
+
 /// The row of a claim on an idempotency key, in the given bucket of time.
 pub fn claim(bucket: u64, service: &id::JobId, key: &str) -> String {
-    format!("claim/{bucket}/{service}/{key}")
+    format!("{CLAIMS}{bucket:012}/{service}/{key}")
 }
 
 /// The row of one version of the configuration's history.
--- a/gl-model/src/lib.rs
+++ b/gl-model/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod route;
 pub mod shard;
 pub mod size;
+pub mod status;
 pub mod table;
 pub mod task;
 pub mod time;
--- a/gl-platform/src/http.rs
+++ b/gl-platform/src/http.rs
@@ -174,14 +174,7 @@
         let mut rows: Vec<txn::Row> = Vec::new();
         loop {
             let after = rows.last().map_or("", |row| row.key.as_str()).to_owned();
-            let page = ByPrefix {
-                prefix,
-                after: &after,
-                limit: PAGE_ROWS,
-            };
-            let path = path("scan", "/v1/table/scan", &page)?;
-            let make = |address| self.client.get(format!("http://{address}{path}"));
-            let read: Vec<txn::Row> = self.platform("scan", make, None).await?;
+            let read = self.page(prefix, &after, PAGE_ROWS).await?;
             let is_last = read.len() < PAGE_ROWS;
             rows.extend(read);
             if is_last {
@@ -189,6 +182,17 @@
             }
         }
     }
+
+    async fn page(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<txn::Row>, Error> {
+        let page = ByPrefix {
+            prefix,
+            after,
+            limit,
+        };
+        let path = path("scan", "/v1/table/scan", &page)?;
+        let make = |address| self.client.get(format!("http://{address}{path}"));
+        self.platform("scan", make, None).await
+    }
 }
 
 /// An object's body.
--- a/gl-platform/src/lib.rs
+++ b/gl-platform/src/lib.rs
@@ -44,6 +44,13 @@
     ///
     /// If no answer came.
     async fn scan(&self, prefix: &str) -> Result<Vec<txn::Row>, Error>;
+
+    /// Reads the first `limit` rows after the key `after` whose keys begin with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// If no answer came.
+    async fn page(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<txn::Row>, Error>;
 }
 
 /// The object store.
--- a/gl-route/src/router.rs
+++ b/gl-route/src/router.rs
@@ -224,6 +224,11 @@
         }
     }
 
+    /// One service.
+    pub fn service(&self, name: &id::JobId) -> Option<&service::Service> {
+        self.services.get(name)
+    }
+
     /// All services in the order of their names.
     pub fn services(&self) -> impl Iterator<Item = (&id::JobId, &service::Service)> {
         self.services.iter()
--- a/gl-route/src/service.rs
+++ b/gl-route/src/service.rs
@@ -125,6 +125,11 @@
         &self.backends
     }
 
+    /// The backend server that runs a task.
+    pub fn backend(&self, task: &id::TaskId) -> Option<&backend::Backend> {
+        self.places.get(task).map(|at| &self.backends[*at])
+    }
+
     /// Calls that hold a slot.
     pub const fn flight(&self) -> u32 {
         self.flight
