--- a/gl-schedule/tests/schedule/replay.rs
+++ b/gl-schedule/tests/schedule/replay.rs
@@ -54,30 +54,11 @@
 #[serde(deny_unknown_fields)]
 pub enum Event {
     /// A booking service comes.
-    Service {
-        name: String,
-        replicas: u32,
-        cores: u64,
-        grant: u32,
-    },
+    Service { name: String, replicas: u32, cores: u64, grant: u32 },
     /// More booking tasks run in a stretch of time.
-    Season {
-        name: String,
-        replicas: u32,
-        cores: u64,
-        grant: u32,
-        from: u64,
-        to: u64,
-    },
+    Season { name: String, replicas: u32, cores: u64, grant: u32, from: u64, to: u64 },
     /// A batch job comes. It uses `truth` times the cores that it declares.
-    Batch {
-        name: String,
-        kind: String,
-        tasks: u32,
-        cores: u64,
-        run: u64,
-        truth: f64,
-    },
+    Batch { name: String, kind: String, tasks: u32, cores: u64, run: u64, truth: f64 },
     /// How much one task of a kind slows a booking task beside it down at full load.
     Harm { kind: String, harm: f64 },
     /// The services' load from 0 to 1.
@@ -120,9 +101,7 @@
 
 /// Replays a trace with the given way to choose VMs.
 pub fn run(trace: &Trace, placer: Box<dyn placer::Placer>) -> Measured {
-    let vms = (0..trace.vms)
-        .map(|n| bench::vm(n, bench::size(64, 250)))
-        .collect();
+    let vms = (0..trace.vms).map(|n| bench::vm(n, bench::size(64, 250))).collect();
     let mut calm = Calm::new(vms, &[]);
     calm.pace = PACE;
     calm.owner.world.placer = placer;
@@ -162,42 +141,20 @@
 
     fn apply(&mut self, event: &Event) {
         match event {
-            Event::Service {
-                name,
-                replicas,
-                cores,
-                grant,
-            } => {
+            Event::Service { name, replicas, cores, grant } => {
                 let size = bench::size(*cores, MEMORY_GB);
                 self.put(&bench::service(name, *replicas, size, *grant));
             }
-            Event::Season {
-                name,
-                replicas,
-                cores,
-                grant,
-                from,
-                to,
-            } => {
+            Event::Season { name, replicas, cores, grant, from, to } => {
                 let at = |second: &u64| bench::START + time::Span::seconds(*second);
                 let size = bench::size(*cores, MEMORY_GB);
                 let mut row = bench::service(name, *replicas, size, *grant);
                 if let job::Work::Service(service) = &mut row.spec.work {
-                    service.windows = vec![job::Window {
-                        from: at(from),
-                        to: at(to),
-                    }];
+                    service.windows = vec![job::Window { from: at(from), to: at(to) }];
                 }
                 self.put(&row);
             }
-            Event::Batch {
-                name,
-                kind,
-                tasks,
-                cores,
-                run,
-                truth,
-            } => {
+            Event::Batch { name, kind, tasks, cores, run, truth } => {
                 let mut row = bench::batch(name, *tasks, bench::size(*cores, MEMORY_GB));
                 row.spec.kind = id::KindId::from(kind.as_str());
                 if let job::Work::Batch(batch) = &mut row.spec.work {
@@ -218,14 +175,8 @@
 
     fn cancel(&mut self, name: &str) {
         let jobs = self.calm.store.jobs();
-        if let Some(job) = jobs
-            .into_iter()
-            .find(|job| job.row.spec.name.as_str() == name)
-        {
-            self.put(&job::Row {
-                cancelled: true,
-                ..job.row
-            });
+        if let Some(job) = jobs.into_iter().find(|job| job.row.spec.name.as_str() == name) {
+            self.put(&job::Row { cancelled: true, ..job.row });
         }
     }
 
@@ -238,8 +189,7 @@
         }
         for action in self.calm.step() {
             if let Action::Commit(txn) = action {
-                self.digest
-                    .write(serde_json::to_string(&txn).unwrap().as_bytes());
+                self.digest.write(serde_json::to_string(&txn).unwrap().as_bytes());
             }
         }
         bench::check_runs(&self.calm.runs, self.calm.now);
@@ -251,11 +201,7 @@
         let agent = &self.calm.agents[vm];
         let running: Vec<&bench::Held> = agent.held.values().filter(|h| h.is_running()).collect();
         let share = |held: &bench::Held| {
-            if held.order.wish == worker::Wish::Throttle {
-                bench::THROTTLED
-            } else {
-                1.0
-            }
+            if held.order.wish == worker::Wish::Throttle { bench::THROTTLED } else { 1.0 }
         };
         let used = |held: &bench::Held| {
             let declared = self.declared(&held.order);
@@ -272,10 +218,7 @@
         let mut usage = Vec::new();
         let mut slowdowns = Vec::new();
         for held in &running {
-            let size = size::Size {
-                cores: used(held) as u64,
-                ..held.order.size
-            };
+            let size = size::Size { cores: used(held) as u64, ..held.order.size };
             if held.order.serving {
                 slowdowns.push(slowdown);
             }
@@ -297,11 +240,7 @@
     }
 
     fn declared(&self, order: &worker::Order) -> u64 {
-        let job = order
-            .task
-            .as_str()
-            .rsplit_once('.')
-            .map_or("", |(job, _)| job);
+        let job = order.task.as_str().rsplit_once('.').map_or("", |(job, _)| job);
         let job = self.calm.owner.world.jobs.get(&id::JobId::from(job));
         job.map_or(order.size.cores, |stored| stored.row.spec.size.cores)
     }
@@ -321,16 +260,9 @@
         self.slowdowns.sort_unstable_by(f64::total_cmp);
         let at = (self.slowdowns.len().max(1) - 1) * 99 / 100;
         let done = self.calm.runs.iter().filter(|run| run.done).count();
-        let tasks: u32 = trace
-            .events
-            .iter()
-            .map(|timed| batch_tasks(&timed.event))
-            .sum();
+        let tasks: u32 = trace.events.iter().map(|timed| batch_tasks(&timed.event)).sum();
         let cancelled = |name: &str| {
-            trace
-                .events
-                .iter()
-                .any(|t| matches!(&t.event, Event::Cancel(n) if n == name))
+            trace.events.iter().any(|t| matches!(&t.event, Event::Cancel(n) if n == name))
         };
         let gone: u32 = trace
             .events
@@ -340,11 +272,7 @@
             .sum();
         let able = (tasks - gone).max(1);
         let names = |run: &&bench::Run| {
-            let job = run
-                .task
-                .as_str()
-                .rsplit_once('.')
-                .map_or("", |(job, _)| job);
+            let job = run.task.as_str().rsplit_once('.').map_or("", |(job, _)| job);
             run.done && !cancelled(job)
         };
         let finished = self.calm.runs.iter().filter(names).count();
--- a/gl-schedule/tests/schedule/traces.rs
+++ b/gl-schedule/tests/schedule/traces.rs
@@ -6,21 +6,12 @@
 
 use super::replay::{self, Measured};
 
-const TRACES: [&str; 8] = [
-    "festival", "noisy", "sizes", "never", "cancel", "failing", "season", "outage",
-];
+const TRACES: [&str; 8] =
+    ["festival", "noisy", "sizes", "never", "cancel", "failing", "season", "outage"];
 
 /// Saranrom's and Thottil's weights.
-const SARANROM: config::Weights = config::Weights {
-    tail: 1.0,
-    throughput: 0.3,
-    evictions: 0.1,
-};
-const THOTTIL: config::Weights = config::Weights {
-    tail: 1.0,
-    throughput: 0.2,
-    evictions: 0.6,
-};
+const SARANROM: config::Weights = config::Weights { tail: 1.0, throughput: 0.3, evictions: 0.1 };
+const THOTTIL: config::Weights = config::Weights { tail: 1.0, throughput: 0.2, evictions: 0.6 };
 
 fn harm(weights: config::Weights) -> Box<dyn Placer> {
     Box::new(LeastHarm { weights })
@@ -31,31 +22,11 @@
     let measured = replay::run(&trace, harm(SARANROM));
     println!("{name}: {measured:?}");
     let stated = &trace.outcome;
-    assert!(
-        measured.tail <= stated.tail,
-        "{name}: tail {}",
-        measured.tail
-    );
-    assert!(
-        measured.done >= stated.done,
-        "{name}: done {}",
-        measured.done
-    );
-    assert!(
-        measured.evictions <= stated.evictions,
-        "{name}: {} evictions",
-        measured.evictions
-    );
-    assert!(
-        measured.served >= stated.served,
-        "{name}: served {}",
-        measured.served
-    );
-    assert_eq!(
-        replay::run(&trace, harm(SARANROM)),
-        measured,
-        "{name}: replays the same"
-    );
+    assert!(measured.tail <= stated.tail, "{name}: tail {}", measured.tail);
+    assert!(measured.done >= stated.done, "{name}: done {}", measured.done);
+    assert!(measured.evictions <= stated.evictions, "{name}: {} evictions", measured.evictions);
+    assert!(measured.served >= stated.served, "{name}: served {}", measured.served);
+    assert_eq!(replay::run(&trace, harm(SARANROM)), measured, "{name}: replays the same");
 }
 
 #[test]
@@ -109,10 +80,7 @@
     let mut sum = Sum::default();
     for name in TRACES {
         let measured: Measured = replay::run(&replay::read(name), make());
-        println!(
-            "| {name} | {:.3} | {} | {} |",
-            measured.tail, measured.work, measured.evictions
-        );
+        println!("| {name} | {:.3} | {} | {} |", measured.tail, measured.work, measured.evictions);
         sum.tail += measured.tail / TRACES.len() as f64;
         sum.work += measured.work;
         sum.evictions += measured.evictions;
@@ -128,24 +96,10 @@
     for weights in [SARANROM, THOTTIL] {
         let ours = sum(|| harm(weights));
         for base in &baselines {
-            assert!(
-                ours.tail < base.tail,
-                "tail {} against {}",
-                ours.tail,
-                base.tail
-            );
-            assert!(
-                ours.work >= base.work * 0.95,
-                "work {} against {}",
-                ours.work,
-                base.work
-            );
+            assert!(ours.tail < base.tail, "tail {} against {}", ours.tail, base.tail);
+            assert!(ours.work >= base.work * 0.95, "work {} against {}", ours.work, base.work);
             let most = base.evictions as f64 * 1.05;
-            assert!(
-                ours.evictions as f64 <= most,
-                "{} evictions, {most}",
-                ours.evictions
-            );
+            assert!(ours.evictions as f64 <= most, "{} evictions, {most}", ours.evictions);
         }
     }
 }
--- a/gl-standin/examples/cost.rs
+++ b/gl-standin/examples/cost.rs
@@ -87,10 +87,7 @@
         sorted.extend(lane.await.unwrap_or_default());
     }
     sorted.sort_unstable();
-    Times {
-        sorted,
-        whole: began.elapsed(),
-    }
+    Times { sorted, whole: began.elapsed() }
 }
 
 fn print(name: &str, times: &Times) {
@@ -104,44 +101,22 @@
 }
 
 async fn measure() -> io::Result<()> {
-    let settings = cluster::Settings {
-        workers: 22,
-        ..cluster::Settings::default()
-    };
+    let settings = cluster::Settings { workers: 22, ..cluster::Settings::default() };
     let cluster = cluster::Cluster::start(settings).await?;
     cluster.confirm(0, INTENTS).map_err(io::Error::other)?;
     cluster.until_serving(12, "booking").await?;
     let mut direct = Vec::new();
-    for address in cluster
-        .workers
-        .iter()
-        .flat_map(|process| &process.addresses)
-    {
+    for address in cluster.workers.iter().flat_map(|process| &process.addresses) {
         let log: gl_standin::runs::Log =
-            gl_standin::http::get(&format!("http://{address}/admin/log"))
-                .await
-                .unwrap_or_default();
-        direct.extend(
-            log.runs
-                .iter()
-                .filter(|run| run.serving && run.to.is_none())
-                .map(|run| {
-                    let task = Some(format!("{}#{}", run.task, run.incarnation));
-                    Target {
-                        address: *address,
-                        path: "/echo?work_ms=2",
-                        task,
-                    }
-                }),
-        );
+            gl_standin::http::get(&format!("http://{address}/admin/log")).await.unwrap_or_default();
+        direct.extend(log.runs.iter().filter(|run| run.serving && run.to.is_none()).map(|run| {
+            let task = Some(format!("{}#{}", run.task, run.incarnation));
+            Target { address: *address, path: "/echo?work_ms=2", task }
+        }));
     }
     let address = cluster.daemons[0].address();
     let path = "/v1/call/booking/echo?work_ms=2";
-    let through = vec![Target {
-        address,
-        path,
-        task: None,
-    }];
+    let through = vec![Target { address, path, task: None }];
     send(direct.clone()).await;
     send(through.clone()).await;
     let (direct, through) = (send(direct).await, send(through).await);
@@ -153,7 +128,8 @@
         through.percentile(99).saturating_sub(direct.percentile(99)),
         through.rate() / direct.rate()
     );
-    let before: Vec<cluster::Used> = cluster.daemons.iter().map(cluster::Process::used).collect();
+    let before: Vec<gl_standin::process::Used> =
+        cluster.daemons.iter().map(gl_standin::process::Process::used).collect();
     ntex::time::sleep(IDLE).await;
     for (daemon, before) in cluster.daemons.iter().zip(before) {
         let used = daemon.used();
--- a/gl-standin/examples/standin.rs
+++ b/gl-standin/examples/standin.rs
@@ -43,11 +43,7 @@
         domain: id::DomainId::from(domain),
         rack: id::RackId::from(rack),
         agent: address,
-        capacity: size::Size {
-            cores: 64_000,
-            memory: 250_000,
-            accelerators: 0,
-        },
+        capacity: size::Size { cores: 64_000, memory: 250_000, accelerators: 0 },
         slots: 8,
         connections: 64,
         liveness: vm::Liveness::Live,
--- a/gl-standin/examples/tour.rs
+++ b/gl-standin/examples/tour.rs
@@ -6,10 +6,7 @@
 
 use gl_standin::{caller, cluster, runs};
 
-const INTENTS: &str = concat!(
-    env!("CARGO_MANIFEST_DIR"),
-    "/../deploy/saranrom/intents.yaml"
-);
+const INTENTS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/saranrom/intents.yaml");
 const REPLICAS: usize = 65;
 const BOOKINGS: u32 = 2_000;
 
@@ -31,25 +28,16 @@
     for line in plan.lines().take(LINES) {
         println!("  {line}");
     }
-    println!(
-        "  ... and {} more lines",
-        plan.lines().count().saturating_sub(LINES)
-    );
+    println!("  ... and {} more lines", plan.lines().count().saturating_sub(LINES));
 }
 
 async fn tour() -> io::Result<bool> {
     println!("starting a platform, 65 workers in three failure domains, and three daemons");
-    let settings = cluster::Settings {
-        workers: 22,
-        processes: 3,
-        speed: 600,
-        ..cluster::Settings::default()
-    };
+    let settings =
+        cluster::Settings { workers: 22, processes: 3, speed: 600, ..cluster::Settings::default() };
     let mut cluster = cluster::Cluster::start(settings).await?;
     println!("submitting and confirming deploy/saranrom/intents.yaml; the plan:");
-    let plan = cluster
-        .confirm(0, &std::fs::read_to_string(INTENTS)?)
-        .map_err(io::Error::other)?;
+    let plan = cluster.confirm(0, &std::fs::read_to_string(INTENTS)?).map_err(io::Error::other)?;
     print_head(&plan);
     cluster.until_serving(REPLICAS, "audition-booking").await?;
     println!("all {REPLICAS} booking tasks run; sending {BOOKINGS} bookings");
@@ -72,32 +60,20 @@
     cluster.unbalance(1);
     let counts = calls.await.map_err(io::Error::other)?;
     ntex::time::sleep(time::Duration::from_secs(2)).await;
-    println!(
-        "\nburn report:\n{}",
-        cluster.client(2, &["burn"]).map_err(io::Error::other)?
-    );
+    println!("\nburn report:\n{}", cluster.client(2, &["burn"]).map_err(io::Error::other)?);
     let logs = cluster.runs().await;
-    let doubled = runs::doubled(&logs)
-        .into_iter()
-        .filter(|name| is_unrepeatable(name))
-        .count();
+    let doubled = runs::doubled(&logs).into_iter().filter(|name| is_unrepeatable(name)).count();
     println!(
         "sent {}  complete {}  not-run {}  unknown {}  sent again {}",
         counts.sent, counts.complete, counts.not_run, counts.unknown, counts.again
     );
-    println!(
-        "lost {}  doubled {doubled}  mixed up {}",
-        counts.lost, counts.wrong
-    );
+    println!("lost {}  doubled {doubled}  mixed up {}", counts.lost, counts.wrong);
     println!("connections cut by the killed daemon: {}", counts.cut);
     Ok(counts.lost == 0 && doubled == 0 && counts.wrong == 0)
 }
 
 /// The callers' even requests are unrepeatable.
 fn is_unrepeatable(name: &str) -> bool {
-    let number = name
-        .rsplit('-')
-        .next()
-        .and_then(|text| text.parse::<u32>().ok());
+    let number = name.rsplit('-').next().and_then(|text| text.parse::<u32>().ok());
     number.is_some_and(|number| number.is_multiple_of(2))
 }
--- a/gl-standin/src/caller.rs
+++ b/gl-standin/src/caller.rs
@@ -166,17 +166,11 @@
         return Try::Unreached;
     }
     let daemon = daemons[(number + round) as usize % daemons.len()];
-    let url = format!(
-        "http://{daemon}/v1/call/{}/echo?work_ms={}",
-        settings.service, settings.work_ms
-    );
-    let request = client
-        .post(url)
-        .header(call::TIMEOUT, settings.timeout_ms.to_string());
+    let url =
+        format!("http://{daemon}/v1/call/{}/echo?work_ms={}", settings.service, settings.work_ms);
+    let request = client.post(url).header(call::TIMEOUT, settings.timeout_ms.to_string());
     let request = if number.is_multiple_of(2) {
-        request
-            .header(call::REPEAT, "never")
-            .header(call::KEY, name)
+        request.header(call::REPEAT, "never").header(call::KEY, name)
     } else {
         request.header(call::REPEAT, "safe")
     };
@@ -193,11 +187,7 @@
 
 async fn judge(response: &client::ClientResponse, name: &str) -> Try {
     let header = |name: &str| {
-        response
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
+        response.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
     let outcome: Option<call::Outcome> = header(call::OUTCOME).and_then(|text| text.parse().ok());
     let after = header("retry-after").and_then(|text| text.parse().ok());
@@ -211,10 +201,7 @@
     match outcome {
         Some(call::Outcome::Complete) if body == name.as_bytes() => Try::Complete,
         Some(call::Outcome::Complete) | None => {
-            eprintln!(
-                "wrong answer to {name}: {} {outcome:?} {body:?}",
-                response.status()
-            );
+            eprintln!("wrong answer to {name}: {} {outcome:?} {body:?}", response.status());
             Try::Wrong
         }
         Some(call::Outcome::NotRun) => Try::NotRun(time::Duration::from_secs(after.unwrap_or(1))),
--- a/gl-standin/src/cluster.rs
+++ b/gl-standin/src/cluster.rs
@@ -1,184 +1,14 @@
 //! Starts the stand-ins and the daemons as processes on loopback, and hurts them.
 
-use std::{
-    io,
-    io::{BufRead as _, Write as _},
-    net, path, process, time,
-};
+use std::{io, io::Write as _, net, process, time};
 
 use gl_model::{id, vm};
 
-use crate::{caller, http, platform, runs, worker};
+use crate::{caller, http, platform, process as processes, process::Process, runs, worker};
 
 /// The operators' key of all started daemons.
 pub const KEY: &str = "an-operator-key-for-tests";
 
-/// A started process, which is killed when it is dropped.
-pub struct Process {
-    child: process::Child,
-    /// The addresses that it printed, in their order.
-    pub addresses: Vec<net::SocketAddr>,
-}
-
-/// The path of a program that the workspace builds, beside the running test or example.
-///
-/// # Errors
-///
-/// If it isn't there.
-pub fn program(name: &str) -> io::Result<path::PathBuf> {
-    let own = std::env::current_exe()?;
-    let folders = own.ancestors().skip(1).take(2);
-    let candidates: Vec<path::PathBuf> = folders
-        .flat_map(|f| [f.join(name), f.join("examples").join(name)])
-        .collect();
-    let missing = || {
-        let message =
-            format!("{name} isn't built; run `cargo build --workspace --bins --examples`");
-        io::Error::new(io::ErrorKind::NotFound, message)
-    };
-    candidates
-        .into_iter()
-        .find(|path| path.is_file())
-        .ok_or_else(missing)
-}
-
-fn addresses(line: &str) -> Vec<net::SocketAddr> {
-    let values = line
-        .split_whitespace()
-        .filter_map(|pair| pair.split_once('='));
-    let values = values.filter(|(key, _)| *key == "listen" || *key == "mesh");
-    values
-        .flat_map(|(_, value)| value.split(','))
-        .filter_map(|text| text.parse().ok())
-        .collect()
-}
-
-impl Process {
-    /// Starts a program and waits for the line with its addresses.
-    ///
-    /// # Errors
-    ///
-    /// If it can't be started or ends before it prints them.
-    pub fn start(program: &path::Path, arguments: &[String], log: &path::Path) -> io::Result<Self> {
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(log)?;
-        let mut child = process::Command::new(program)
-            .args(arguments)
-            .stdin(process::Stdio::null())
-            .stdout(process::Stdio::piped())
-            .stderr(log)
-            .spawn()?;
-        let stdout = child
-            .stdout
-            .take()
-            .ok_or_else(|| io::Error::other("no output"))?;
-        let mut line = String::new();
-        io::BufReader::new(stdout).read_line(&mut line)?;
-        let addresses = addresses(&line);
-        if addresses.is_empty() {
-            let status = child.wait()?;
-            return Err(io::Error::other(format!(
-                "{} ended at once: {status}",
-                program.display()
-            )));
-        }
-        Ok(Self { child, addresses })
-    }
-
-    /// Where it takes requests.
-    pub fn address(&self) -> net::SocketAddr {
-        self.addresses[0]
-    }
-
-    /// Sends a signal to it.
-    pub fn signal(&self, signal: rustix::process::Signal) {
-        let pid = i32::try_from(self.child.id())
-            .ok()
-            .and_then(rustix::process::Pid::from_raw);
-        if let Some(pid) = pid {
-            let _ = rustix::process::kill_process(pid, signal);
-        }
-    }
-
-    /// Asks it to stop gracefully.
-    pub fn terminate(&self) {
-        self.signal(rustix::process::Signal::TERM);
-    }
-
-    /// Stops its execution until [`Process::thaw()`].
-    pub fn freeze(&self) {
-        self.signal(rustix::process::Signal::STOP);
-    }
-
-    /// Goes on with its execution.
-    pub fn thaw(&self) {
-        self.signal(rustix::process::Signal::CONT);
-    }
-
-    /// Kills it at once.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Waits until it has ended and returns its exit code; none if `limit` passes.
-    pub async fn ended(&mut self, limit: time::Duration) -> Option<i32> {
-        let until = time::Instant::now() + limit;
-        while time::Instant::now() < until {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return Some(status.code().unwrap_or(-1));
-            }
-            ntex::time::sleep(time::Duration::from_millis(20)).await;
-        }
-        None
-    }
-}
-
-/// What a process has used.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Used {
-    /// Processor time so far.
-    pub cpu: time::Duration,
-    /// Resident memory, in KB.
-    pub kilobytes: u64,
-}
-
-/// The kernel's ticks a second in `/proc`.
-const TICKS: u64 = 100;
-
-impl Process {
-    /// What the process has used so far, as `/proc` tells it.
-    pub fn used(&self) -> Used {
-        let read = |file: &str| {
-            std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).unwrap_or_default()
-        };
-        let stat = read("stat");
-        let after_name = stat.rsplit(')').next().unwrap_or("");
-        let fields: Vec<u64> = after_name
-            .split_whitespace()
-            .skip(11)
-            .take(2)
-            .filter_map(|f| f.parse().ok())
-            .collect();
-        let millis = fields.iter().sum::<u64>() * 1_000 / TICKS;
-        let status = read("status");
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = resident.and_then(|rest| rest.split_whitespace().next()?.parse().ok());
-        Used {
-            cpu: time::Duration::from_millis(millis),
-            kilobytes: kilobytes.unwrap_or(0),
-        }
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// What a cluster consists of.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -235,7 +65,7 @@
     /// If one doesn't start.
     pub async fn start(settings: Settings) -> io::Result<Self> {
         let dir = tempfile::tempdir()?;
-        let standin = program("standin")?;
+        let standin = processes::program("standin")?;
         let log = dir.path().join("standins.log");
         let platform = Process::start(&standin, &["platform".to_owned()], &log)?;
         let mut cluster = Self {
@@ -277,7 +107,7 @@
             self.settings.speed.to_string(),
         ];
         Process::start(
-            &program("standin")?,
+            &processes::program("standin")?,
             &arguments,
             &self.dir.path().join("standins.log"),
         )
@@ -285,11 +115,7 @@
 
     /// The text of a daemon's settings.
     pub fn daemon_settings(&self, name: &str, domain: &str) -> String {
-        let peers: Vec<String> = self
-            .daemons
-            .iter()
-            .map(|d| d.addresses[1].to_string())
-            .collect();
+        let peers: Vec<String> = self.daemons.iter().map(|d| d.addresses[1].to_string()).collect();
         format!(
             "daemon: {name}\ndomain: {domain}\nlisten: 127.0.0.1:0\nmesh: 127.0.0.1:0\n\
              platform: [\"{}\"]\npeers: {peers:?}\noperator-key: {KEY}\n\
@@ -314,11 +140,10 @@
         std::fs::File::create(&file)?.write_all(text.as_bytes())?;
         let arguments = ["--config".to_owned(), file.display().to_string()];
         let log = self.dir.path().join(format!("{name}.log"));
-        let daemon = Process::start(&program("geraniumlatchd")?, &arguments, &log)?;
+        let daemon = Process::start(&processes::program("geraniumlatchd")?, &arguments, &log)?;
         let address = daemon.address();
         self.daemons.push(daemon);
-        self.until(|| async { is_ok(&format!("http://{address}/readyz")).await })
-            .await?;
+        self.until(|| async { is_ok(&format!("http://{address}/readyz")).await }).await?;
         self.balancer.lock().push(address);
         Ok(())
     }
@@ -336,20 +161,13 @@
             }
             ntex::time::sleep(time::Duration::from_millis(50)).await;
         }
-        Err(io::Error::other(format!(
-            "not reached within {LIMIT:?}\n{}",
-            self.logs()
-        )))
+        Err(io::Error::other(format!("not reached within {LIMIT:?}\n{}", self.logs())))
     }
 
     /// What all processes logged, for a failed test.
     pub fn logs(&self) -> String {
         let mut all = String::new();
-        for entry in std::fs::read_dir(self.dir.path())
-            .into_iter()
-            .flatten()
-            .flatten()
-        {
+        for entry in std::fs::read_dir(self.dir.path()).into_iter().flatten().flatten() {
             if entry.path().extension().is_some_and(|e| e == "log") {
                 all.push_str(&format!("== {}\n", entry.path().display()));
                 all.push_str(&std::fs::read_to_string(entry.path()).unwrap_or_default());
@@ -370,7 +188,7 @@
     ///
     /// With what it printed if its exit code isn't zero.
     pub fn client(&self, daemon: usize, arguments: &[&str]) -> Result<String, String> {
-        let program = program("geraniumlatch").map_err(|e| e.to_string())?;
+        let program = processes::program("geraniumlatch").map_err(|e| e.to_string())?;
         let output = process::Command::new(program)
             .args(["--server", &self.daemons[daemon].address().to_string()])
             .args(arguments)
@@ -383,10 +201,7 @@
             return Ok(text);
         }
         let error = String::from_utf8_lossy(&output.stderr);
-        Err(format!(
-            "{} {text}{error}",
-            output.status.code().unwrap_or(-1)
-        ))
+        Err(format!("{} {text}{error}", output.status.code().unwrap_or(-1)))
     }
 
     /// Writes a text to a file of the cluster's folder and returns its path.
@@ -406,9 +221,7 @@
     ///
     /// If either is refused.
     pub fn confirm(&self, daemon: usize, intents: &str) -> Result<String, String> {
-        let file = self
-            .file("intents.yaml", intents)
-            .map_err(|e| e.to_string())?;
+        let file = self.file("intents.yaml", intents).map_err(|e| e.to_string())?;
         let plan = self.client(daemon, &["submit", &file])?;
         let id = plan.split_whitespace().nth(1).ok_or("no plan")?;
         self.client(daemon, &["--yes", "confirm", id])?;
@@ -421,9 +234,8 @@
     ///
     /// If it is refused.
     pub fn apply(&self, daemon: usize, config: &str) -> Result<String, String> {
-        let file = self
-            .file(&format!("config-{daemon}.yaml"), config)
-            .map_err(|e| e.to_string())?;
+        let file =
+            self.file(&format!("config-{daemon}.yaml"), config).map_err(|e| e.to_string())?;
         self.client(daemon, &["config", "apply", &file])
     }
 
@@ -433,11 +245,7 @@
     ///
     /// If it doesn't answer.
     pub async fn hurt_platform(&self, faults: &platform::Faults) -> Result<String, String> {
-        http::post(
-            &format!("http://{}/admin/fault", self.platform.address()),
-            faults,
-        )
-        .await
+        http::post(&format!("http://{}/admin/fault", self.platform.address()), faults).await
     }
 
     /// Has the list of VMs say something of a VM.
@@ -446,15 +254,8 @@
     ///
     /// If the platform doesn't answer.
     pub async fn list(&self, vm: &id::VmId, liveness: vm::Liveness) -> Result<String, String> {
-        let listing = platform::Listing {
-            vm: vm.clone(),
-            liveness,
-        };
-        http::post(
-            &format!("http://{}/admin/listing", self.platform.address()),
-            &listing,
-        )
-        .await
+        let listing = platform::Listing { vm: vm.clone(), liveness };
+        http::post(&format!("http://{}/admin/listing", self.platform.address()), &listing).await
     }
 
     /// Switches faults of a worker on.
@@ -492,8 +293,7 @@
     ///
     /// If [`LIMIT`] passes.
     pub async fn until_serving(&self, tasks: usize, service: &str) -> io::Result<()> {
-        self.until(|| async { self.serving().await >= tasks })
-            .await?;
+        self.until(|| async { self.serving().await >= tasks }).await?;
         let daemons = self.balancer.lock().clone();
         for daemon in daemons {
             let url = format!("http://{daemon}/v1/call/{service}/echo");
@@ -506,9 +306,5 @@
 /// Whether a GET of `url` is answered well.
 pub async fn is_ok(url: &str) -> bool {
     let client = ntex::client::Client::new().await;
-    client
-        .get(url)
-        .send()
-        .await
-        .is_ok_and(|response| response.status().is_success())
+    client.get(url).send().await.is_ok_and(|response| response.status().is_success())
 }
--- a/gl-standin/src/http.rs
+++ b/gl-standin/src/http.rs
@@ -7,9 +7,7 @@
 
 /// The present time.
 pub fn now() -> model::Timestamp {
-    let since = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     model::Timestamp(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
 }
 
@@ -65,23 +63,11 @@
 /// If no whole answer with a good status came.
 pub async fn post<B: serde::Serialize>(url: &str, body: &B) -> Result<String, String> {
     let client = ntex::client::Client::new().await;
-    let response = client
-        .post(url)
-        .send_json(body)
-        .await
-        .map_err(|e| e.to_string())?;
+    let response = client.post(url).send_json(body).await.map_err(|e| e.to_string())?;
     let status = response.status();
-    let bytes = response
-        .body()
-        .limit(64 << 20)
-        .await
-        .map_err(|e| e.to_string())?;
+    let bytes = response.body().limit(64 << 20).await.map_err(|e| e.to_string())?;
     let text = String::from_utf8_lossy(&bytes).into_owned();
-    if status.is_success() {
-        Ok(text)
-    } else {
-        Err(format!("{status}: {text}"))
-    }
+    if status.is_success() { Ok(text) } else { Err(format!("{status}: {text}")) }
 }
 
 /// Reads a JSON answer.
@@ -92,10 +78,6 @@
 pub async fn get<T: serde::de::DeserializeOwned>(url: &str) -> Result<T, String> {
     let client = ntex::client::Client::new().await;
     let response = client.get(url).send().await.map_err(|e| e.to_string())?;
-    let bytes = response
-        .body()
-        .limit(64 << 20)
-        .await
-        .map_err(|e| e.to_string())?;
+    let bytes = response.body().limit(64 << 20).await.map_err(|e| e.to_string())?;
     serde_json::from_slice(&bytes).map_err(|e| e.to_string())
 }
--- a/gl-standin/src/lib.rs
+++ b/gl-standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod http;
 pub mod platform;
+pub mod process;
 pub mod runs;
 pub mod store;
 pub mod worker;
--- a/gl-standin/src/platform.rs
+++ b/gl-standin/src/platform.rs
@@ -59,14 +59,8 @@
 impl State {
     fn note_list(&mut self) {
         self.version += 1;
-        let list = vm::List {
-            version: self.version,
-            vms: self.vms.values().cloned().collect(),
-        };
-        self.past.push_back(Past {
-            at: http::now(),
-            list,
-        });
+        let list = vm::List { version: self.version, vms: self.vms.values().cloned().collect() };
+        self.past.push_back(Past { at: http::now(), list });
     }
 
     fn list(&self) -> vm::List {
@@ -96,9 +90,7 @@
     if faults.slow_ms > 0 {
         ntex::time::sleep(std::time::Duration::from_millis(faults.slow_ms)).await;
     }
-    faults
-        .outage
-        .then(|| http::refuse(503, "the store is down"))
+    faults.outage.then(|| http::refuse(503, "the store is down"))
 }
 
 fn json<T: serde::Serialize>(value: &T) -> web::HttpResponse {
@@ -117,10 +109,8 @@
     state.transactions += 1;
     let is_lost = state.faults.lose > 0 && state.transactions.is_multiple_of(state.faults.lose);
     if is_lost {
-        let body = http::Truncated {
-            part: util::Bytes::from_static(b"{"),
-            announced: http::NEVER_SENT,
-        };
+        let body =
+            http::Truncated { part: util::Bytes::from_static(b"{"), announced: http::NEVER_SENT };
         return web::HttpResponse::Ok().message_body(ntex::http::body::Body::from_message(body));
     }
     json(&outcome)
@@ -210,10 +200,7 @@
 
 async fn usage(state: web::types::State<Shared>) -> web::HttpResponse {
     let state = state.lock();
-    json(&Usage {
-        writes: state.store.writes,
-        reads: state.store.reads,
-    })
+    json(&Usage { writes: state.store.writes, reads: state.store.reads })
 }
 
 /// Serves the platform on `socket` until the process ends.
@@ -232,9 +219,7 @@
                 web::resource("/v1/table/transact").route(web::post().to(transact)),
                 web::resource("/v1/table/row").route(web::get().to(row)),
                 web::resource("/v1/table/scan").route(web::get().to(scan)),
-                web::resource("/v1/object")
-                    .route(web::put().to(put))
-                    .route(web::get().to(get)),
+                web::resource("/v1/object").route(web::put().to(put)).route(web::get().to(get)),
                 web::resource("/v1/vms").route(web::get().to(vms)),
                 web::resource("/admin/vm").route(web::post().to(register)),
                 web::resource("/admin/listing").route(web::post().to(listing)),
--- a/gl-standin/src/runs.rs
+++ b/gl-standin/src/runs.rs
@@ -52,11 +52,7 @@
     serving.sort_by(|a, b| (&a.task, a.from).cmp(&(&b.task, b.from)));
     let overlap =
         |pair: &&[&Run]| pair[0].task == pair[1].task && pair[1].from < pair[0].to.unwrap_or(now);
-    serving
-        .windows(2)
-        .filter(overlap)
-        .map(|pair| pair[0].task.clone())
-        .collect()
+    serving.windows(2).filter(overlap).map(|pair| pair[0].task.clone()).collect()
 }
 
 /// The requests that a task began to run after it had stopped.
@@ -67,25 +63,16 @@
             same && run.to.is_some_and(|to| to < request.at)
         })
     };
-    log.requests
-        .iter()
-        .filter(ended)
-        .map(|request| request.request.clone())
-        .collect()
+    log.requests.iter().filter(ended).map(|request| request.request.clone()).collect()
 }
 
 /// The requests that ran more than once.
 pub fn doubled(logs: &[Log]) -> Vec<String> {
-    let mut all: Vec<&str> = logs
-        .iter()
-        .flat_map(|log| log.requests.iter().map(|r| r.request.as_str()))
-        .collect();
+    let mut all: Vec<&str> =
+        logs.iter().flat_map(|log| log.requests.iter().map(|r| r.request.as_str())).collect();
     all.sort_unstable();
-    let mut doubled: Vec<String> = all
-        .windows(2)
-        .filter(|pair| pair[0] == pair[1])
-        .map(|pair| pair[0].to_owned())
-        .collect();
+    let mut doubled: Vec<String> =
+        all.windows(2).filter(|pair| pair[0] == pair[1]).map(|pair| pair[0].to_owned()).collect();
     doubled.dedup();
     doubled
 }
--- a/gl-standin/src/store.rs
+++ b/gl-standin/src/store.rs
@@ -25,15 +25,8 @@
             return outcome.clone();
         }
         let stands = |check: &txn::Check| {
-            let version = self
-                .rows
-                .get(&check.key)
-                .map(|row| row.version)
-                .unwrap_or_default();
-            txn::Check {
-                key: check.key.clone(),
-                version,
-            }
+            let version = self.rows.get(&check.key).map(|row| row.version).unwrap_or_default();
+            txn::Check { key: check.key.clone(), version }
         };
         let broken: Vec<txn::Check> = txn
             .checks
@@ -52,11 +45,7 @@
             let key = write.key.clone();
             match &write.value {
                 Some(value) => {
-                    let row = txn::Row {
-                        key: key.clone(),
-                        version,
-                        value: value.clone(),
-                    };
+                    let row = txn::Row { key: key.clone(), version, value: value.clone() };
                     self.rows.insert(key, row);
                 }
                 None => {
@@ -81,10 +70,7 @@
         let from = prefix.max(after).to_owned();
         let rows = self.rows.range(from..).map(|(_, row)| row);
         let rows = rows.filter(|row| row.key.as_str() > after);
-        rows.take_while(|row| row.key.starts_with(prefix))
-            .take(limit)
-            .cloned()
-            .collect()
+        rows.take_while(|row| row.key.starts_with(prefix)).take(limit).cloned().collect()
     }
 
     /// Stores an object.
--- a/gl-standin/src/worker.rs
+++ b/gl-standin/src/worker.rs
@@ -62,11 +62,7 @@
 
 impl State {
     fn begin(&mut self, order: &worker::Order, now: time::Timestamp) {
-        let resumed = order
-            .checkpoint
-            .as_deref()
-            .and_then(|c| c.parse().ok())
-            .unwrap_or(0);
+        let resumed = order.checkpoint.as_deref().and_then(|c| c.parse().ok()).unwrap_or(0);
         self.log.runs.push(runs::Run {
             task: order.task.clone(),
             incarnation: order.incarnation,
@@ -88,11 +84,7 @@
         self.tasks.insert(order.task.clone(), task);
         self.version += 1;
         if self.faults.fail_all {
-            self.end(
-                &order.task,
-                worker::Phase::Failed("switched on".to_owned()),
-                now,
-            );
+            self.end(&order.task, worker::Phase::Failed("switched on".to_owned()), now);
         }
     }
 
@@ -110,18 +102,13 @@
     }
 
     fn is_running(&self, task: &id::TaskId) -> bool {
-        self.tasks
-            .get(task)
-            .is_some_and(|task| self.log.runs[task.run].to.is_none())
+        self.tasks.get(task).is_some_and(|task| self.log.runs[task.run].to.is_none())
     }
 
     /// Takes the orders in: starts what is new, and forgets what ended and is no longer listed.
     fn take(&mut self, orders: &[worker::Order], now: time::Timestamp) {
         for order in orders {
-            let known = self
-                .tasks
-                .get(&order.task)
-                .map(|task| task.order.incarnation);
+            let known = self.tasks.get(&order.task).map(|task| task.order.incarnation);
             if known.is_some_and(|known| known >= order.incarnation) {
                 if let Some(task) = self.tasks.get_mut(&order.task) {
                     task.order = order.clone();
@@ -177,9 +164,8 @@
     }
 
     fn take_usage(&mut self, now: time::Timestamp) -> Vec<worker::Usage> {
-        let (old, young) = std::mem::take(&mut self.usage)
-            .into_iter()
-            .partition(|u| now.since(u.at) >= USAGE_LAG);
+        let (old, young) =
+            std::mem::take(&mut self.usage).into_iter().partition(|u| now.since(u.at) >= USAGE_LAG);
         self.usage = young;
         old
     }
@@ -232,10 +218,7 @@
             self.usage.push(worker::Usage {
                 task: name.clone(),
                 at: now,
-                used: size::Size {
-                    cores: task.order.size.cores / 2,
-                    ..task.order.size
-                },
+                used: size::Size { cores: task.order.size.cores / 2, ..task.order.size },
                 slowdown: task.order.serving.then_some(1.0 + HARM * batch as f64),
                 load: f64::from(task.flight) / slots,
             });
@@ -308,12 +291,7 @@
     slots: web::types::State<rc::Rc<tokio::sync::Semaphore>>,
 ) -> web::HttpResponse {
     let header = |name: &str| {
-        request
-            .headers()
-            .get(name)
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or("")
-            .to_owned()
+        request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned()
     };
     if state.lock().faults.cut {
         ntex::time::sleep(std::time::Duration::from_secs(3_600)).await;
@@ -323,10 +301,7 @@
         Ok(task) => task,
         Err(why) => return refused(&state, why),
     };
-    let visit = Visit {
-        state: state.get_ref().clone(),
-        task,
-    };
+    let visit = Visit { state: state.get_ref().clone(), task };
     let Ok(slot) = slots.acquire().await else {
         return refused(&state, "closed");
     };
@@ -336,18 +311,10 @@
     let name = String::from_utf8_lossy(&body).into_owned();
     let incarnation = {
         let state = state.lock();
-        state
-            .tasks
-            .get(&visit.task)
-            .map(|task| task.order.incarnation)
-            .unwrap_or_default()
-    };
-    let ran = runs::Request {
-        request: name,
-        at: http::now(),
-        task: visit.task.clone(),
-        incarnation,
+        state.tasks.get(&visit.task).map(|task| task.order.incarnation).unwrap_or_default()
     };
+    let ran =
+        runs::Request { request: name, at: http::now(), task: visit.task.clone(), incarnation };
     state.lock().log.requests.push(ran);
     let faults = state.lock().faults.clone();
     let span = std::time::Duration::from_millis(work.work_ms + faults.late_ms);
@@ -358,22 +325,13 @@
     answers.answers += 1;
     let hits = |every: u64| every > 0 && answers.answers.is_multiple_of(every);
     let (is_cut, is_mixed) = (hits(faults.truncate), hits(faults.mix_up));
-    let identity = if is_mixed {
-        "another".to_owned()
-    } else {
-        header(call::CALL)
-    };
+    let identity = if is_mixed { "another".to_owned() } else { header(call::CALL) };
     let mut response = web::HttpResponse::Ok();
-    response
-        .header(call::CALL, identity)
-        .header(call::LOAD, answers.flight().to_string());
+    response.header(call::CALL, identity).header(call::LOAD, answers.flight().to_string());
     drop(answers);
     if is_cut {
         let announced = body.len() as u64 + http::NEVER_SENT;
-        let body = http::Truncated {
-            part: body,
-            announced,
-        };
+        let body = http::Truncated { part: body, announced };
         return response.message_body(ntex::http::body::Body::from_message(body));
     }
     response.content_type("text/plain").body(body)
--- a/gl-standin/tests/process/calls.rs
+++ b/gl-standin/tests/process/calls.rs
@@ -21,11 +21,7 @@
     cluster.unbalance(0);
     cluster.daemons[0].terminate();
     let counts = sending.await.unwrap();
-    assert_eq!(
-        cluster.daemons[0].ended(cluster::LIMIT).await,
-        Some(0),
-        "exit code"
-    );
+    assert_eq!(cluster.daemons[0].ended(cluster::LIMIT).await, Some(0), "exit code");
     check(&counts, &cluster.runs().await);
     assert_eq!(counts.cut, 0, "cut off");
     assert_eq!(counts.complete, counts.sent);
@@ -34,10 +30,7 @@
 #[ntex::test]
 async fn a_planned_stop_in_the_middle_of_an_outage_cuts_off_no_call() {
     let mut cluster = running(cluster::Settings::default()).await;
-    let outage = platform::Faults {
-        outage: true,
-        ..platform::Faults::default()
-    };
+    let outage = platform::Faults { outage: true, ..platform::Faults::default() };
     cluster.hurt_platform(&outage).await.unwrap();
     let sending = ntex::rt::spawn(caller::run(calls(&cluster, "stop-out", 3)));
     sleep(0.5).await;
@@ -46,16 +39,9 @@
     sleep(1.0).await;
     cluster.daemons[1].terminate();
     sleep(2.0).await;
-    cluster
-        .hurt_platform(&platform::Faults::default())
-        .await
-        .unwrap();
+    cluster.hurt_platform(&platform::Faults::default()).await.unwrap();
     let counts = sending.await.unwrap();
-    assert_eq!(
-        cluster.daemons[1].ended(cluster::LIMIT).await,
-        Some(0),
-        "exit code"
-    );
+    assert_eq!(cluster.daemons[1].ended(cluster::LIMIT).await, Some(0), "exit code");
     check(&counts, &cluster.runs().await);
     assert_eq!(counts.cut, 0, "cut off");
 }
@@ -63,10 +49,7 @@
 #[ntex::test]
 async fn a_killed_daemon_loses_and_doubles_no_request() {
     let mut cluster = running(cluster::Settings::default()).await;
-    let settings = caller::Settings {
-        work_ms: 50,
-        ..calls(&cluster, "kill", 3)
-    };
+    let settings = caller::Settings { work_ms: 50, ..calls(&cluster, "kill", 3) };
     let sending = ntex::rt::spawn(caller::run(settings));
     sleep(1.0).await;
     cluster.daemons[0].kill();
@@ -79,10 +62,7 @@
 #[ntex::test]
 async fn a_killed_worker_loses_and_doubles_no_request() {
     let mut cluster = running(cluster::Settings::default()).await;
-    let settings = caller::Settings {
-        work_ms: 50,
-        ..calls(&cluster, "worker", 3)
-    };
+    let settings = caller::Settings { work_ms: 50, ..calls(&cluster, "worker", 3) };
     let sending = ntex::rt::spawn(caller::run(settings));
     sleep(1.0).await;
     cluster.workers[0].kill();
@@ -96,28 +76,13 @@
     let cluster = running(cluster::Settings::default()).await;
     for (at, process) in cluster.workers.iter().enumerate() {
         let faults = match at % 3 {
-            0 => worker::Faults {
-                truncate: 5,
-                ..worker::Faults::default()
-            },
-            1 => worker::Faults {
-                mix_up: 7,
-                ..worker::Faults::default()
-            },
-            _ => worker::Faults {
-                late_ms: 60,
-                ..worker::Faults::default()
-            },
+            0 => worker::Faults { truncate: 5, ..worker::Faults::default() },
+            1 => worker::Faults { mix_up: 7, ..worker::Faults::default() },
+            _ => worker::Faults { late_ms: 60, ..worker::Faults::default() },
         };
-        cluster
-            .hurt_worker(process.address(), &faults)
-            .await
-            .unwrap();
+        cluster.hurt_worker(process.address(), &faults).await.unwrap();
     }
-    let settings = caller::Settings {
-        timeout_ms: 1_000,
-        ..calls(&cluster, "answers", 3)
-    };
+    let settings = caller::Settings { timeout_ms: 1_000, ..calls(&cluster, "answers", 3) };
     let counts = caller::run(settings).await;
     check(&counts, &cluster.runs().await);
     assert_eq!(counts.cut, 0, "cut off");
@@ -128,16 +93,9 @@
 async fn a_leaving_backend_server_gets_no_new_call_after_three_seconds() {
     let cluster = running(cluster::Settings::default()).await;
     let logs = cluster.runs().await;
-    let serving = logs
-        .iter()
-        .flat_map(|log| &log.runs)
-        .find(|run| run.serving)
-        .unwrap();
+    let serving = logs.iter().flat_map(|log| &log.runs).find(|run| run.serving).unwrap();
     let (leaving, began) = (serving.vm.clone(), http::now());
-    let lag = platform::Faults {
-        lag_ms: 1_000,
-        ..platform::Faults::default()
-    };
+    let lag = platform::Faults { lag_ms: 1_000, ..platform::Faults::default() };
     cluster.hurt_platform(&lag).await.unwrap();
     let sending = ntex::rt::spawn(caller::run(calls(&cluster, "leave", 8)));
     sleep(1.0).await;
@@ -153,41 +111,26 @@
     let logs = cluster.runs().await;
     check(&counts, &logs);
     assert_eq!(counts.cut, 0, "cut off");
-    let on_it = logs
-        .iter()
-        .filter(|log| log.runs.iter().any(|run| run.vm == leaving));
+    let on_it = logs.iter().filter(|log| log.runs.iter().any(|run| run.vm == leaving));
     let requests: Vec<_> = on_it.flat_map(|log| &log.requests).map(|r| r.at).collect();
     assert!(requests.iter().any(|at| *at > began), "it had calls before");
     let limit = said + gl_model::time::Span::seconds(3);
-    assert_eq!(
-        requests.iter().filter(|at| **at > limit).count(),
-        0,
-        "calls after three seconds"
-    );
+    assert_eq!(requests.iter().filter(|at| **at > limit).count(), 0, "calls after three seconds");
 }
 
 #[ntex::test]
 async fn in_an_outage_repeatable_calls_go_on_and_keyed_ones_are_refused_unrun() {
     let cluster = running(cluster::Settings::default()).await;
-    let outage = platform::Faults {
-        outage: true,
-        ..platform::Faults::default()
-    };
+    let outage = platform::Faults { outage: true, ..platform::Faults::default() };
     cluster.hurt_platform(&outage).await.unwrap();
     sleep(4.0).await;
     let patience = Duration::from_secs(4);
-    let settings = caller::Settings {
-        patience,
-        ..calls(&cluster, "out", 2)
-    };
+    let settings = caller::Settings { patience, ..calls(&cluster, "out", 2) };
     let counts = caller::run(settings).await;
     check(&counts, &cluster.runs().await);
     assert_eq!(counts.complete, counts.sent / 2, "repeatable calls");
     assert_eq!(counts.not_run, counts.sent / 2, "keyed unrepeatable calls");
-    cluster
-        .hurt_platform(&platform::Faults::default())
-        .await
-        .unwrap();
+    cluster.hurt_platform(&platform::Faults::default()).await.unwrap();
     let counts = caller::run(calls(&cluster, "after", 1)).await;
     assert_eq!(counts.complete, counts.sent, "after the outage");
 }
@@ -195,11 +138,7 @@
 #[ntex::test]
 async fn lost_answers_and_a_slow_store_double_nothing() {
     let cluster = running(cluster::Settings::default()).await;
-    let faults = platform::Faults {
-        lose: 3,
-        slow_ms: 40,
-        ..platform::Faults::default()
-    };
+    let faults = platform::Faults { lose: 3, slow_ms: 40, ..platform::Faults::default() };
     cluster.hurt_platform(&faults).await.unwrap();
     let counts = caller::run(calls(&cluster, "lossy", 3)).await;
     check(&counts, &cluster.runs().await);
@@ -209,10 +148,7 @@
 #[ntex::test]
 async fn a_repeated_key_gets_the_first_answer_through_any_daemon() {
     let cluster = running(cluster::Settings::default()).await;
-    let settings = caller::Settings {
-        calls: 40,
-        ..calls(&cluster, "again", 1)
-    };
+    let settings = caller::Settings { calls: 40, ..calls(&cluster, "again", 1) };
     let first = caller::run(settings.clone()).await;
     assert_eq!(first.complete, 40);
     sleep(1.0).await;
@@ -224,10 +160,7 @@
 
 #[ntex::test]
 async fn a_planned_stop_waits_for_long_calls() {
-    let settings = cluster::Settings {
-        notice_ms: 100,
-        ..cluster::Settings::default()
-    };
+    let settings = cluster::Settings { notice_ms: 100, ..cluster::Settings::default() };
     let mut cluster = running(settings).await;
     let settings = caller::Settings {
         calls: 60,
@@ -240,11 +173,7 @@
     cluster.unbalance(2);
     cluster.daemons[2].terminate();
     let counts = sending.await.unwrap();
-    assert_eq!(
-        cluster.daemons[2].ended(cluster::LIMIT).await,
-        Some(0),
-        "exit code"
-    );
+    assert_eq!(cluster.daemons[2].ended(cluster::LIMIT).await, Some(0), "exit code");
     check(&counts, &cluster.runs().await);
     assert_eq!((counts.cut, counts.complete), (0, counts.sent));
 }
--- a/gl-standin/tests/process/mod.rs
+++ b/gl-standin/tests/process/mod.rs
@@ -64,35 +64,19 @@
     assert_eq!(counts.wrong, 0, "answers of other requests");
     let ended = counts.complete + counts.not_run + counts.unknown;
     assert_eq!(ended, counts.sent, "every request has one end");
-    let doubled = runs::doubled(logs)
-        .into_iter()
-        .filter(|name| is_unrepeatable(name));
+    let doubled = runs::doubled(logs).into_iter().filter(|name| is_unrepeatable(name));
     assert_eq!(doubled.collect::<Vec<_>>(), Vec::<String>::new(), "doubled");
     let late: Vec<String> = logs.iter().flat_map(runs::after_stop).collect();
     assert_eq!(late, Vec::<String>::new(), "run by a task that had stopped");
     let all: Vec<runs::Run> = logs.iter().flat_map(|log| log.runs.clone()).collect();
-    assert_eq!(
-        runs::overlaps(&all, http::now()),
-        Vec::new(),
-        "tasks in two places at once"
-    );
-    let ran = |name: &&String| {
-        logs.iter()
-            .any(|l| l.requests.iter().any(|r| r.request == **name))
-    };
+    assert_eq!(runs::overlaps(&all, http::now()), Vec::new(), "tasks in two places at once");
+    let ran = |name: &&String| logs.iter().any(|l| l.requests.iter().any(|r| r.request == **name));
     let untrue: Vec<&String> = counts.unrun.iter().filter(ran).collect();
-    assert_eq!(
-        untrue,
-        Vec::<&String>::new(),
-        "said not to have run, but ran"
-    );
+    assert_eq!(untrue, Vec::<&String>::new(), "said not to have run, but ran");
 }
 
 /// The callers' even requests are unrepeatable.
 pub fn is_unrepeatable(name: &str) -> bool {
-    let number = name
-        .rsplit('-')
-        .next()
-        .and_then(|text| text.parse::<u32>().ok());
+    let number = name.rsplit('-').next().and_then(|text| text.parse::<u32>().ok());
     number.is_some_and(|number| number.is_multiple_of(2))
 }
--- a/gl-standin/tests/process/plans.rs
+++ b/gl-standin/tests/process/plans.rs
@@ -9,46 +9,31 @@
 }
 
 fn submit(cluster: &cluster::Cluster, daemon: usize, name: &str) -> String {
-    let file = cluster
-        .file(&format!("{name}.yaml"), &INTENTS.replace("booking", name))
-        .unwrap();
+    let file = cluster.file(&format!("{name}.yaml"), &INTENTS.replace("booking", name)).unwrap();
     cluster.client(daemon, &["submit", &file]).unwrap()
 }
 
 #[ntex::test]
 async fn of_two_operators_one_wins_and_the_other_gets_a_fresh_plan() {
-    let cluster = cluster::Cluster::start(cluster::Settings::default())
-        .await
-        .unwrap();
+    let cluster = cluster::Cluster::start(cluster::Settings::default()).await.unwrap();
     let first = submit(&cluster, 0, "first");
     let second = submit(&cluster, 1, "second");
-    cluster
-        .client(0, &["--yes", "confirm", plan_id(&first)])
-        .unwrap();
-    let stale = cluster
-        .client(1, &["--yes", "confirm", plan_id(&second)])
-        .unwrap_err();
+    cluster.client(0, &["--yes", "confirm", plan_id(&first)]).unwrap();
+    let stale = cluster.client(1, &["--yes", "confirm", plan_id(&second)]).unwrap_err();
     assert!(stale.starts_with("4 "), "exit code of stale: {stale}");
     assert!(stale.contains("stale"), "{stale}");
     let fresh = stale.split_whitespace().nth(2).unwrap();
     assert_ne!(fresh, plan_id(&second));
     cluster.client(1, &["--yes", "confirm", fresh]).unwrap();
-    cluster
-        .client(2, &["--yes", "confirm", plan_id(&first)])
-        .unwrap();
+    cluster.client(2, &["--yes", "confirm", plan_id(&first)]).unwrap();
 }
 
 #[ntex::test]
 async fn nothing_changes_without_a_confirm() {
-    let cluster = cluster::Cluster::start(cluster::Settings::default())
-        .await
-        .unwrap();
+    let cluster = cluster::Cluster::start(cluster::Settings::default()).await.unwrap();
     let plan = submit(&cluster, 0, "booking");
     let refused = cluster.client(0, &["confirm", plan_id(&plan)]).unwrap_err();
-    assert!(
-        refused.starts_with("5 "),
-        "exit code off a terminal: {refused}"
-    );
+    assert!(refused.starts_with("5 "), "exit code off a terminal: {refused}");
     ntex::time::sleep(std::time::Duration::from_secs(2)).await;
     assert_eq!(cluster.serving().await, 0);
     assert!(!cluster.client(1, &["status"]).unwrap().contains("booking"));
@@ -63,23 +48,16 @@
     };
     let sending = ntex::rt::spawn(gl_standin::caller::run(settings));
     let plan = cluster.client(0, &["cancel", "booking"]).unwrap();
-    cluster
-        .client(0, &["--yes", "confirm", plan_id(&plan)])
-        .unwrap();
+    cluster.client(0, &["--yes", "confirm", plan_id(&plan)]).unwrap();
     let counts = sending.await.unwrap();
     check(&counts, &cluster.runs().await);
     assert_eq!(counts.cut, 0, "cut off");
-    cluster
-        .until(|| async { cluster.serving().await == 0 })
-        .await
-        .unwrap();
+    cluster.until(|| async { cluster.serving().await == 0 }).await.unwrap();
 }
 
 #[ntex::test]
 async fn an_intent_that_no_vm_can_run_is_refused_with_the_largest_size() {
-    let cluster = cluster::Cluster::start(cluster::Settings::default())
-        .await
-        .unwrap();
+    let cluster = cluster::Cluster::start(cluster::Settings::default()).await.unwrap();
     let text = INTENTS.replace("cores-milli: 8000", "cores-milli: 80000");
     let file = cluster.file("large.yaml", &text).unwrap();
     let plan = cluster.client(0, &["submit", &file]).unwrap();
