--- a/geraniumlatch/src/command/plans.rs
+++ b/geraniumlatch/src/command/plans.rs
@@ -21,12 +21,20 @@
 ///
 /// # Errors
 ///
-/// If the file is wrong, or no daemon answers.
+/// If the file is wrong, an intent in it can't be met, or no daemon answers.
 pub async fn submit(api: &api::Api, options: &program::Options, file: &str) -> Result<(), Error> {
     let intents = gl_config::intent::load(file)?;
     let plan: plan::Plan = api.post("/v1/plans", &body(&intents)?).await?;
     print(options, &plan);
-    Ok(())
+    unmet(&plan).map_or(Ok(()), Err)
+}
+
+/// The error of a plan in which tasks can't be placed.
+fn unmet(plan: &plan::Plan) -> Option<Error> {
+    let refused = |u: &plan::Unplaced| format!("{} tasks of `{}`: {}", u.tasks, u.job, u.reason);
+    let all: Vec<String> = plan.unplaced.iter().map(refused).collect();
+    let plan = plan.id.to_string();
+    (!all.is_empty()).then(|| Error::Unmet { plan, detail: all.join("; ") })
 }
 
 /// Makes a plan that cancels jobs and prints it.
--- a/geraniumlatch/src/error.rs
+++ b/geraniumlatch/src/error.rs
@@ -36,6 +36,17 @@
         /// What it said, with the remedy.
         message: String,
     },
+    /// An intent can't be met as it stands.
+    #[error("the intent can't be met: {detail}")]
+    #[diagnostic(help(
+        "nothing was changed; correct the intent, or confirm plan `{plan}` without those tasks"
+    ))]
+    Unmet {
+        /// The plan.
+        plan: String,
+        /// Which tasks, why, and what to do.
+        detail: String,
+    },
     /// The state has changed.
     #[error("stale: {message}")]
     #[diagnostic(help("nothing was changed"))]
@@ -69,6 +80,7 @@
             Self::Unconfirmed => 5,
             Self::Waited { .. } => 6,
             Self::Open { .. } => 7,
+            Self::Unmet { .. } => 8,
         }
     }
 }
--- a/geraniumlatch/src/program.rs
+++ b/geraniumlatch/src/program.rs
@@ -21,7 +21,7 @@
     drain daemon         stop the daemon given by --server gracefully\n\
     burn                 the report on service-level burn\n\n\
 Exit codes: 0 done, 1 refused, 2 wrong arguments or file, 3 no daemon answers,\n\
-    4 stale, 5 not confirmed, 6 not yet after --wait, 7 answer lost";
+    4 stale, 5 not confirmed, 6 not yet after --wait, 7 answer lost, 8 intent not met";
 const DEFAULT_SERVER: &str = "127.0.0.1:8080";
 const SERVER_VARIABLE: &str = "GERANIUMLATCH_SERVER";
 const KEY_VARIABLE: &str = "GERANIUMLATCH_KEY";
--- a/geraniumlatchd/src/proxy/claims.rs
+++ b/geraniumlatchd/src/proxy/claims.rs
@@ -155,7 +155,8 @@
 
 async fn run(table: rc::Rc<dyn Table>, mut queue: mpsc::UnboundedReceiver<Wish>) {
     while let Some(first) = queue.recv().await {
-        ntex::time::sleep(GATHER).await;
+        // The timers of `ntex` are too coarse for a wait of a few milliseconds.
+        tokio::time::sleep(GATHER).await;
         let mut group = Vec::new();
         let mut next = Some(first);
         while let Some(wish) = next {
--- /dev/null
+++ b/gl-meter/tests/meter/mod.rs
@@ -0,0 +1,2 @@
+mod burn;
+mod metrics;
--- /dev/null
+++ b/gl-peer/tests/peer.rs
@@ -0,0 +1,6 @@
+//! The mesh on loopback.
+
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+#[path = "peer/mod.rs"]
+mod peer;
--- a/gl-standin/examples/cost.rs
+++ b/gl-standin/examples/cost.rs
@@ -111,11 +111,11 @@
             gl_standin::http::get(&format!("http://{address}/admin/log")).await.unwrap_or_default();
         direct.extend(log.runs.iter().filter(|run| run.serving && run.to.is_none()).map(|run| {
             let task = Some(format!("{}#{}", run.task, run.incarnation));
-            Target { address: *address, path: "/echo?work_ms=2", task }
+            Target { address: *address, path: "/echo?work_ms=0", task }
         }));
     }
     let address = cluster.daemons[0].address();
-    let path = "/v1/call/booking/echo?work_ms=2";
+    let path = "/v1/call/booking/echo?work_ms=0";
     let through = vec![Target { address, path, task: None }];
     send(direct.clone()).await;
     send(through.clone()).await;
--- a/gl-standin/src/worker.rs
+++ b/gl-standin/src/worker.rs
@@ -318,7 +318,9 @@
     state.lock().log.requests.push(ran);
     let faults = state.lock().faults.clone();
     let span = std::time::Duration::from_millis(work.work_ms + faults.late_ms);
-    ntex::time::sleep(span).await;
+    if !span.is_zero() {
+        tokio::time::sleep(span).await;
+    }
     drop(slot);
     drop(visit);
     let mut answers = state.lock();
--- a/gl-standin/tests/process/calls.rs
+++ b/gl-standin/tests/process/calls.rs
@@ -177,3 +177,19 @@
     check(&counts, &cluster.runs().await);
     assert_eq!((counts.cut, counts.complete), (0, counts.sent));
 }
+
+#[ntex::test]
+async fn a_killed_daemons_counts_stay_in_the_burn_report() {
+    let mut cluster = running(cluster::Settings::default()).await;
+    let one = caller::Balancer::default();
+    one.lock().push(cluster.daemons[0].address());
+    let settings = caller::Settings { balancer: one, calls: 50, ..calls(&cluster, "burn", 1) };
+    let counts = caller::run(settings).await;
+    assert_eq!(counts.complete, 50);
+    sleep(2.5).await;
+    cluster.daemons[0].kill();
+    let report = cluster.client(1, &["--format", "json", "burn"]).unwrap();
+    let report: gl_meter::burn::Report = serde_json::from_str(&report).unwrap();
+    let calls = report.services[0].windows[0].calls;
+    assert!(calls >= 50, "{calls} calls");
+}
--- a/gl-standin/tests/process/plans.rs
+++ b/gl-standin/tests/process/plans.rs
@@ -60,7 +60,8 @@
     let cluster = cluster::Cluster::start(cluster::Settings::default()).await.unwrap();
     let text = INTENTS.replace("cores-milli: 8000", "cores-milli: 80000");
     let file = cluster.file("large.yaml", &text).unwrap();
-    let plan = cluster.client(0, &["submit", &file]).unwrap();
+    let plan = cluster.client(0, &["submit", &file]).unwrap_err();
+    assert!(plan.starts_with("8 "), "exit code: {plan}");
     assert!(plan.contains("refuse  6 tasks of booking"), "{plan}");
     assert!(plan.contains("at most 64 cores, 250000 MB"), "{plan}");
 }
