fix(schedule): a service submitted again while it drains runs again

Cause: a job's rows were compared with its tasks only when the row changed; tasks that were cancelled after that stayed so. Shown red with the mechanism off ('not reached', both tasks cancelled), green with it. Ruled out: the plan, whose row was right.

--- a/gl-schedule/src/lib.rs
+++ b/gl-schedule/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod owner;
 pub mod placer;
 pub mod plan;
+mod rows;
 pub mod system;
 pub mod world;
--- a/gl-schedule/src/owner.rs
+++ b/gl-schedule/src/owner.rs
@@ -6,7 +6,7 @@
 use gl_lease::{grant, shard};
 use gl_model::{config, id, job, key, route, task, time, txn, vm, worker};
 
-use crate::{system, world};
+use crate::{rows, system, world};
 
 /// What the owner learns from outside.
 #[gl_derive::domain]
@@ -188,7 +188,7 @@
             Input::Report(vm, report) => system::report::run(&mut self.world, &vm, &report, now),
             Input::Silent(vm) => system::report::silence(&mut self.world, &vm, now),
             Input::Committed(version) => self.settle(version),
-            Input::Config(config) => self.world.config = *config,
+            Input::Config(config) => self.world.set_config(*config),
         }
     }
 
@@ -273,11 +273,8 @@
         let shard = &self.world.shard;
         let txn = id::TxnId(format!("{shard}/{}/{}/release", self.row.epoch, self.daemon));
         let row = shard::release(&self.row, &txn, self.reach());
-        let key = key::shard(shard);
-        Some(txn::Txn {
-            id: txn,
-            checks: vec![txn::Check { key: key.clone(), version: self.version }],
-            writes: vec![txn::Write { key, value: serde_json::to_string(&row).ok() }],
-        })
+        let mut draft = rows::Draft::new();
+        draft.replace(key::shard(shard), self.version, &row);
+        Some(draft.finish(txn))
     }
 }
--- a/gl-schedule/src/plan/confirm.rs
+++ b/gl-schedule/src/plan/confirm.rs
@@ -2,9 +2,7 @@
 
 use gl_model::{id, intent, key, plan, txn};
 
-fn json<R: serde::Serialize>(row: &R) -> Option<String> {
-    serde_json::to_string(row).ok()
-}
+use crate::rows;
 
 /// The transaction that confirms `plan`, whose row stands at `version`.
 ///
@@ -12,27 +10,20 @@
 /// from one state only the first confirm takes effect.
 pub fn confirm(plan: &plan::Plan, version: id::Version) -> txn::Txn {
     let confirmed = plan::Plan { state: plan::State::Confirmed, ..plan.clone() };
-    let head = plan::Head { plan: plan.id.clone() };
-    let mut checks = vec![
-        txn::Check { key: key::HEAD.to_owned(), version: plan.basis },
-        txn::Check { key: key::plan(&plan.id), version },
-    ];
-    let mut writes = vec![
-        txn::Write { key: key::HEAD.to_owned(), value: json(&head) },
-        txn::Write { key: key::plan(&plan.id), value: json(&confirmed) },
-    ];
+    let mut draft = rows::Draft::new();
+    draft.replace(key::HEAD.to_owned(), plan.basis, &plan::Head { plan: plan.id.clone() });
+    draft.replace(key::plan(&plan.id), version, &confirmed);
+    for part in &plan.parts {
+        let key = key::job(&part.shard, &part.row.spec.name);
+        draft.replace(key, part.version, &part.row);
+    }
     for intent in &plan.intents {
-        writes.push(txn::Write { key: key::intent(intent.name()), value: json(intent) });
+        draft.write(rows::write(key::intent(intent.name()), intent));
     }
     for name in &plan.cancels {
-        writes.push(txn::Write { key: key::intent(name), value: None });
-    }
-    for part in &plan.parts {
-        let key = key::job(&part.shard, &part.row.spec.name);
-        checks.push(txn::Check { key: key.clone(), version: part.version });
-        writes.push(txn::Write { key, value: json(&part.row) });
+        draft.write(txn::Write { key: key::intent(name), value: None });
     }
-    txn::Txn { id: id::TxnId(format!("confirm/{}", plan.id)), checks, writes }
+    draft.finish(id::TxnId(format!("confirm/{}", plan.id)))
 }
 
 /// The plan that cancels the jobs `names`, of which `parts` are the stored parts.
--- a/gl-schedule/src/world.rs
+++ b/gl-schedule/src/world.rs
@@ -252,6 +252,12 @@
         time::Span::millis(self.config.leases.worker_ms).scaled(SILENCE_SHARE)
     }
 
+    /// Puts a changed configuration in force.
+    pub fn set_config(&mut self, config: config::Shared) {
+        self.placer = Box::new(placer::LeastHarm { weights: config.weights });
+        self.config = config;
+    }
+
     /// The job of a task.
     pub fn job_of(&self, task: &task::Row) -> Option<&job::Row> {
         self.jobs.get(&task.job).map(|stored| &stored.row)
@@ -280,6 +286,10 @@
             self.queue.insert(waiting);
             self.stirred = true;
         }
+        if row.state == task::State::Cancelled {
+            // Its job may have been submitted again meanwhile.
+            self.fresh.insert(row.job.clone());
+        }
         self.rerouted = true;
         self.changes.tasks.insert(row.id.clone());
         let version = self.tasks.get(&row.id).map(|old| old.version).unwrap_or_default();
--- a/gl-schedule/tests/schedule/bench.rs
+++ b/gl-schedule/tests/schedule/bench.rs
@@ -201,6 +201,8 @@
     /// How old measurements are when they are reported.
     pub lag: time::Span,
     pub fails: bool,
+    /// Whether its services have requests in progress, which a drain waits for.
+    pub busy: bool,
     /// How far its clock is behind, at most the margin.
     pub behind: time::Span,
 }
@@ -220,6 +222,7 @@
             usage: Vec::new(),
             lag: time::Span::ZERO,
             fails: false,
+            busy: false,
             behind: time::Span::ZERO,
         }
     }
@@ -232,6 +235,7 @@
         *self = Self {
             boot: self.boot + 1,
             fails: self.fails,
+            busy: self.busy,
             last: self.last,
             behind: self.behind,
             ..Self::new(self.number)
@@ -298,7 +302,9 @@
                 self.end(&task, worker::Phase::Done, runs, now);
             } else if order.wish == worker::Wish::Checkpoint {
                 self.end(&task, worker::Phase::Stopped(checkpoint), runs, now);
-            } else if matches!(order.wish, worker::Wish::Drain | worker::Wish::Stop) {
+            } else if order.wish == worker::Wish::Stop
+                || order.wish == worker::Wish::Drain && !self.busy
+            {
                 self.end(&task, worker::Phase::Stopped(None), runs, now);
             }
         }
--- a/gl-schedule/tests/schedule/promises.rs
+++ b/gl-schedule/tests/schedule/promises.rs
@@ -130,3 +130,30 @@
     calm.until(8, |calm| calm.running("festival") == 0);
     assert!(calm.runs.iter().all(|run| run.from >= from));
 }
+
+#[test]
+fn a_service_submitted_again_while_it_drains_runs_again() {
+    let row = bench::service("book", 2, bench::size(16, 64), 0);
+    let mut calm = Calm::new(vms(2), std::slice::from_ref(&row));
+    calm.until(10, |calm| calm.running("book") == 2);
+    calm.agents.iter_mut().for_each(|agent| agent.busy = true);
+    calm.store.put_job(&job::Row { cancelled: true, ..row.clone() });
+    calm.input(Input::Jobs(calm.store.jobs()));
+    let drains = |calm: &Calm| {
+        let draining = |row: &task::Row| matches!(row.state, task::State::Draining { .. });
+        calm.store.tasks().iter().any(draining)
+    };
+    calm.until(5, drains);
+    calm.store.put_job(&row);
+    calm.input(Input::Jobs(calm.store.jobs()));
+    for _ in 0..20 {
+        calm.step();
+    }
+    calm.agents.iter_mut().for_each(|agent| agent.busy = false);
+    calm.until(10, |calm| calm.running("book") == 2);
+    for _ in 0..100 {
+        calm.step();
+    }
+    assert_eq!(calm.running("book"), 2);
+    bench::check_runs(&calm.runs, calm.now);
+}
