feat: stuck starts are taken back, and old rows are swept

Cause: a worker that takes an order and never reports the task as running held it for ever; ended jobs and old plans stayed in the table. Ruled out: giving the task up at once, as it may still run there; it drains first, so the worker confirms the stop or its lease lapses. A first try put it back on the same VM, as the VM without peers scored best: the next start now avoids it.

--- a/geraniumlatchd/src/control/mod.rs
+++ b/geraniumlatchd/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod owners;
 mod poll;
 mod ready;
+pub mod sweep;
 
 use std::{net, sync, sync::atomic, time};
 
--- a/geraniumlatchd/src/control/poll.rs
+++ b/geraniumlatchd/src/control/poll.rs
@@ -6,7 +6,7 @@
 use gl_model::{config, daemon, id, key, shard, txn, vm};
 use gl_platform::{Table as _, Vms as _};
 
-use crate::{clock, control, proxy::claims, settle};
+use crate::{clock, control, control::sweep, settle};
 
 /// How often the list of VMs is read; a leaving VM gets no new call within 3 s of the list
 /// saying so.
@@ -18,18 +18,13 @@
 /// How often daemons' rows are written and read.
 const MEMBERS: time::Duration = time::Duration::from_secs(2);
 
-/// How often claims that nobody asks for any more are looked for.
-const SWEEP: time::Duration = time::Duration::from_secs(10);
-/// Claims that one sweep deletes at most.
-const SWEPT: usize = 500;
-
 /// Starts all polling.
 pub fn start(io: &control::Io) {
     every(io, LIST, |io| async move { io.list().await });
     every(io, CONFIG, |io| async move { io.config().await });
     every(io, SHARDS, |io| async move { io.shards().await });
     every(io, MEMBERS, |io| async move { io.members().await });
-    every(io, SWEEP, |io| async move { io.sweep().await });
+    every(io, sweep::PAUSE, |io| async move { io.sweep().await });
 }
 
 fn every<F, R>(io: &control::Io, pause: time::Duration, step: F)
@@ -112,33 +107,6 @@
         Some(control::Event::Shards(shards))
     }
 
-    /// Deletes claims of buckets that no call looks into any more. One daemon does it for all.
-    async fn sweep(self) -> Option<control::Event> {
-        let now = clock::now();
-        if !self.is_sweeper(now) {
-            return None;
-        }
-        let oldest = claims::bucket(now) - 1;
-        let rows = self.platform.page(key::CLAIMS, "", SWEPT).await.ok()?;
-        let is_old = |row: &&txn::Row| key::claim_bucket(&row.key).is_some_and(|b| b < oldest);
-        let old: Vec<&txn::Row> = rows.iter().filter(is_old).collect();
-        if old.is_empty() {
-            return None;
-        }
-        let delete = |row: &&txn::Row| txn::Write { key: row.key.clone(), value: None };
-        let id = id::TxnId(format!("sweep/{}/{}", self.node.me.id, now.0));
-        let writes = old.iter().map(delete).collect();
-        // What a lost answer leaves open, the next sweep finds.
-        let _ = self.platform.transact(&txn::Txn { id, checks: Vec::new(), writes }).await;
-        None
-    }
-
-    fn is_sweeper(&self, now: gl_model::time::Timestamp) -> bool {
-        let members = self.node.members.lock();
-        let first = members.alive(now).first().map(|row| row.id.clone());
-        first.as_ref() == Some(&self.node.me.id)
-    }
-
     /// Writes this daemon's row and reads all of them. Rows of long silent daemons go.
     async fn members(self) -> Option<control::Event> {
         let now = clock::now();
--- a/gl-config/src/shared.rs
+++ b/gl-config/src/shared.rs
@@ -75,6 +75,7 @@
             "repair.backoff-max-ms",
             "`backoff-ms` to 3600000",
         ),
+        ((1_000..=3_600_000).contains(&repair.start_ms), "repair.start-ms", "1000 to 3600000"),
         (repair.quarantine_ms <= 3_600_000, "repair.quarantine-ms", "up to 3600000"),
     ];
     let broken = rules.into_iter().find(|(holds, _, _)| !holds);
--- a/gl-model/src/config.rs
+++ b/gl-model/src/config.rs
@@ -110,12 +110,20 @@
     pub backoff_ms: u64,
     /// The longest wait after a failure, in milliseconds.
     pub backoff_max_ms: u64,
+    /// How long a task may take to start before it is taken from its worker, in milliseconds.
+    pub start_ms: u64,
     /// How long a worker that fails what it starts gets no new tasks, in milliseconds.
     pub quarantine_ms: u64,
 }
 
 impl Default for Repair {
     fn default() -> Self {
-        Self { attempts: 6, backoff_ms: 500, backoff_max_ms: 60_000, quarantine_ms: 60_000 }
+        Self {
+            attempts: 6,
+            backoff_ms: 500,
+            backoff_max_ms: 60_000,
+            start_ms: 60_000,
+            quarantine_ms: 60_000,
+        }
     }
 }
--- a/gl-model/src/key.rs
+++ b/gl-model/src/key.rs
@@ -47,12 +47,12 @@
 
 /// The prefix of a shard's jobs.
 pub fn jobs(shard: &id::DomainId) -> String {
-    format!("job/{shard}/")
+    format!("{JOBS}{shard}/")
 }
 
 /// The row of a shard's part of a job.
 pub fn job(shard: &id::DomainId, job: &id::JobId) -> String {
-    format!("job/{shard}/{job}")
+    format!("{JOBS}{shard}/{job}")
 }
 
 /// The prefix of a shard's tasks.
@@ -75,6 +75,8 @@
     format!("vm/{shard}/{vm}")
 }
 
+/// The prefix of all shards' jobs.
+pub const JOBS: &str = "job/";
 /// The prefix of all claims.
 pub const CLAIMS: &str = "claim/";
 
--- a/gl-model/src/task.rs
+++ b/gl-model/src/task.rs
@@ -191,6 +191,9 @@
                 State::Starting { vm } | State::Running { vm } | State::Evicting { vm },
                 Step::Drain(then),
             ) => {
+                if matches!(self.state, State::Starting { .. }) {
+                    next.avoid = Some(vm.clone());
+                }
                 next.state = State::Draining { vm: vm.clone(), then: *then };
             }
             (State::Draining { vm, .. }, Step::Drain(After::Cancel)) => {
--- a/gl-schedule/src/owner.rs
+++ b/gl-schedule/src/owner.rs
@@ -217,6 +217,7 @@
         let mut notes = Vec::new();
         system::review::run(&mut self.world, now, &mut notes);
         system::lapse::run(&mut self.world, now, &mut notes);
+        system::stuck::run(&mut self.world, now, &mut notes);
         system::retire::run(&mut self.world, now);
         system::jobs::run(&mut self.world, now);
         system::leave::run(&mut self.world);
--- a/gl-schedule/src/system/mod.rs
+++ b/gl-schedule/src/system/mod.rs
@@ -1,7 +1,7 @@
 //! The systems that run over a shard's tables, one module each, in the order of a tick.
 //!
 //! [`inventory`] and [`report`] take in what the platform and the workers say. Then
-//! [`review`], [`lapse`], [`retire`], [`jobs`], [`leave`], [`relief`] and [`place`] decide, [`commit`]
+//! [`review`], [`lapse`], [`stuck`], [`retire`], [`jobs`], [`leave`], [`relief`] and [`place`] decide, [`commit`]
 //! writes, and [`sync`] and [`routes`] tell the workers and the other daemons.
 
 use std::fmt;
@@ -19,6 +19,7 @@
 pub mod retire;
 pub mod review;
 pub mod routes;
+pub mod stuck;
 pub mod sync;
 
 /// A change of state that is worth a line in the log.
--- a/gl-schedule/src/system/review.rs
+++ b/gl-schedule/src/system/review.rs
@@ -120,7 +120,8 @@
     time::Span::millis(wait / 2 + jitter)
 }
 
-fn quarantine(
+/// Counts a failure against a worker, and puts it into quarantine after some in a row.
+pub fn quarantine(
     world: &mut world::World,
     vm: &id::VmId,
     now: time::Timestamp,
--- a/gl-schedule/src/world.rs
+++ b/gl-schedule/src/world.rs
@@ -205,6 +205,10 @@
     pub queue: collections::BTreeSet<Waiting>,
     /// What changed since the last commit.
     pub changes: Changes,
+    /// Tasks that began to start since the last tick.
+    pub begun: collections::BTreeSet<id::TaskId>,
+    /// Since when tasks are starting.
+    pub starting: collections::BTreeMap<id::TaskId, time::Timestamp>,
     /// Jobs whose tasks have to be compared with their rows.
     pub fresh: collections::BTreeSet<id::JobId>,
     /// The leases granted to workers.
@@ -236,6 +240,8 @@
             workers: table::Table::default(),
             queue: collections::BTreeSet::new(),
             changes: Changes::default(),
+            begun: collections::BTreeSet::new(),
+            starting: collections::BTreeMap::new(),
             fresh: collections::BTreeSet::new(),
             grants,
             model: interference::Model::default(),
@@ -274,6 +280,9 @@
         if let Some(waiting) = self.waiting(&row) {
             self.queue.insert(waiting);
         }
+        if matches!(row.state, task::State::Starting { .. }) {
+            self.begun.insert(row.id.clone());
+        }
         self.tasks.put(row.id.clone(), Stored { row, version });
     }
 
@@ -290,6 +299,9 @@
             // Its job may have been submitted again meanwhile.
             self.fresh.insert(row.job.clone());
         }
+        if matches!(row.state, task::State::Starting { .. }) {
+            self.begun.insert(row.id.clone());
+        }
         self.rerouted = true;
         self.changes.tasks.insert(row.id.clone());
         let version = self.tasks.get(&row.id).map(|old| old.version).unwrap_or_default();
--- a/gl-schedule/tests/schedule/bench.rs
+++ b/gl-schedule/tests/schedule/bench.rs
@@ -201,6 +201,8 @@
     /// How old measurements are when they are reported.
     pub lag: time::Span,
     pub fails: bool,
+    /// Whether what it starts never gets to run.
+    pub hangs: bool,
     /// Whether its services have requests in progress, which a drain waits for.
     pub busy: bool,
     /// How far its clock is behind, at most the margin.
@@ -222,6 +224,7 @@
             usage: Vec::new(),
             lag: time::Span::ZERO,
             fails: false,
+            hangs: false,
             busy: false,
             behind: time::Span::ZERO,
         }
@@ -273,6 +276,7 @@
         });
         let address = std::net::SocketAddr::from(([127, 0, 0, 1], 2_000 + self.number as u16));
         let phase = worker::Phase::Running(order.serving.then_some(address));
+        let phase = if self.hangs { worker::Phase::Starting } else { phase };
         let progress = resumed as f64;
         let held = Held { order: order.clone(), phase, run: runs.len() - 1, progress };
         self.held.insert(order.task.clone(), held);
--- a/gl-schedule/tests/schedule/promises.rs
+++ b/gl-schedule/tests/schedule/promises.rs
@@ -157,3 +157,13 @@
     assert_eq!(calm.running("book"), 2);
     bench::check_runs(&calm.runs, calm.now);
 }
+
+#[test]
+fn a_task_that_never_gets_to_run_is_taken_back() {
+    let mut calm = Calm::new(vms(2), &[bench::service("book", 2, bench::size(16, 64), 0)]);
+    calm.agents[0].hangs = true;
+    calm.until(5, |calm| calm.running("book") == 1);
+    calm.until(90, |calm| calm.running("book") == 2);
+    assert!(calm.now >= bench::START + gl_model::time::Span::seconds(60));
+    bench::check_runs(&calm.runs, calm.now);
+}
