--- a/gl-standin/src/worker.rs
+++ b/gl-standin/src/worker.rs
@@ -17,7 +17,7 @@
     pub fail_all: bool,
     /// Every n-th answer breaks off; zero for none.
     pub truncate: u64,
-    /// Every n-th answer carries another call's identity; zero for none.
+    /// Every n-th answer is another call's, with its identity and body; zero for none.
     pub mix_up: u64,
     /// Each request takes this much longer, in milliseconds.
     pub late_ms: u64,
@@ -336,6 +336,9 @@
         let body = http::Truncated { part: body, announced };
         return response.message_body(ntex::http::body::Body::from_message(body));
     }
+    if is_mixed {
+        return response.body("another call's answer");
+    }
     response.content_type("text/plain").body(body)
 }
 
--- a/gl-standin/tests/process/plans.rs
+++ b/gl-standin/tests/process/plans.rs
@@ -9,7 +9,12 @@
 }
 
 fn submit(cluster: &cluster::Cluster, daemon: usize, name: &str) -> String {
-    let file = cluster.file(&format!("{name}.yaml"), &INTENTS.replace("booking", name)).unwrap();
+    let file = cluster
+        .file(
+            &format!("{name}.yaml"),
+            &INTENTS.replace("booking", name).replace("reports", &format!("{name}-reports")),
+        )
+        .unwrap();
     cluster.client(daemon, &["submit", &file]).unwrap()
 }
 
