--- a/gl-model/src/route.rs
+++ b/gl-model/src/route.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{id, size, time};
+use crate::{id, time};
 
 /// A running task of a service, as the owner of its shard publishes it.
 #[gl_derive::domain]
@@ -53,14 +53,3 @@
         (self.epoch, self.version) > (other.epoch, other.version)
     }
 }
-
-/// The room that a daemon sees on its workers, for status pages.
-#[gl_derive::domain]
-pub struct Room {
-    /// The VM.
-    pub vm: id::VmId,
-    /// What is promised on it.
-    pub promised: size::Size,
-    /// What it has.
-    pub capacity: size::Size,
-}
--- a/gl-route/src/service.rs
+++ b/gl-route/src/service.rs
@@ -54,7 +54,6 @@
 struct Waiting {
     call: call::Call,
     tried: Vec<id::TaskId>,
-    since: time::Timestamp,
 }
 
 /// A call that waited and what became of it.
@@ -224,7 +223,7 @@
         if wait > left.scaled(QUEUE_SHARE) || wait + after > left {
             return self.refuse(call::Reason::Overload);
         }
-        self.queue.push_back(Waiting { call: call.clone(), tried: tried.to_vec(), since: now });
+        self.queue.push_back(Waiting { call: call.clone(), tried: tried.to_vec() });
         call::Verdict::Wait
     }
 
@@ -366,11 +365,6 @@
         }
         woken
     }
-
-    /// How long the first call in the queue has waited.
-    pub fn oldest(&self, now: time::Timestamp) -> time::Span {
-        self.queue.front().map_or(time::Span::ZERO, |first| now.since(first.since))
-    }
 }
 
 fn whole(micros: f64) -> u64 {
