fix: a request cut short by its caller is refused

Cause: an error while reading the body ended the loop as the body's end does, so a request that broke off went to a backend server as if it were whole. Before: a_request_cut_short_by_its_caller_is_not_run red, 2 of 2 cut requests ran (length and chunked); after: none, answered 400 not-run and the connection closed. Ruled out: the server library, which reports the error.

--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -81,7 +81,10 @@
     let limits = node.config.lock().content.limits;
     let body = match read(payload, limits.body_bytes).await {
         Ok(body) => body,
-        Err(TooLarge) => return answer::too_large(limits.body_bytes),
+        Err(Unread::TooLarge) => return answer::too_large(limits.body_bytes),
+        Err(Unread::CutShort) => {
+            return closing(answer::bad("the body was cut short; send it anew"));
+        }
     };
     let end = match (&request.key, request.call.repeat) {
         (Some(key), call::Repeat::Never) => {
@@ -99,13 +102,19 @@
     response
 }
 
-struct TooLarge;
+/// Why a request's body can't be used.
+enum Unread {
+    TooLarge,
+    CutShort,
+}
 
-async fn read(mut payload: web::types::Payload, limit: usize) -> Result<util::Bytes, TooLarge> {
+/// Reads a request's whole body; one that ends early is never passed on as if it were whole.
+async fn read(mut payload: web::types::Payload, limit: usize) -> Result<util::Bytes, Unread> {
     let mut body = util::BytesMut::new();
-    while let Some(Ok(chunk)) = payload.recv().await {
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| Unread::CutShort)?;
         if body.len() + chunk.len() > limit {
-            return Err(TooLarge);
+            return Err(Unread::TooLarge);
         }
         body.extend_from_slice(&chunk);
     }
--- a/gl-standin/tests/process/calls.rs
+++ b/gl-standin/tests/process/calls.rs
@@ -193,3 +193,27 @@
     let calls = report.services[0].windows[0].calls;
     assert!(calls >= 50, "{calls} calls");
 }
+
+/// A request whose body is cut short never reaches a backend server as if it were whole.
+#[ntex::test]
+async fn a_request_cut_short_by_its_caller_is_not_run() {
+    use std::io::{Read as _, Write as _};
+    let cluster = running(cluster::Settings::default()).await;
+    let address = cluster.daemons[0].address();
+    for kind in ["content-length: 40\r\n\r\ncut", "transfer-encoding: chunked\r\n\r\n3\r\ncut\r\n"]
+    {
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        let head = format!("POST /v1/call/booking/echo HTTP/1.1\r\nhost: x\r\n{kind}");
+        stream.write_all(head.as_bytes()).unwrap();
+        sleep(0.2).await;
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        sleep(0.5).await;
+        let mut answer = String::new();
+        stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(!answer.contains("geraniumlatch-outcome: complete"), "{answer}");
+    }
+    let logs = cluster.runs().await;
+    let ran = logs.iter().flat_map(|log| &log.requests).filter(|r| r.request.starts_with("cut"));
+    assert_eq!(ran.count(), 0, "cut requests that ran");
+}
