fix: keyed calls go on when their caller hangs up

Cause: the server drops a call whose caller closes the connection, so the attempt was abandoned with its claim stored and no answer: a second try with the key got 'unknown' until the key was forgotten, though the booking had run. Ruled out: releasing the claim, as the call may have run. The call runs in a task of its own, and a planned stop waits for it.

--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -68,7 +68,7 @@
     carrier: web::types::State<Carrier>,
 ) -> web::HttpResponse {
     let node = &carrier.node;
-    let _progress = Progress::new(node);
+    let progress = Progress::new(node);
     if node.closed.load(atomic::Ordering::Relaxed) {
         return closing(answer::not_run("this daemon stops; call another one", CLOSED_RETRY));
     }
@@ -88,7 +88,8 @@
     };
     let end = match (&request.key, request.call.repeat) {
         (Some(key), call::Repeat::Never) => {
-            claimed(&carrier, &request, key, &original, body, limits.answer_bytes).await
+            let sent = Sent { original, body, limit: limits.answer_bytes, progress };
+            to_its_end(carrier.get_ref().clone(), request.clone(), key.clone(), sent).await
         }
         _ => carry(&carrier, &request, &original, body, limits.answer_bytes).await.end,
     };
@@ -138,6 +139,27 @@
     }
 }
 
+/// What a caller sent.
+struct Sent {
+    original: web::HttpRequest,
+    body: util::Bytes,
+    limit: usize,
+    progress: Progress,
+}
+
+/// Carries a keyed unrepeatable call on to its end also when its caller hangs up, so that the
+/// answer is there when the caller asks again with its key.
+async fn to_its_end(carrier: Carrier, request: request::Request, key: String, sent: Sent) -> End {
+    let task = ntex::rt::spawn(async move {
+        let Sent { original, body, limit, progress } = sent;
+        let end = claimed(&carrier, &request, &key, &original, body, limit).await;
+        drop(progress);
+        end
+    });
+    let lost = || End::own(answer::unknown("the call was lost"), call::Outcome::Unknown);
+    task.await.unwrap_or_else(|_| lost())
+}
+
 /// Carries a keyed unrepeatable call: nothing is sent before its claim is stored.
 async fn claimed(
     carrier: &Carrier,
--- a/gl-standin/tests/process/calls.rs
+++ b/gl-standin/tests/process/calls.rs
@@ -217,3 +217,25 @@
     let ran = logs.iter().flat_map(|log| &log.requests).filter(|r| r.request.starts_with("cut"));
     assert_eq!(ran.count(), 0, "cut requests that ran");
 }
+
+/// A caller that hangs up and asks again with its key gets the answer of the call that went on.
+#[ntex::test]
+async fn a_caller_that_hangs_up_gets_its_answer_on_its_next_try() {
+    use std::io::Write as _;
+    let cluster = running(cluster::Settings::default()).await;
+    let address = cluster.daemons[0].address();
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let call = "POST /v1/call/booking/echo?work_ms=600 HTTP/1.1\r\nhost: x\r\n\
+                geraniumlatch-repeat: never\r\nidempotency-key: hang-0\r\n\
+                content-length: 6\r\n\r\nhang-0";
+    stream.write_all(call.as_bytes()).unwrap();
+    sleep(0.3).await;
+    drop(stream);
+    sleep(1.5).await;
+    let other = caller::Balancer::default();
+    other.lock().push(cluster.daemons[1].address());
+    let settings = caller::Settings { balancer: other, calls: 1, ..calls(&cluster, "hang", 1) };
+    let counts = caller::run(settings).await;
+    check(&counts, &cluster.runs().await);
+    assert_eq!(counts.complete, 1);
+}
