fix: the list of VMs doesn't wait for the store

Cause: each read of the list waited for a scan of the drains, so with a store that takes its 2 s limit a leaving VM was known after up to 2.5 s and the list's own delay. Drains are read beside it. Ruled out: a shorter limit, which a slow store would pass.

--- a/geraniumlatchd/src/control/poll.rs
+++ b/geraniumlatchd/src/control/poll.rs
@@ -11,6 +11,8 @@
 /// How often the list of VMs is read; a leaving VM gets no new call within 3 s of the list
 /// saying so.
 const LIST: time::Duration = time::Duration::from_millis(500);
+/// How often operators' drains are read.
+const DRAINS: time::Duration = time::Duration::from_secs(1);
 /// How often the configuration is read, so that it is in force soon even without the mesh.
 const CONFIG: time::Duration = time::Duration::from_secs(1);
 /// How often shards' rows are read.
@@ -21,6 +23,7 @@
 /// Starts all polling.
 pub fn start(io: &control::Io) {
     every(io, LIST, |io| async move { io.list().await });
+    every(io, DRAINS, |io| async move { io.drains().await });
     every(io, CONFIG, |io| async move { io.config().await });
     every(io, SHARDS, |io| async move { io.shards().await });
     every(io, MEMBERS, |io| async move { io.members().await });
@@ -49,24 +52,24 @@
 }
 
 impl control::Io {
+    /// The list doesn't wait for the store, which may be slow: drains are read beside it.
     async fn list(self) -> Option<control::Event> {
         let mut list = self.platform.list().await.ok()?;
-        // Without the store the drains last read stay as they are in the workers' state.
-        if let Ok(rows) = self.platform.scan(key::DRAINS).await {
-            let drained: collections::BTreeSet<id::VmId> = rows
-                .iter()
-                .filter_map(|r| r.key.strip_prefix(key::DRAINS))
-                .map(id::VmId::from)
-                .collect();
-            for vm in list.vms.iter_mut().filter(|vm| drained.contains(&vm.id)) {
-                vm.liveness = vm::Liveness::Leaving;
-            }
-        } else {
-            keep_drains(&mut list, &self.node.list.lock());
+        let drained = self.node.drained.lock();
+        for vm in list.vms.iter_mut().filter(|vm| drained.contains(&vm.id)) {
+            vm.liveness = vm::Liveness::Leaving;
         }
+        drop(drained);
         Some(control::Event::List(list))
     }
 
+    async fn drains(self) -> Option<control::Event> {
+        let rows = self.platform.scan(key::DRAINS).await.ok()?;
+        let names = rows.iter().filter_map(|row| row.key.strip_prefix(key::DRAINS));
+        *self.node.drained.lock() = names.map(id::VmId::from).collect();
+        None
+    }
+
     async fn config(self) -> Option<control::Event> {
         let row = self.platform.read(key::CONFIG).await.ok()?;
         let none = || config::Row {
@@ -128,15 +131,3 @@
         Some(control::Event::Members(rows))
     }
 }
-
-fn keep_drains(list: &mut vm::List, last: &vm::List) {
-    for vm in &mut list.vms {
-        let was_leaving = last
-            .vms
-            .iter()
-            .any(|known| known.id == vm.id && known.liveness == vm::Liveness::Leaving);
-        if was_leaving {
-            vm.liveness = vm::Liveness::Leaving;
-        }
-    }
-}
--- a/geraniumlatchd/src/node.rs
+++ b/geraniumlatchd/src/node.rs
@@ -27,6 +27,8 @@
     pub config: Mutex<config::Row>,
     /// The platform's list of VMs as last read.
     pub list: Mutex<vm::List>,
+    /// The VMs that operators keep from new work, as last read.
+    pub drained: Mutex<collections::BTreeSet<id::VmId>>,
     /// The daemons that are known.
     pub members: Mutex<membership::View>,
     /// The shards that this daemon owns.
@@ -96,6 +98,7 @@
             metrics: metrics::Metrics::new()?,
             config: Mutex::new(config::Row { number, txn, content }),
             list: Mutex::default(),
+            drained: Mutex::default(),
             members: Mutex::default(),
             shards: Mutex::default(),
             ready: atomic::AtomicBool::new(false),
--- a/gl-standin/tests/process/plans.rs
+++ b/gl-standin/tests/process/plans.rs
@@ -70,3 +70,26 @@
     assert!(plan.contains("refuse  6 tasks of booking"), "{plan}");
     assert!(plan.contains("at most 64 cores, 250000 MB"), "{plan}");
 }
+
+#[ntex::test]
+async fn a_drained_worker_is_emptied_without_cutting_off_a_call() {
+    let cluster = super::running(cluster::Settings::default()).await;
+    let logs = cluster.runs().await;
+    let serving = logs.iter().flat_map(|log| &log.runs).find(|run| run.serving).unwrap();
+    let vm = serving.vm.to_string();
+    let sending = ntex::rt::spawn(gl_standin::caller::run(calls(&cluster, "drain", 4)));
+    cluster.client(1, &["drain", "vm", &vm]).unwrap();
+    let empty = || async {
+        let logs = cluster.runs().await;
+        let on_it = logs.iter().flat_map(|log| &log.runs).filter(|run| run.vm.as_str() == vm);
+        on_it.filter(|run| run.to.is_none()).count() == 0 && cluster.serving().await == 6
+    };
+    cluster.until(empty).await.unwrap();
+    let counts = sending.await.unwrap();
+    check(&counts, &cluster.runs().await);
+    assert_eq!((counts.cut, counts.complete), (0, counts.sent));
+    assert!(
+        cluster.client(1, &["drain", "vm", "nothing"]).unwrap_err().contains("no VM is called")
+    );
+    cluster.client(2, &["drain", "undo", &vm]).unwrap();
+}
