--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -8,7 +8,7 @@
 use ntex::{http, util, web};
 
 use crate::{clock, node, proxy};
-use proxy::{answer, attempt, claims, request};
+use proxy::{answer, attempt, claims, queue, request};
 
 /// The largest answer that is stored for an unrepeatable call's retry, in bytes.
 const STORED_BYTES: usize = 64 << 10;
@@ -237,7 +237,7 @@
     let mut last: Option<id::VmId> = None;
     let mut cost = service::Cost::Load;
     loop {
-        let verdict = decide(node, request, &tried, cost).await;
+        let verdict = queue::decide(node, request, &tried, cost).await;
         let ticket = match verdict {
             route::Verdict::Send(ticket) => ticket,
             route::Verdict::Refuse(refusal) => {
@@ -294,92 +294,6 @@
     }
 }
 
-/// Asks the router, and waits in its queue if need be.
-async fn decide(
-    node: &sync::Arc<node::Node>,
-    request: &request::Request,
-    tried: &[id::TaskId],
-    cost: service::Cost,
-) -> route::Verdict {
-    match ask(node, request, tried, cost) {
-        Asked::Decided(verdict) => verdict,
-        Asked::Queued(waiting) => waiting.verdict().await,
-    }
-}
-
-enum Asked {
-    Decided(route::Verdict),
-    Queued(Waiting),
-}
-
-/// The router stays locked until the place in the queue has its receiver, so that it can't be
-/// woken before.
-fn ask(
-    node: &sync::Arc<node::Node>,
-    request: &request::Request,
-    tried: &[id::TaskId],
-    cost: service::Cost,
-) -> Asked {
-    let call = &request.call;
-    let now = clock::now();
-    let mut router = node.router.lock();
-    let verdict = if tried.is_empty() {
-        router.admit(call, now)
-    } else {
-        router.retry(call, tried, cost, now)
-    };
-    if verdict != route::Verdict::Wait {
-        return Asked::Decided(verdict);
-    }
-    let receiver = node.wait(&call.id);
-    Asked::Queued(Waiting::new(node, request, receiver))
-}
-
-/// A place in the queue, which is given up when the caller goes away.
-struct Waiting {
-    node: sync::Arc<node::Node>,
-    service: id::JobId,
-    call: id::CallId,
-    receiver: Option<tokio::sync::oneshot::Receiver<route::Verdict>>,
-}
-
-impl Waiting {
-    fn new(
-        node: &sync::Arc<node::Node>,
-        request: &request::Request,
-        receiver: tokio::sync::oneshot::Receiver<route::Verdict>,
-    ) -> Self {
-        Self {
-            node: sync::Arc::clone(node),
-            service: request.call.service.clone(),
-            call: request.call.id.clone(),
-            receiver: Some(receiver),
-        }
-    }
-
-    async fn verdict(mut self) -> route::Verdict {
-        let lost = route::Refusal { reason: route::Reason::Overload, after: CLAIM_RETRY };
-        let Some(receiver) = self.receiver.as_mut() else {
-            return route::Verdict::Refuse(lost);
-        };
-        let verdict = receiver.await;
-        self.receiver = None;
-        verdict.unwrap_or(route::Verdict::Refuse(lost))
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else {
-            return;
-        };
-        self.node.forget(&self.service, &self.call);
-        if let Ok(route::Verdict::Send(ticket)) = receiver.try_recv() {
-            drop(attempt::Slot::new(sync::Arc::clone(&self.node), ticket));
-        }
-    }
-}
-
 /// The final answer of a call that no backend server answered.
 fn give_up(
     node: &node::Node,
--- a/geraniumlatchd/src/proxy/mod.rs
+++ b/geraniumlatchd/src/proxy/mod.rs
@@ -4,5 +4,6 @@
 pub mod attempt;
 pub mod claims;
 pub mod handler;
+pub mod queue;
 pub mod request;
 pub mod server;
--- a/gl-route/tests/route/fake.rs
+++ b/gl-route/tests/route/fake.rs
@@ -7,7 +7,7 @@
     reason = "a fake for tests and examples"
 )]
 
-use std::{cmp, collections};
+use std::collections;
 
 use gl_model::{call as model, id, route, time};
 use gl_route::{call, choice, ending, router, service};
@@ -104,27 +104,11 @@
     Wake,
 }
 
-struct Timed {
+/// The place of an event in the order of time; events of one moment keep their order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct When {
     at: u64,
     order: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
 }
 
 #[derive(Default)]
@@ -146,7 +130,7 @@
     settings: Settings,
     now: time::Timestamp,
     order: u64,
-    events: collections::BinaryHeap<Timed>,
+    events: collections::BTreeMap<When, Event>,
     routers: Vec<router::Router>,
     alive: Vec<bool>,
     workers: Vec<Worker>,
@@ -181,12 +165,12 @@
 pub fn run(settings: Settings) -> Figures {
     let mut fake = Fake::new(settings);
     let end = START + time::Span::seconds(settings.seconds);
-    while let Some(timed) = fake.events.pop() {
-        if timed.at > (end + time::Span::seconds(2)).0 {
+    while let Some((when, event)) = fake.events.pop_first() {
+        if when.at > (end + time::Span::seconds(2)).0 {
             break;
         }
-        fake.now = time::Timestamp(timed.at);
-        fake.take(timed.event, end);
+        fake.now = time::Timestamp(when.at);
+        fake.take(event, end);
     }
     fake.finish()
 }
@@ -197,7 +181,7 @@
             settings,
             now: START,
             order: 0,
-            events: collections::BinaryHeap::new(),
+            events: collections::BTreeMap::new(),
             routers: (0..DAEMONS).map(|d| router(settings, d)).collect(),
             alive: vec![true; DAEMONS],
             workers: (0..WORKERS).map(|_| Worker::default()).collect(),
@@ -214,7 +198,7 @@
 
     fn push(&mut self, after: time::Span, event: Event) {
         self.order += 1;
-        self.events.push(Timed { at: (self.now + after).0, order: self.order, event });
+        self.events.insert(When { at: (self.now + after).0, order: self.order }, event);
     }
 
     fn second(&self) -> usize {
