feat(standin): pauses and crashes by request

Cause: the stand-ins paused and crashed only by signals from the test that started them. Ruled out: nothing else is missing of the faults that they take by request. After: stand_ins_pause_and_crash_by_request passes (18.8 s) with a paused platform, a paused worker and a crashed one: nothing lost, doubled or in two places.

--- a/gl-standin/src/http.rs
+++ b/gl-standin/src/http.rs
@@ -41,6 +41,18 @@
     }
 }
 
+/// Ends the process, or holds its state for a while so that nothing in it goes on.
+pub fn pause_or_crash<S>(pause_ms: u64, crash: bool, state: &parking_lot::Mutex<S>) {
+    if crash {
+        std::process::exit(1);
+    }
+    if pause_ms > 0 {
+        let held = state.lock();
+        std::thread::sleep(time::Duration::from_millis(pause_ms));
+        drop(held);
+    }
+}
+
 /// An error answer whose body names the fault.
 pub fn refuse(status: u16, text: &str) -> ntex::web::HttpResponse {
     let status = ntex::http::StatusCode::from_u16(status).unwrap_or_default();
--- a/gl-standin/src/platform.rs
+++ b/gl-standin/src/platform.rs
@@ -21,6 +21,10 @@
     pub lose: u64,
     /// The list of VMs is this old, in milliseconds.
     pub lag_ms: u64,
+    /// Everything stands still for this long, in milliseconds, once.
+    pub pause_ms: u64,
+    /// The process ends at once.
+    pub crash: bool,
 }
 
 /// What the list says of one VM.
@@ -194,6 +198,7 @@
     state: web::types::State<Shared>,
     faults: web::types::Json<Faults>,
 ) -> web::HttpResponse {
+    http::pause_or_crash(faults.pause_ms, faults.crash, &state);
     state.lock().faults = faults.into_inner();
     json(&())
 }
--- a/gl-standin/src/worker.rs
+++ b/gl-standin/src/worker.rs
@@ -25,6 +25,10 @@
     pub mute: bool,
     /// Neither the agent nor the tasks take anything.
     pub cut: bool,
+    /// Everything stands still for this long, in milliseconds, once.
+    pub pause_ms: u64,
+    /// The process ends at once.
+    pub crash: bool,
 }
 
 struct Task {
@@ -360,6 +364,7 @@
     state: web::types::State<Shared>,
     faults: web::types::Json<Faults>,
 ) -> web::HttpResponse {
+    http::pause_or_crash(faults.pause_ms, faults.crash, &state);
     state.lock().faults = faults.into_inner();
     web::HttpResponse::Ok().finish()
 }
--- a/gl-standin/tests/process/shards.rs
+++ b/gl-standin/tests/process/shards.rs
@@ -155,3 +155,17 @@
     until_done(&cluster, 12).await;
     check_batch(&cluster, 12).await;
 }
+
+#[ntex::test]
+async fn stand_ins_pause_and_crash_by_request() {
+    let cluster = running(cluster::Settings::default()).await;
+    let pause = platform::Faults { pause_ms: 3_000, ..platform::Faults::default() };
+    cluster.hurt_platform(&pause).await.unwrap();
+    let pause = worker::Faults { pause_ms: 4_000, ..worker::Faults::default() };
+    cluster.hurt_worker(cluster.workers[0].address(), &pause).await.unwrap();
+    let crash = worker::Faults { crash: true, ..worker::Faults::default() };
+    cluster.hurt_worker(cluster.workers[1].address(), &crash).await.unwrap_err();
+    let counts = caller::run(calls(&cluster, "crash", 3)).await;
+    check(&counts, &cluster.runs().await);
+    cluster.until_serving(6, "booking").await.unwrap();
+}
