fix: nothing is acknowledged to a worker that may have started anew

A worker restarts under its id and numbers its ends from 1; the acknowledgement of an earlier incarnation, up to 18, met end 8 of the new one. An owner in office could do the same, because the header that names the worker holds its id, which doesn't change with a restart. Ruled out: telling incarnations apart by the header. Change: after a look without an answer, and when the list has a newer incarnation, a look acknowledges nothing until one is answered. Ends told twice are known by their number. The emulator checks the number of looks that the worker accepts, with the same bound. Conclusion: what is left is a restart between an answered look and the next one.

--- a/gl-emulate/src/world/workers.rs
+++ b/gl-emulate/src/world/workers.rs
@@ -58,11 +58,11 @@
         is_extra: bool,
     ) {
         order.token = token;
-        self.check_acknowledged(n, order.acknowledged);
         let Some(look) = self.workers[n].look(&order, self.now) else {
             self.reigns[reign].is_over = true;
             return;
         };
+        self.check_acknowledged(n, order.acknowledged);
         let is_held = !is_extra
             && order.wait > time::Span::ZERO
             && !self.workers[n].has_end_after(order.acknowledged);
--- a/gl-jobs/src/owner/looks.rs
+++ b/gl-jobs/src/owner/looks.rs
@@ -113,7 +113,8 @@
         } else {
             settings.look_wait
         };
-        Some(worker::LookOrder { token, acknowledged: worker.stored, lease, wait })
+        let acknowledged = if worker.may_be_new() { 0 } else { worker.stored };
+        Some(worker::LookOrder { token, acknowledged, lease, wait })
     }
 
     fn needs_care(&self, id: &worker::WorkerId) -> bool {
--- a/gl-jobs/src/owner/room.rs
+++ b/gl-jobs/src/owner/room.rs
@@ -180,6 +180,12 @@
         self.clock.map(|reading| reading.clock + now.since(reading.at))
     }
 
+    /// Whether the worker may have started anew since it last answered. Its ends are numbered
+    /// from 1 then, so an acknowledgement meant for the earlier incarnation would delete them.
+    pub(super) fn may_be_new(&self) -> bool {
+        self.silent || self.incarnation != Some(self.entry.incarnation)
+    }
+
     /// When all leases of the worker have surely expired, by the owner's clock.
     pub(super) fn expiry(&self, settings: &Settings) -> Option<time::Timestamp> {
         let reading = self.clock?;
--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -141,3 +141,29 @@
     cell.owner.committed(&commit);
     assert_eq!(cell::starts(&cell.tick()).len(), 1);
 }
+
+/// Ends are numbered anew by each incarnation, so an old number would delete ends not yet told.
+#[test]
+fn a_worker_that_may_have_restarted_is_acknowledged_nothing() {
+    let mut cell = Cell::new(1);
+    let start = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 1_000)]))).remove(0);
+    cell.answer(&start, worker::Answer::Done);
+    cell.end(0, &start, worker::Ending::Done);
+    cell.look(0, &[]);
+    cell.commit();
+    let id = cell::worker(0);
+    let acknowledged = |cell: &mut Cell| {
+        cell.owner.look_order(&id, cell::at(cell.now)).expect("a known worker").acknowledged
+    };
+    assert_eq!(acknowledged(&mut cell), 1);
+
+    cell.owner.look_failed(&id, cell::at(cell.now));
+    assert_eq!(acknowledged(&mut cell), 0, "it was silent");
+    cell.look(0, &[]);
+    assert_eq!(acknowledged(&mut cell), 1, "it has answered under the same incarnation");
+
+    let listed =
+        worker::Registration { incarnation: worker::Incarnation(2), ..cell::registration(0) };
+    cell.owner.workers_listed(&[listed], cell::at(cell.now));
+    assert_eq!(acknowledged(&mut cell), 0, "the list has a newer incarnation");
+}
