jobs: windows with harm are shared out anew as more is known of the images

Each window was shared out once, by what was known at that time, and those first shares stayed in the count. Change: the last 64 windows with harm are kept for each lasting image and shared out again with each measurement; the oldest then keeps its shares.

--- a/gl-jobs/src/owner/harm.rs
+++ b/gl-jobs/src/owner/harm.rs
@@ -2,10 +2,11 @@
 //! workers report.
 //!
 //! A lasting task shows harm only while it is busy, and several fill images may stand beside it.
-//! So each pair has a probability: that the lasting image's tail is near or over its target in
-//! one window of measurement beside enough of the fill image. Windows with harm are shared out
-//! over the images present by these probabilities, which tells the guilty from the bystanders as
-//! mixes change (expectation maximisation of a noisy-or model).
+//! So each pair has a probability: that the lasting image's tail is over its target in one window
+//! of measurement beside enough of the fill image. Windows with harm are shared out over the
+//! images present by these probabilities, which tells the guilty from the bystanders as mixes
+//! change (expectation maximisation of a noisy-or model). The latest windows with harm are kept
+//! and shared out anew with each measurement: their first shares come from what was not known yet.
 
 use std::collections;
 
@@ -21,22 +22,104 @@
 const LEAK: f64 = 0.015;
 /// Windows that a new pair is taken to have been seen for, and the part of them with harm: tried
 /// with care, not avoided.
-const PRIOR: Pair = Pair { windows: 4.0, harmed: 0.2 };
+const PRIOR: Pair = Pair { windows: 4.0, settled: 0.2, recent: 0.0 };
 /// What remains of the past with each window, so that some minutes count.
 const FADE: f64 = 0.995;
 /// How much a new measurement of an image's use of its processors counts.
 const USE_WEIGHT: f64 = 0.1;
 
+/// The windows with harm that are kept for each lasting image; enough of them that the shares of
+/// those that are dropped don't change any more.
+const RECALL: usize = 64;
+
 /// What was seen of a lasting image beside a fill image.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Pair {
     windows: f64,
-    harmed: f64,
+    /// The image's part of the windows with harm, without those that are kept.
+    settled: f64,
+    /// Its part of those that are kept.
+    recent: f64,
 }
 
 impl Pair {
-    fn probability(self) -> f64 {
-        self.harmed / self.windows
+    const fn probability(self) -> f64 {
+        (self.settled + self.recent) / self.windows
+    }
+}
+
+/// A window in which a lasting image was harmed.
+type Harmed = Vec<Suspect>;
+
+/// A fill image that was present in a window with harm.
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    fill: Image,
+    /// How much of its harm it could show.
+    weight: f64,
+    /// What remains of the window for this image, as time passes.
+    faded: f64,
+}
+
+/// What is known of a lasting image.
+#[derive(Clone, Debug, Default)]
+struct Lasting {
+    /// By fill image.
+    pairs: Vec<Pair>,
+    harmed: collections::VecDeque<Harmed>,
+}
+
+impl Lasting {
+    /// Counts one more window for an image that was present.
+    fn count(&mut self, fill: &Use) {
+        let Some(pair) = self.pairs.get_mut(fill.image.0) else {
+            return;
+        };
+        pair.windows = pair.windows * FADE + fill.weight();
+        pair.settled *= FADE;
+        for suspect in self.harmed.iter_mut().flatten().filter(|s| s.fill == fill.image) {
+            suspect.faded *= FADE;
+        }
+    }
+
+    /// Keeps a window with harm. The oldest beyond the limit keeps the shares that it has.
+    fn keep(&mut self, fills: &[Use]) {
+        let suspect = |fill: &Use| Suspect { fill: fill.image, weight: fill.weight(), faded: 1.0 };
+        self.harmed.push_back(fills.iter().map(suspect).collect());
+        if self.harmed.len() <= RECALL {
+            return;
+        }
+        let mut parts = vec![0.0; self.pairs.len()];
+        if let Some(oldest) = self.harmed.pop_front() {
+            self.share(&oldest, &mut parts);
+        }
+        for (pair, part) in self.pairs.iter_mut().zip(parts) {
+            pair.settled += part;
+        }
+    }
+
+    /// Shares the kept windows out by what is known now.
+    fn share_all(&mut self) {
+        let mut parts = vec![0.0; self.pairs.len()];
+        for window in &self.harmed {
+            self.share(window, &mut parts);
+        }
+        for (pair, part) in self.pairs.iter_mut().zip(parts) {
+            pair.recent = part;
+        }
+    }
+
+    /// Adds each image's part in a window with harm to `parts`, which goes by image.
+    fn share(&self, window: &[Suspect], parts: &mut [f64]) {
+        let blame = |s: &Suspect| self.probability(s.fill) * s.weight;
+        let total = LEAK + window.iter().map(blame).sum::<f64>();
+        for suspect in window {
+            parts[suspect.fill.0] += blame(suspect) / total * suspect.faded;
+        }
+    }
+
+    fn probability(&self, fill: Image) -> f64 {
+        self.pairs.get(fill.0).copied().unwrap_or(PRIOR).probability()
     }
 }
 
@@ -44,8 +127,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
     images: collections::HashMap<String, Image>,
-    /// By lasting image, then by fill image.
-    pairs: Vec<Vec<Pair>>,
+    lasting: Vec<Lasting>,
     /// The share of its declared processors that an image uses when nothing holds it back.
     uses: Vec<f64>,
 }
@@ -75,10 +157,11 @@
         let image = Image(self.images.len());
         self.images.insert(name.to_owned(), image);
         self.uses.push(1.0);
-        for pairs in &mut self.pairs {
-            pairs.push(PRIOR);
+        for lasting in &mut self.lasting {
+            lasting.pairs.push(PRIOR);
         }
-        self.pairs.push(vec![PRIOR; self.images.len()]);
+        let pairs = vec![PRIOR; self.images.len()];
+        self.lasting.push(Lasting { pairs, ..Lasting::default() });
         image
     }
 
@@ -89,8 +172,7 @@
 
     /// The probability that a fill image harms a lasting one.
     pub fn probability(&self, lasting: Image, fill: Image) -> f64 {
-        let pair = self.pairs.get(lasting.0).and_then(|pairs| pairs.get(fill.0));
-        pair.copied().unwrap_or(PRIOR).probability()
+        self.lasting.get(lasting.0).map_or(PRIOR.probability(), |known| known.probability(fill))
     }
 
     /// The probability that one of these fill images harms a lasting one; an upper bound.
@@ -101,17 +183,16 @@
     /// Learns from one window in which the highest tail of a lasting image on a worker, as a
     /// multiple of its target, was seen beside fill tasks.
     pub fn observe(&mut self, lasting: Image, heat: f64, fills: &[Use]) {
-        let is_harmed = heat >= HARMED;
-        let total = LEAK + self.probability_beside(lasting, fills.iter().copied());
+        let Some(known) = self.lasting.get_mut(lasting.0) else {
+            return;
+        };
         for fill in fills {
-            let weight = fill.weight();
-            let part = self.probability(lasting, fill.image) * weight / total;
-            let pairs = self.pairs.get_mut(lasting.0);
-            if let Some(pair) = pairs.and_then(|pairs| pairs.get_mut(fill.image.0)) {
-                pair.windows = pair.windows * FADE + weight;
-                pair.harmed = pair.harmed * FADE + if is_harmed { part } else { 0.0 };
-            }
+            known.count(fill);
+        }
+        if heat >= HARMED {
+            known.keep(fills);
         }
+        known.share_all();
     }
 
     /// The share of its declared processors that an image uses.
