jobs: a task that finds no place holds up only tasks of its own image and service

Cause: a pass over the waiting phases kept one size for all fill tasks that found no place, and left out whatever needed as much. Where fill tasks may go depends on what their image harms, so one image without a place held up all others, and one service that was full held up the other services. Ruled out: that idle processors are missing. Change: what found no place is kept by service, and for fill tasks by image; phases whose workers are limited by advice aren't kept at all. Before: an_image_that_finds_no_place fails. After: it passes.

--- a/gl-jobs/src/owner/place.rs
+++ b/gl-jobs/src/owner/place.rs
@@ -44,25 +44,49 @@
     }
 }
 
-/// Sizes that found no place in this pass; whatever needs as much finds none either.
+/// Tasks that found no place in this pass; what needs as much of the same finds none either.
 #[derive(Default)]
 struct Full {
-    batch: Option<size::Size>,
-    fill: Option<size::Size>,
+    known: Vec<Refused>,
+}
+
+/// A plain task that found no place.
+struct Refused {
+    service: String,
+    fills: bool,
+    /// Where a fill task may go depends on what it harms.
+    image: Option<String>,
+    size: size::Size,
+}
+
+impl Refused {
+    fn new(job: &job::Job, spec: &job::Phase) -> Self {
+        let service = job.service.clone();
+        let image = spec.image.clone().filter(|_| spec.fills);
+        Self { service, fills: spec.fills, image, size: spec.size }
+    }
+
+    fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
+        self.fills == spec.fills
+            && (!spec.fills || self.image == spec.image)
+            && self.service == job.service
+            && self.size.fits_in(&spec.size)
+    }
 }
 
 impl Full {
-    fn covers(&self, spec: &job::Phase) -> bool {
-        let known = if spec.fills { &self.fill } else { &self.batch };
-        known.as_ref().is_some_and(|known| known.fits_in(&spec.size))
+    fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
+        self.known.iter().any(|refused| refused.covers(job, spec))
     }
 
-    fn note(&mut self, spec: &job::Phase) {
-        let is_plain =
-            spec.label.is_none() && spec.per_worker.is_none() && !spec.gang && !spec.lasting;
+    fn note(&mut self, job: &job::Job, spec: &job::Phase) {
+        let is_plain = spec.label.is_none()
+            && spec.per_worker.is_none()
+            && !spec.gang
+            && !spec.lasting
+            && job.advice.is_none();
         if is_plain {
-            let known = if spec.fills { &mut self.fill } else { &mut self.batch };
-            *known = Some(spec.size);
+            self.known.push(Refused::new(job, spec));
         }
     }
 }
@@ -118,11 +142,13 @@
 const CORE: f64 = 1_000.0;
 
 fn start_phase(owner: &mut Owner, phase: task::PhaseId, full: &mut Full, now: time::Timestamp) {
-    let Some(spec) = owner.jobs.get(&phase.job).and_then(|e| e.spec(phase.phase)).cloned() else {
+    let entry = owner.jobs.get(&phase.job);
+    let Some((job, spec)) = entry.and_then(|e| Some((&e.job, e.spec(phase.phase)?))) else {
         owner.open.remove(&phase);
         return;
     };
-    if full.covers(&spec)
+    let spec = spec.clone();
+    if full.covers(job, &spec)
         || !may_start(owner, phase, &spec)
         || !advice::has_advice(owner, phase, now)
     {
@@ -134,7 +160,9 @@
     }
     while let Some(index) = next_waiting(owner, phase) {
         let Some(worker) = find(owner, phase, now) else {
-            full.note(&spec);
+            if let Some(entry) = owner.jobs.get(&phase.job) {
+                full.note(&entry.job, &spec);
+            }
             return;
         };
         owner.attempts += 1;
--- a/gl-jobs/tests/jobs/harm.rs
+++ b/gl-jobs/tests/jobs/harm.rs
@@ -1,6 +1,10 @@
 //! Learning which images harm which.
 
 use gl_jobs::owner::{Harm, Use};
+use gl_jobs::{job, worker};
+use gl_model::time;
+
+use crate::cell::{self, Cell};
 
 /// Windows of a minute or so at one worker.
 const WINDOWS: usize = 60;
@@ -42,3 +46,31 @@
     assert_eq!(harm.known("f"), Some(fill));
     assert_eq!(harm.known("other"), None);
 }
+
+fn fill(image: &str) -> job::Job {
+    let phase = job::Phase { fills: true, image: Some(image.to_owned()), ..cell::phase(1, 8_000) };
+    cell::job(vec![phase])
+}
+
+/// The pattern of the heavy days: some images harm everywhere and wait, others could start.
+#[test]
+fn an_image_that_finds_no_place_does_not_keep_others_waiting() {
+    let mut cell = Cell::new(1);
+    let tail = Some(time::Span::millis(50));
+    let desk = Some("desk".to_owned());
+    let lasting = job::Phase { lasting: true, image: desk, tail, ..cell::phase(1, 30_000) };
+    let lasting = cell::starts(&cell.submit(1, cell::job(vec![lasting]))).remove(0);
+    cell.answer(&lasting, worker::Answer::Done);
+    let guilty = cell::starts(&cell.submit(2, fill("guilty"))).remove(0);
+    cell.answer(&guilty, worker::Answer::Done);
+    for _ in 0..WINDOWS {
+        cell.now += 600;
+        let runs = [cell::running(&lasting, 100.0, 200.0), cell::running(&guilty, 30.0, 8_000.0)];
+        cell.look(0, &runs);
+        cell.tick();
+    }
+    cell.end(0, &guilty, worker::Ending::Done);
+    cell.look(0, &[cell::running(&lasting, 100.0, 20.0)]);
+    assert!(cell::starts(&cell.submit(3, fill("guilty"))).is_empty(), "it would harm");
+    assert_eq!(cell::starts(&cell.submit(4, fill("innocent"))).len(), 1);
+}
