jobs: images that harm nothing are not slowed while a lasting task is busy by itself

Lasting tasks have their own load, with tails from 0.25 to 0.7 of the target and peaks of 1.1 beside nothing at all, and each worker has five of them. Whatever stood beside the highest was slowed from 0.9 on and let go below 0.6, which five tasks seldom are together: of 540 cores declared by slowed tasks 415 were of images that harm nothing there, and 7 of 48 workers were hot beside such images alone. Change: only images suspected against the hottest task's image are slowed at once; all of them once a task has been over its target for a second, then in two steps. Unsuspected images are let go below the upper threshold.

--- a/gl-jobs/src/owner/pace.rs
+++ b/gl-jobs/src/owner/pace.rs
@@ -3,7 +3,7 @@
 
 use gl_model::time;
 
-use super::{Action, Note, Owner, Run, StopReason, harm, place, run};
+use super::{Action, Note, Owner, Run, StopReason, harm, place, room, run};
 use crate::{task, worker};
 
 /// The steps of a run's pace, in percent.
@@ -16,6 +16,11 @@
 /// The share of the most harmful image's contribution from which on another image's tasks count
 /// as harmful too.
 const ACCOMPLICE: f64 = 0.3;
+/// The probability of harm from which on a pair of images is suspected: twice that of a pair that
+/// nothing is known of, so that the first window with harm makes it suspected.
+const SUSPECTED: f64 = 0.1;
+/// The multiple of its target over which a lasting task is harmed.
+const OVER: f64 = 1.0;
 
 /// Runs the system for a worker that has just answered a look.
 pub fn run(owner: &mut Owner, id: &worker::WorkerId, now: time::Timestamp) {
@@ -29,10 +34,12 @@
         return;
     };
     worker.heat = seen.heat;
+    worker.over = if seen.heat > OVER { worker.over.or(Some(now)) } else { None };
+    let is_lasting = worker.over.is_some_and(|at| now.since(at) >= settings.over_limit);
     let since = now.since(worker.paced);
     if seen.heat > settings.heat_high && since >= settings.pace_down {
-        relieve(owner, id, &seen, now);
-    } else if seen.heat < settings.heat_low && since >= settings.pace_up {
+        relieve(owner, id, &seen, is_lasting, now);
+    } else if seen.heat < settings.heat_high && since >= settings.pace_up {
         speed_up(owner, id, &seen, now);
     }
     for fill in &seen.fills {
@@ -162,30 +169,36 @@
     }
 }
 
-/// Takes what harms the hottest lasting task away from the worker, or slows it down.
-fn relieve(owner: &mut Owner, id: &worker::WorkerId, seen: &Survey, now: time::Timestamp) {
+/// Takes what is suspected to harm the hottest lasting task away from the worker, or slows it
+/// down. Where the task stays over its target, everything that could add to that is.
+fn relieve(
+    owner: &mut Owner,
+    id: &worker::WorkerId,
+    seen: &Survey,
+    is_lasting: bool,
+    now: time::Timestamp,
+) {
     let Some(hottest) = seen.lasting.iter().max_by(|a, b| a.heat.total_cmp(&b.heat)) else {
         return;
     };
     let share_of = |image: harm::Image| {
         seen.uses.iter().find(|used| used.image == image).map_or(0.0, |used| used.share)
     };
-    let part = |run: &Run| {
-        let blame = |image| owner.harm.probability(hottest.image, image) * share_of(image);
-        run.image.map_or(0.0, blame)
+    let blame = |run: &Run| run.image.map_or(0.0, |i| owner.harm.probability(hottest.image, i));
+    let culprit = |task: &task::TaskId| {
+        let run = owner.runs.get(task)?;
+        let is_suspected = blame(run) >= SUSPECTED;
+        let part = blame(run) * run.image.map_or(0.0, share_of);
+        (is_suspected || is_lasting).then_some(Culprit { task: *task, is_suspected, part })
     };
-    let parts: Vec<_> =
-        seen.fills.iter().filter_map(|t| owner.runs.get(t).map(|r| (*t, part(r)))).collect();
-    let worst = parts.iter().map(|(_, part)| *part).fold(0.0, f64::max);
-    let guilty = parts.iter().filter(|(_, part)| *part >= worst * ACCOMPLICE);
-    let guilty: Vec<_> = guilty.map(|(task, _)| *task).collect();
-    let mut percent = run::FULL_PACE;
-    for task in &guilty {
-        percent = percent.min(slow_or_move(owner, *task, now));
-    }
-    if guilty.is_empty() {
-        return;
+    let culprits: Vec<_> = seen.fills.iter().filter_map(culprit).collect();
+    let worst = culprits.iter().map(|culprit| culprit.part).fold(0.0, f64::max);
+    let mut percent = None;
+    for culprit in culprits.iter().filter(|culprit| culprit.part >= worst * ACCOMPLICE) {
+        let pace = slow_or_move(owner, culprit, now);
+        percent = Some(percent.unwrap_or(pace).min(pace));
     }
+    let Some(percent) = percent else { return };
     if let Some(worker) = owner.workers.get_mut(id) {
         worker.paced = now;
     }
@@ -193,9 +206,19 @@
     owner.note(Note::Paced { worker: id.clone(), percent, heat });
 }
 
+/// A run that may harm a lasting task.
+struct Culprit {
+    task: task::TaskId,
+    /// Whether its image is suspected, or only present.
+    is_suspected: bool,
+    /// How much it is taken to add to the harm.
+    part: f64,
+}
+
 /// Moves a run that saves checkpoints and finds another place; else slows it down by a step.
 /// Returns its new pace.
-fn slow_or_move(owner: &mut Owner, task: task::TaskId, now: time::Timestamp) -> u32 {
+fn slow_or_move(owner: &mut Owner, culprit: &Culprit, now: time::Timestamp) -> u32 {
+    let task = culprit.task;
     let limit = owner.settings.pace_limit;
     let Some(run) = owner.runs.get(&task) else {
         return run::FULL_PACE;
@@ -210,14 +233,23 @@
         return run::FULL_PACE;
     };
     run.wanted_pace = step_down(run.wanted_pace);
+    if !culprit.is_suspected {
+        // The time that the other steps take has passed already.
+        run.wanted_pace = run.wanted_pace.min(STEPS[1]);
+    }
     run.wanted_pace
 }
 
-/// Lets the runs go on that were slowed down, by a step.
+/// Lets the runs go on that were slowed down, by a step: those that are suspected to harm only
+/// while all lasting tasks are far below their targets.
 fn speed_up(owner: &mut Owner, id: &worker::WorkerId, seen: &Survey, now: time::Timestamp) {
+    let is_calm = seen.heat < owner.settings.heat_low;
     let mut percent = run::FULL_PACE;
     let mut is_changed = false;
     for task in &seen.fills {
+        if !is_calm && is_suspected(owner, id, *task) {
+            continue;
+        }
         let Some(run) = owner.runs.get_mut(task) else {
             continue;
         };
@@ -237,6 +269,16 @@
     owner.note(Note::Paced { worker: id.clone(), percent, heat });
 }
 
+/// Whether a run's image is suspected to harm any of the worker's lasting tasks.
+fn is_suspected(owner: &Owner, id: &worker::WorkerId, task: task::TaskId) -> bool {
+    let image = owner.runs.get(&task).and_then(|run| run.image);
+    let Some((image, worker)) = image.zip(owner.workers.get(id)) else {
+        return false;
+    };
+    let harms = |load: &room::Load| owner.harm.probability(load.image, image) >= SUSPECTED;
+    worker.lasting_images.iter().any(harms)
+}
+
 fn step_down(pace: u32) -> u32 {
     STEPS.iter().rev().copied().find(|step| *step < pace).unwrap_or(0)
 }
--- a/gl-jobs/src/owner/room.rs
+++ b/gl-jobs/src/owner/room.rs
@@ -65,6 +65,8 @@
     pub fill_images: Vec<Load>,
     /// The highest tail latency of its lasting tasks, as a multiple of the target.
     pub heat: f64,
+    /// Since when some lasting task has been over its target in every look.
+    pub over: Option<time::Timestamp>,
 }
 
 /// The processors of one image's tasks on a worker, in thousandths of a core.
@@ -159,6 +161,7 @@
             lasting_images: Vec::new(),
             fill_images: Vec::new(),
             heat: 0.0,
+            over: None,
         }
     }
 
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -74,6 +74,10 @@
     /// The least time between two steps down of a worker's pace. Covers the time until the pace
     /// is in force and half a second of measurement shows it.
     pub pace_down: time::Span,
+    /// How long a lasting task may stay over its target beside fill tasks that are known to be
+    /// harmless, before they are slowed all the same. With a look and two steps down it is a
+    /// second less than the time within which such harm has to end.
+    pub over_limit: time::Span,
     /// The least time before a step up.
     pub pace_up: time::Span,
     /// How long fill tasks may stand still before they are moved.
@@ -119,6 +123,7 @@
             refusal_pause: time::Span::millis(500),
             forget: time::Span::seconds(12),
             pace_down: time::Span::millis(600),
+            over_limit: time::Span::millis(1_000),
             pace_up: time::Span::millis(1_000),
             pace_limit: time::Span::millis(2_000),
             load_window: time::Span::millis(500),
--- a/gl-jobs/tests/jobs/pace.rs
+++ b/gl-jobs/tests/jobs/pace.rs
@@ -36,7 +36,8 @@
 fn look(cell: &mut Cell, lasting: &cell::Started, fill: &cell::Started, tail: f64) -> Vec<u32> {
     cell.now += 700;
     let n = cell::index(&fill.worker);
-    cell.look(n, &[cell::running(lasting, 100.0, tail), cell::running(fill, 30.0, 7_000.0)]);
+    let percent = (cell.now / 700 % 90) as f64;
+    cell.look(n, &[cell::running(lasting, 100.0, tail), cell::running(fill, percent, 7_000.0)]);
     let paces = paces(&cell.tick());
     for percent in &paces {
         cell.owner.pace_answered(fill.task, fill.attempt, *percent);
@@ -83,3 +84,40 @@
     cell.look(0, &calmer);
     assert_eq!(paces(&cell.tick()), [50]);
 }
+
+/// Looks in which the lasting task is well below its target beside the fill task.
+fn learn_that_it_is_harmless(cell: &mut Cell, lasting: &cell::Started, fill: &cell::Started) {
+    for _ in 0..40 {
+        assert!(look(cell, lasting, fill, 20.0).is_empty());
+    }
+}
+
+/// The pattern: lasting tasks near their target by their own load, beside fill tasks of images
+/// that harm nothing. On heavy days most of what was slowed down was such.
+#[test]
+fn a_harmless_image_is_not_slowed_while_the_lasting_task_is_busy() {
+    let (mut cell, lasting, fill) = beside(false, 1);
+    learn_that_it_is_harmless(&mut cell, &lasting, &fill);
+    for tail in [46.0, 49.0, 47.0, 55.0, 46.0] {
+        assert!(look(&mut cell, &lasting, &fill, tail).is_empty(), "at a tail of {tail} ms");
+    }
+}
+
+#[test]
+fn any_image_is_slowed_where_a_lasting_task_stays_over_its_target() {
+    let (mut cell, lasting, fill) = beside(false, 1);
+    learn_that_it_is_harmless(&mut cell, &lasting, &fill);
+    let paces: Vec<_> = (0..4).map(|_| look(&mut cell, &lasting, &fill, 60.0)).collect();
+    assert_eq!(paces, [vec![], vec![], vec![20], vec![0]], "within 3 s of the first look");
+}
+
+#[test]
+fn a_harmless_image_goes_on_before_the_lasting_task_is_idle() {
+    let (mut cell, lasting, fill) = beside(false, 1);
+    learn_that_it_is_harmless(&mut cell, &lasting, &fill);
+    for _ in 0..4 {
+        look(&mut cell, &lasting, &fill, 60.0);
+    }
+    look(&mut cell, &lasting, &fill, 42.0);
+    assert_eq!(look(&mut cell, &lasting, &fill, 42.0), [20]);
+}
