jobs: what was learnt of images outlives the owner

Cause: each new owner knew nothing of which images harm which and tried all pairs again. Ruled out: that the runs taken over are the cause (their loads and paces are read at the first look). Change: pairs that were seen are stored with a commit that is made anyway, every two seconds, the 500 seen most at most; a new owner reads them with the roster.

--- a/geraniumlatchd/src/jobs/commit.rs
+++ b/geraniumlatchd/src/jobs/commit.rs
@@ -142,6 +142,10 @@
             let value = record::encode("worker", entry)?;
             writes.push(platform::Write { key: rows::enrolled(&entry.id), value });
         }
+        if let Some(learnt) = &commit.learnt {
+            let value = record::encode("learnt", learnt)?;
+            writes.push(platform::Write { key: rows::learnt(), value });
+        }
         let last = record::Commit { token, number: self.number };
         let value = record::encode("commit", &last)?;
         writes.push(platform::Write { key: rows::last_commit(), value });
--- a/geraniumlatchd/src/jobs/load.rs
+++ b/geraniumlatchd/src/jobs/load.rs
@@ -37,12 +37,18 @@
         let roster = platform.store.range(&rows::all_committed(rows::ROSTER)).await;
         self.node.note_store(&roster, clock::steady());
         let roster = read_all("worker", &roster?.rows);
+        let learnt = platform.store.range(&rows::only(rows::learnt())).await;
+        self.node.note_store(&learnt, clock::steady());
+        let learnt: Vec<record::Learnt> = read_all("learnt", &learnt?.rows);
         let moment = node::Node::moment();
         let (jobs, count) = (stored.len(), workers.len());
         {
             let mut owner = self.owner.borrow_mut();
             owner.workers_listed(&workers, moment.now);
             owner.recover(stored, roster, &moment);
+            for learnt in &learnt {
+                owner.remember(learnt);
+            }
         }
         self.feed_version.set(work.version);
         self.is_loaded.set(true);
--- a/geraniumlatchd/src/jobs/rows.rs
+++ b/geraniumlatchd/src/jobs/rows.rs
@@ -17,6 +17,8 @@
 pub const LEASE: &str = "lease";
 /// The owner's last commit.
 pub const COMMIT: &str = "commit";
+/// What owners have learnt of images.
+const LEARNT: &str = "learnt";
 
 /// The part of claims and renewals. A part carries transactions out one after the other, so on a
 /// slow store renewals must not wait behind commits, nor commits behind clients' jobs.
@@ -49,6 +51,11 @@
     key_in(CELLS, COMMITS_PART, COMMIT)
 }
 
+/// The row of what owners have learnt.
+pub fn learnt() -> cell::Key {
+    key_in(CELLS, COMMITS_PART, LEARNT)
+}
+
 /// The row of a job.
 pub fn job(id: task::JobId) -> cell::Key {
     key_in(WORK, WORK_PARTS[work_part(id)], format!("{id}/{JOB}"))
--- a/gl-emulate/src/world/mod.rs
+++ b/gl-emulate/src/world/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections;
 
-use gl_jobs::{owner, task, worker as model};
+use gl_jobs::{owner, record, task, worker as model};
 use gl_model::time;
 use rand::{SeedableRng as _, rngs};
 
@@ -51,6 +51,7 @@
     unlisted: Vec<(time::Timestamp, usize)>,
     failed: collections::BTreeMap<task::TaskId, u32>,
     roster: collections::BTreeMap<model::WorkerId, model::Registration>,
+    learnt: record::Learnt,
     last_renewal: time::Timestamp,
     done: collections::BTreeSet<task::TaskId>,
     open_ends: Vec<OpenEnd>,
@@ -86,6 +87,7 @@
             unlisted: Vec::new(),
             failed: collections::BTreeMap::new(),
             roster: collections::BTreeMap::new(),
+            learnt: record::Learnt::default(),
             last_renewal: now,
             done: collections::BTreeSet::new(),
             open_ends: Vec::new(),
--- a/gl-emulate/src/world/owners.rs
+++ b/gl-emulate/src/world/owners.rs
@@ -69,6 +69,7 @@
             inherited: !is_blind && job.version < token,
         });
         owner.recover(stored.collect(), self.roster.values().cloned().collect(), &moment);
+        owner.remember(&self.learnt);
         self.reigns.push(Reign {
             owner,
             token,
@@ -142,6 +143,9 @@
         }
         reign.owner.committed(commit);
         self.report.commits += 1;
+        if let Some(learnt) = &commit.learnt {
+            self.learnt.clone_from(learnt);
+        }
         for entry in &commit.enrolled {
             self.roster.insert(entry.id.clone(), entry.clone());
         }
--- a/gl-jobs/src/owner/commit.rs
+++ b/gl-jobs/src/owner/commit.rs
@@ -22,6 +22,8 @@
     pub enrolled: Vec<worker::Registration>,
     /// Workers that are gone.
     pub dismissed: Vec<worker::WorkerId>,
+    /// What was learnt from the workers' reports, if it is time to store that again.
+    pub learnt: Option<record::Learnt>,
     ends: Vec<Ends>,
 }
 
@@ -84,14 +86,26 @@
         let dismissed: Vec<_> = self.dismissed.iter().take(left).cloned().collect();
         let removals = self.expired((left - dismissed.len()) / ROWS_OF_JOB, now);
         let ends = if self.dirty.is_empty() { self.unstored_ends() } else { Vec::new() };
-        let commit = Commit { rows, removals, enrolled, dismissed, ends };
+        let mut commit = Commit { rows, removals, enrolled, dismissed, learnt: None, ends };
         if commit.is_empty() {
             self.committed(&commit);
             return None;
         }
+        commit.learnt = self.learnt(now);
         Some(commit)
     }
 
+    /// What was learnt, now and then. It goes with commits that are made anyway: without any,
+    /// no task ends and little is learnt.
+    fn learnt(&mut self, now: time::Timestamp) -> Option<record::Learnt> {
+        if now.since(self.learnt_at) < self.settings.learnt_interval {
+            return None;
+        }
+        self.learnt_at = now;
+        let learnt = self.harm.learnt();
+        (!learnt.pairs.is_empty()).then_some(learnt)
+    }
+
     /// Workers in the list whose names aren't stored yet.
     fn to_enroll(&self) -> impl Iterator<Item = &super::Worker> {
         self.workers.values().filter(|w| w.listed && !w.enrolled)
--- a/gl-jobs/src/owner/harm.rs
+++ b/gl-jobs/src/owner/harm.rs
@@ -10,6 +10,8 @@
 
 use std::collections;
 
+use crate::record;
+
 /// An image, by the order in which images were first seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Image(usize);
@@ -32,6 +34,9 @@
 /// those that are dropped don't change any more.
 const RECALL: usize = 64;
 
+/// The pairs that are kept for a later owner at most; some tens of kilobytes.
+const LEARNT: usize = 500;
+
 /// What was seen of a lasting image beside a fill image.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Pair {
@@ -195,6 +200,37 @@
         known.share_all();
     }
 
+    /// What a later owner needs to know: the pairs that were seen most.
+    pub fn learnt(&self) -> record::Learnt {
+        let mut names = vec![""; self.lasting.len()];
+        for (name, image) in &self.images {
+            names[image.0] = name;
+        }
+        let of_image = |(known, lasting): (&Lasting, &&str)| {
+            let seen = known.pairs.iter().zip(&names).filter(|(pair, _)| **pair != PRIOR);
+            let pair = |(pair, fill): (&Pair, &&str)| record::Pair {
+                lasting: (*lasting).to_owned(),
+                fill: (*fill).to_owned(),
+                windows: pair.windows,
+                harmed: pair.settled + pair.recent,
+            };
+            seen.map(pair).collect::<Vec<_>>()
+        };
+        let mut pairs: Vec<_> = self.lasting.iter().zip(&names).flat_map(of_image).collect();
+        pairs.sort_by(|a, b| b.windows.total_cmp(&a.windows));
+        pairs.truncate(LEARNT);
+        record::Learnt { pairs }
+    }
+
+    /// Takes over what an earlier owner has learnt.
+    pub fn remember(&mut self, learnt: &record::Learnt) {
+        for pair in &learnt.pairs {
+            let (lasting, fill) = (self.image(&pair.lasting), self.image(&pair.fill));
+            let known = Pair { windows: pair.windows, settled: pair.harmed, recent: 0.0 };
+            self.lasting[lasting.0].pairs[fill.0] = known;
+        }
+    }
+
     /// The share of its declared processors that an image uses.
     pub fn use_of(&self, image: Image) -> f64 {
         self.uses.get(image.0).copied().unwrap_or(1.0)
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -59,6 +59,8 @@
     /// Workers that are gone and still stored as enrolled.
     dismissed: collections::BTreeSet<worker::WorkerId>,
     harm: Harm,
+    /// When what was learnt of images was last given to a commit.
+    learnt_at: time::Timestamp,
     recovery: Option<recover::Recovery>,
     /// Until when leases of workers may be extended at most.
     horizon: time::Timestamp,
@@ -87,6 +89,7 @@
             orphans: collections::BTreeSet::new(),
             dismissed: collections::BTreeSet::new(),
             harm: Harm::default(),
+            learnt_at: now,
             recovery: None,
             may_start: true,
             actions: Vec::new(),
@@ -142,6 +145,11 @@
         self.close_job(id, now);
     }
 
+    /// Takes over what earlier owners have learnt of images.
+    pub fn remember(&mut self, learnt: &record::Learnt) {
+        self.harm.remember(learnt);
+    }
+
     /// Progress without a job was found; it is removed with the next commits.
     pub fn sweep(&mut self, orphans: impl Iterator<Item = task::JobId>) {
         self.orphans.extend(orphans);
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -84,6 +84,9 @@
     pub pace_limit: time::Span,
     /// How long the load and the tail latency of a run are measured over.
     pub load_window: time::Span,
+    /// How often what was learnt of images is stored, for the next owner. It changes over some
+    /// seconds, and some kilobytes are written each time.
+    pub learnt_interval: time::Span,
     /// The probability with which a worker's lasting tasks may be harmed where a fill task starts.
     /// A harmed lasting task costs several times what a fill task earns.
     pub harm_limit: f64,
@@ -127,6 +130,7 @@
             pace_up: time::Span::millis(1_000),
             pace_limit: time::Span::millis(2_000),
             load_window: time::Span::millis(500),
+            learnt_interval: time::Span::seconds(2),
             harm_limit: 0.25,
             order: Order::Deadline,
             warm_up: time::Span::millis(800),
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -77,6 +77,27 @@
     pub horizon: time::Span,
 }
 
+/// What an owner has learnt from the reports of workers, for the next one.
+#[gl_derive::domain]
+#[derive(Default)]
+pub struct Learnt {
+    /// The pairs of images that were seen beside each other.
+    pub pairs: Vec<Pair>,
+}
+
+/// What was seen of a lasting image beside a fill image.
+#[gl_derive::domain]
+pub struct Pair {
+    /// The lasting image.
+    pub lasting: String,
+    /// The fill image.
+    pub fill: String,
+    /// The windows of measurement that count, older ones less.
+    pub windows: f64,
+    /// The fill image's part of those in which the lasting image was harmed.
+    pub harmed: f64,
+}
+
 /// The owner's last commit.
 #[gl_derive::domain]
 pub struct Commit {
--- a/gl-jobs/tests/jobs/commits.rs
+++ b/gl-jobs/tests/jobs/commits.rs
@@ -1,6 +1,7 @@
 //! What is stored, and when ends are acknowledged.
 
-use gl_jobs::{record, worker};
+use gl_jobs::{job, record, worker};
+use gl_model::time;
 
 use crate::cell::{self, Cell};
 
@@ -66,3 +67,33 @@
     let error = record::decode::<record::Work>("job", b"\xff").unwrap_err();
     assert!(error.to_string().contains("versions go together"), "{error}");
 }
+
+#[test]
+fn what_was_learnt_goes_with_a_commit_now_and_then() {
+    let mut cell = Cell::new(1);
+    let tail = Some(time::Span::millis(50));
+    let image = |name: &str| Some(name.to_owned());
+    let lasting =
+        job::Phase { lasting: true, image: image("desk"), tail, ..cell::phase(1, 30_000) };
+    let fills = job::Phase { fills: true, image: image("report"), ..cell::phase(1, 8_000) };
+    let lasting = cell::starts(&cell.submit(1, cell::job(vec![lasting]))).remove(0);
+    cell.answer(&lasting, worker::Answer::Done);
+    let fill = cell::starts(&cell.submit(2, cell::job(vec![fills]))).remove(0);
+    cell.answer(&fill, worker::Answer::Done);
+    cell.now += 3_000;
+    let runs = [cell::running(&lasting, 100.0, 20.0), cell::running(&fill, 30.0, 8_000.0)];
+    cell.look(0, &runs);
+    let mut learnt = |job: u64| {
+        let batch = cell.submit(job, cell::job(vec![cell::phase(1, 1_000)]));
+        let batch = cell::starts(&batch).remove(0);
+        cell.answer(&batch, worker::Answer::Done);
+        cell.end(0, &batch, worker::Ending::Done);
+        cell.look(0, &runs);
+        let commit = cell.owner.next_commit(cell::at(cell.now)).expect("a job is done");
+        cell.owner.committed(&commit);
+        commit.learnt
+    };
+    let first = learnt(3).expect("three seconds have passed");
+    assert_eq!(first.pairs.len(), 1, "{first:?}");
+    assert_eq!(learnt(4), None, "a moment later");
+}
--- a/gl-jobs/tests/jobs/harm.rs
+++ b/gl-jobs/tests/jobs/harm.rs
@@ -74,3 +74,25 @@
     assert!(cell::starts(&cell.submit(3, fill("guilty"))).is_empty(), "it would harm");
     assert_eq!(cell::starts(&cell.submit(4, fill("innocent"))).len(), 1);
 }
+
+/// The pattern: an owner is killed, and the next one must not try all pairs again.
+#[test]
+fn a_later_owner_knows_which_images_harm() {
+    let mut harm = Harm::default();
+    let (desk, guilty, innocent) = (harm.image("desk"), harm.image("g"), harm.image("i"));
+    for n in 0..WINDOWS {
+        let heat = if n % 2 == 0 { 4.0 } else { 0.4 };
+        harm.observe(desk, heat, &[Use { image: guilty, share: 0.1 }]);
+        harm.observe(desk, 0.4, &[Use { image: innocent, share: 0.1 }]);
+    }
+    let mut later = Harm::default();
+    later.image("another");
+    later.remember(&harm.learnt());
+    for fill in ["g", "i"] {
+        let of = |harm: &Harm| {
+            let known = |name| harm.known(name).expect("the image is known");
+            harm.probability(known("desk"), known(fill))
+        };
+        assert!((of(&harm) - of(&later)).abs() < 1e-9, "{fill}");
+    }
+}
