jobs: places are looked for in passes with pauses, not after every answer

Every answer of a worker, 1,400 a second, had all waiting phases compared with all workers, and the agents of all workers compared with the list. Change: answers wake a pass; the pause after each is four times as long as the pass, between 5 and 50 ms. Agents are compared in the systems that follow time.

--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -15,6 +15,7 @@
 mod link;
 mod load;
 mod node;
+pub mod passes;
 mod reign;
 mod routing;
 mod rows;
--- a/geraniumlatchd/src/jobs/reign.rs
+++ b/geraniumlatchd/src/jobs/reign.rs
@@ -7,7 +7,7 @@
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
 
-use super::{agent, claim, commit, event, node, rows};
+use super::{agent, claim, commit, event, node, passes, rows};
 use crate::clock;
 
 /// How often the list of workers is read. A new worker is used, and a leaving one spared, well
@@ -50,6 +50,8 @@
     /// Whether the process may have stood still since it last read what clients asked for.
     is_stale: cell::Cell<bool>,
     ticked: cell::Cell<time::Timestamp>,
+    /// Wakes the search for places.
+    place_wake: Notify,
     /// Wakes the commits.
     pub commit_wake: Notify,
     /// Wakes those that wait for a commit.
@@ -75,6 +77,7 @@
         fence_version: cell::Cell::new(0),
         is_stale: cell::Cell::new(false),
         ticked: cell::Cell::new(now),
+        place_wake: Notify::new(),
         commit_wake: Notify::new(),
         committed: Notify::new(),
     });
@@ -94,12 +97,25 @@
     ntex::rt::spawn(list(rc::Rc::clone(&reign)));
     ntex::rt::spawn(feed(rc::Rc::clone(&reign)));
     ntex::rt::spawn(commit::run(rc::Rc::clone(&reign)));
+    ntex::rt::spawn(place(rc::Rc::clone(&reign)));
     while !reign.is_over() {
         reign.tick();
         ntex::time::sleep(TICK).await;
     }
 }
 
+/// Looks for places whenever something may have made room or brought work.
+async fn place(reign: rc::Rc<Reign>) {
+    while !reign.is_over() {
+        reign.place_wake.notified().await;
+        let begun = clock::steady();
+        reign.owner.borrow_mut().place(begun);
+        reign.carry_out_all();
+        let pause = passes::pause(clock::steady().since(begun));
+        ntex::time::sleep(std::time::Duration::from(pause)).await;
+    }
+}
+
 async fn list(reign: rc::Rc<Reign>) {
     while !reign.is_over() {
         ntex::time::sleep(LIST).await;
@@ -166,6 +182,7 @@
         event::emit(&event::Event::SteppedDown { token: self.token, cause });
         self.agents.borrow_mut().clear();
         self.commit_wake.notify_one();
+        self.place_wake.notify_one();
         self.node.set_role(node::Role::Alone);
     }
 
@@ -226,7 +243,8 @@
         let moment = node::Node::moment();
         self.allow_starts(moment.now);
         self.owner.borrow_mut().tick(&moment);
-        self.settle();
+        self.keep_agents();
+        self.carry_out_all();
     }
 
     /// New runs are ordered while the lease is valid, or while no follower can reach the store
@@ -265,17 +283,17 @@
         !followers.is_empty() && followers.values().all(is_down)
     }
 
-    /// Decides what follows from the newest inputs and carries it out.
+    /// Carries out what follows from the newest inputs, and has places looked for soon.
     pub fn settle(self: &rc::Rc<Self>) {
+        self.carry_out_all();
+        self.place_wake.notify_one();
+    }
+
+    fn carry_out_all(self: &rc::Rc<Self>) {
         if self.is_over() {
             return;
         }
-        let actions = {
-            let mut owner = self.owner.borrow_mut();
-            owner.place(clock::steady());
-            owner.take_actions()
-        };
-        self.keep_agents();
+        let actions = self.owner.borrow_mut().take_actions();
         for action in actions {
             self.carry_out(action);
         }
