--- a/geraniumlatchd/src/jobs/claim.rs
+++ b/geraniumlatchd/src/jobs/claim.rs
@@ -120,7 +120,8 @@
             follow(node, owner);
         }
         let cause = self.judge(node, &cell, sent, now);
-        let may_claim = !node.draining.get() && node.reign().is_none();
+        let is_fit = now >= node.unfit_until.get();
+        let may_claim = is_fit && !node.draining.get() && node.reign().is_none();
         if let Some(cause) = cause.filter(|_| may_claim) {
             self.claim(node, &cell, cause).await;
         }
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -85,6 +85,8 @@
     pub accepting: accept::Queue,
     /// Whether the outcome of an own claim isn't known.
     pub has_open_claim: cell::Cell<bool>,
+    /// Until when it leaves the cell to others, as it could not read the rows in time.
+    pub unfit_until: cell::Cell<time::Timestamp>,
     /// Wakes the watch over the cell's owner.
     pub owner_wake: Notify,
     /// Whether the daemon was asked to stop.
@@ -111,6 +113,7 @@
             routing: cell::RefCell::new(None),
             accepting: accept::Queue::default(),
             has_open_claim: cell::Cell::new(false),
+            unfit_until: cell::Cell::default(),
             owner_wake: Notify::new(),
             draining: cell::Cell::new(false),
             open_requests: cell::Cell::new(0),
--- a/geraniumlatchd/src/jobs/reign.rs
+++ b/geraniumlatchd/src/jobs/reign.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, collections, rc};
 
-use gl_jobs::{job, owner, record, task, worker};
+use gl_jobs::{job, owner, record, task, tenure, worker};
 use gl_model::time;
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
@@ -93,6 +93,11 @@
             Ok(()) => break,
             Err(_) => ntex::time::sleep(RETRY).await,
         }
+        let now = clock::steady();
+        if !reign.is_loaded.get() && tenure::is_unfit(reign.begun, now) {
+            reign.node.unfit_until.set(now + tenure::UNFIT);
+            reign.step_down("the cell's rows could not be read in time");
+        }
     }
     ntex::rt::spawn(list(rc::Rc::clone(&reign)));
     ntex::rt::spawn(feed(rc::Rc::clone(&reign)));
--- a/gl-jobs/src/tenure.rs
+++ b/gl-jobs/src/tenure.rs
@@ -78,3 +78,15 @@
         self.sight = None;
     }
 }
+
+/// How long a new owner may take to read what is stored. On a small machine's slow link some
+/// thousand rows take two seconds.
+const LOAD_LIMIT: time::Span = time::Span::seconds(6);
+/// How long a daemon that could not do it leaves the cell to others.
+pub const UNFIT: time::Span = time::Span::seconds(20);
+
+/// Whether an owner that claimed the cell at `begun` and has not read it yet should leave it to
+/// another daemon: while it renews its lease, nobody else can try.
+pub fn is_unfit(begun: time::Timestamp, now: time::Timestamp) -> bool {
+    now.since(begun) > LOAD_LIMIT
+}
--- a/gl-jobs/tests/jobs/tenure.rs
+++ b/gl-jobs/tests/jobs/tenure.rs
@@ -46,3 +46,10 @@
     let gone = Some(Seen { version: 1, released: false, gone: true });
     assert!(watch.judge(gone, TAKEOVER, at(0), at(10)).is_some());
 }
+
+#[test]
+fn an_owner_that_cannot_read_the_cell_leaves_it_to_another() {
+    assert!(!tenure::is_unfit(at(1_000), at(6_900)));
+    assert!(tenure::is_unfit(at(1_000), at(7_100)));
+    assert!(tenure::UNFIT > time::Span::seconds(6), "others have the time to try");
+}
