--- a/gl-jobs/src/owner/place.rs
+++ b/gl-jobs/src/owner/place.rs
@@ -147,11 +147,11 @@
         owner.open.remove(&phase);
         return;
     };
+    if full.covers(job, spec) || !may_start(owner, phase, spec) {
+        return;
+    }
     let spec = spec.clone();
-    if full.covers(job, &spec)
-        || !may_start(owner, phase, &spec)
-        || !advice::has_advice(owner, phase, now)
-    {
+    if !advice::has_advice(owner, phase, now) {
         return;
     }
     if spec.gang {
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -143,3 +143,17 @@
     cell.look(0, &[]);
     assert_eq!(cell::starts(&cell.tick())[0].task, cell::task(3, 0, 0));
 }
+
+#[test]
+fn a_service_that_is_full_does_not_hold_up_another() {
+    let mut cell = Cell::new(2);
+    let other = worker::Registration { service: "other".to_owned(), ..cell::registration(1) };
+    cell.owner.workers_listed(&[cell::registration(0), other], cell::at(cell.now));
+    let whole = || cell::job(vec![cell::phase(1, 64_000)]);
+    assert_eq!(cell::starts(&cell.submit(1, whole())).len(), 1);
+    assert!(cell::starts(&cell.submit(2, whole())).is_empty());
+    let elsewhere = job::Job { service: "other".to_owned(), ..whole() };
+    let starts = cell::starts(&cell.submit(3, elsewhere));
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].worker, cell::worker(1));
+}
