--- a/gl-jobs/src/owner/pace.rs
+++ b/gl-jobs/src/owner/pace.rs
@@ -35,10 +35,10 @@
     };
     worker.heat = seen.heat;
     worker.over = if seen.heat > OVER { worker.over.or(Some(now)) } else { None };
-    let is_lasting = worker.over.is_some_and(|at| now.since(at) >= settings.over_limit);
+    let is_persistent = worker.over.is_some_and(|at| now.since(at) >= settings.over_limit);
     let since = now.since(worker.paced);
     if seen.heat > settings.heat_high && since >= settings.pace_down {
-        relieve(owner, id, &seen, is_lasting, now);
+        relieve(owner, id, &seen, is_persistent, now);
     } else if seen.heat < settings.heat_high && since >= settings.pace_up {
         speed_up(owner, id, &seen, now);
     }
@@ -175,7 +175,7 @@
     owner: &mut Owner,
     id: &worker::WorkerId,
     seen: &Survey,
-    is_lasting: bool,
+    is_persistent: bool,
     now: time::Timestamp,
 ) {
     let Some(hottest) = seen.lasting.iter().max_by(|a, b| a.heat.total_cmp(&b.heat)) else {
@@ -189,7 +189,7 @@
         let run = owner.runs.get(task)?;
         let is_suspected = blame(run) >= SUSPECTED;
         let part = blame(run) * run.image.map_or(0.0, share_of);
-        (is_suspected || is_lasting).then_some(Culprit { task: *task, is_suspected, part })
+        (is_suspected || is_persistent).then_some(Culprit { task: *task, is_suspected, part })
     };
     let culprits: Vec<_> = seen.fills.iter().filter_map(culprit).collect();
     let worst = culprits.iter().map(|culprit| culprit.part).fold(0.0, f64::max);
