jobs: brief tasks that can be in time go before lasting ones that wait

Ruled out: the owner (first starts of half the jobs within 56 ms); room on single workers (sizes are a sixth of a worker). Change: brief phases in time are served before lasting ones; a second later their room is free again. Room isn't kept free for brief tasks yet.

--- a/gl-jobs/src/owner/place.rs
+++ b/gl-jobs/src/owner/place.rs
@@ -21,7 +21,9 @@
 /// What is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
-    /// Lasting tasks earn all the time that they run.
+    /// Can still meet the objective and takes room of its own, which it gives back soon.
+    Brief,
+    /// Earns all the time that it runs and keeps its room.
     Lasting,
     /// Can still meet the objective.
     InTime,
@@ -99,6 +101,8 @@
     let finish = now + entry.job.chain_from(phase.phase);
     let class = if spec.lasting {
         Class::Lasting
+    } else if finish <= state.deadline && !spec.fills {
+        Class::Brief
     } else if finish <= state.deadline {
         Class::InTime
     } else if finish <= state.deadline + objective + objective {
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -157,3 +157,25 @@
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].worker, cell::worker(1));
 }
+
+/// The pattern: a service whose room lasting tasks fill up. What brief tasks give back went to
+/// lasting tasks that waited, until no brief one found room any more.
+#[test]
+fn brief_tasks_in_time_go_before_lasting_tasks_that_wait() {
+    let mut cell = Cell::new(1);
+    let blocker = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 64_000)]))).remove(0);
+    cell.answer(&blocker, worker::Answer::Done);
+    let lasting = job::Phase { lasting: true, ..cell::phase(1, 64_000) };
+    assert!(cell::starts(&cell.submit(2, cell::job(vec![lasting]))).is_empty());
+    let now = cell::at(cell.now);
+    let brief = job::Job { submitted: now, ..cell::job(vec![cell::phase(1, 64_000)]) };
+    assert!(cell::starts(&cell.submit(3, brief)).is_empty());
+    cell.end(0, &blocker, worker::Ending::Done);
+    cell.look(0, &[]);
+    let next = cell::starts(&cell.tick()).remove(0);
+    assert_eq!(next.task, cell::task(3, 0, 0));
+    cell.answer(&next, worker::Answer::Done);
+    cell.end(0, &next, worker::Ending::Done);
+    cell.look(0, &[]);
+    assert_eq!(cell::starts(&cell.tick())[0].task, cell::task(2, 0, 0), "then the lasting one");
+}
