jobs: all fill tasks stand still where a lasting task stays over its target for long

Change: after 1.8 s over the target all fill tasks of the worker stand still at the next step. Before: the new test ends with paces of 0, 20, 20. After: 0, 0, 0.

--- a/gl-jobs/src/owner/pace.rs
+++ b/gl-jobs/src/owner/pace.rs
@@ -35,10 +35,17 @@
     };
     worker.heat = seen.heat;
     worker.over = if seen.heat > OVER { worker.over.or(Some(now)) } else { None };
-    let is_persistent = worker.over.is_some_and(|at| now.since(at) >= settings.over_limit);
+    let over = worker.over.map_or(time::Span::ZERO, |at| now.since(at));
+    let urgency = if over >= settings.over_long {
+        Urgency::Long
+    } else if over >= settings.over_limit {
+        Urgency::Persistent
+    } else {
+        Urgency::Brief
+    };
     let since = now.since(worker.paced);
     if seen.heat > settings.heat_high && since >= settings.pace_down {
-        relieve(owner, id, &seen, is_persistent, now);
+        relieve(owner, id, &seen, urgency, now);
     } else if seen.heat < settings.heat_high && since >= settings.pace_up {
         speed_up(owner, id, &seen, now);
     }
@@ -169,13 +176,24 @@
     }
 }
 
+/// How long a lasting task has been over its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Not yet, or for a moment: only suspected images are slowed.
+    Brief,
+    /// For some time: those that may add most are slowed, suspected or not.
+    Persistent,
+    /// For too long: all stand still.
+    Long,
+}
+
 /// Takes what is suspected to harm the hottest lasting task away from the worker, or slows it
-/// down. Where the task stays over its target, everything that could add to that is.
+/// down. Where the task stays over its target, so is what may add to that.
 fn relieve(
     owner: &mut Owner,
     id: &worker::WorkerId,
     seen: &Survey,
-    is_persistent: bool,
+    urgency: Urgency,
     now: time::Timestamp,
 ) {
     let Some(hottest) = seen.lasting.iter().max_by(|a, b| a.heat.total_cmp(&b.heat)) else {
@@ -189,13 +207,18 @@
         let run = owner.runs.get(task)?;
         let is_suspected = blame(run) >= SUSPECTED;
         let part = blame(run) * run.image.map_or(0.0, share_of);
-        (is_suspected || is_persistent).then_some(Culprit { task: *task, is_suspected, part })
+        (is_suspected || urgency > Urgency::Brief).then_some(Culprit {
+            task: *task,
+            is_suspected,
+            part,
+        })
     };
     let culprits: Vec<_> = seen.fills.iter().filter_map(culprit).collect();
     let worst = culprits.iter().map(|culprit| culprit.part).fold(0.0, f64::max);
+    let least = if urgency == Urgency::Long { 0.0 } else { worst * ACCOMPLICE };
     let mut percent = None;
-    for culprit in culprits.iter().filter(|culprit| culprit.part >= worst * ACCOMPLICE) {
-        let pace = slow_or_move(owner, culprit, now);
+    for culprit in culprits.iter().filter(|culprit| culprit.part >= least) {
+        let pace = slow_or_move(owner, culprit, urgency, now);
         percent = Some(percent.unwrap_or(pace).min(pace));
     }
     let Some(percent) = percent else { return };
@@ -217,7 +240,12 @@
 
 /// Moves a run that saves checkpoints and finds another place; else slows it down by a step.
 /// Returns its new pace.
-fn slow_or_move(owner: &mut Owner, culprit: &Culprit, now: time::Timestamp) -> u32 {
+fn slow_or_move(
+    owner: &mut Owner,
+    culprit: &Culprit,
+    urgency: Urgency,
+    now: time::Timestamp,
+) -> u32 {
     let task = culprit.task;
     let limit = owner.settings.pace_limit;
     let Some(run) = owner.runs.get(&task) else {
@@ -233,7 +261,9 @@
         return run::FULL_PACE;
     };
     run.wanted_pace = step_down(run.wanted_pace);
-    if !culprit.is_suspected {
+    if urgency == Urgency::Long {
+        run.wanted_pace = 0;
+    } else if !culprit.is_suspected {
         // The time that the other steps take has passed already.
         run.wanted_pace = run.wanted_pace.min(STEPS[1]);
     }
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -78,6 +78,9 @@
     /// harmless, before they are slowed all the same. With a look and two steps down it is a
     /// second less than the time within which such harm has to end.
     pub over_limit: time::Span,
+    /// How long a lasting task may stay over its target before all fill tasks beside it stand
+    /// still: with a look half of the time within which such harm has to end, and a step more.
+    pub over_long: time::Span,
     /// The least time before a step up.
     pub pace_up: time::Span,
     /// How long fill tasks may stand still before they are moved.
@@ -127,6 +130,7 @@
             forget: time::Span::seconds(12),
             pace_down: time::Span::millis(600),
             over_limit: time::Span::millis(1_000),
+            over_long: time::Span::millis(1_800),
             pace_up: time::Span::millis(1_000),
             pace_limit: time::Span::millis(2_000),
             load_window: time::Span::millis(500),
--- a/gl-jobs/tests/jobs/pace.rs
+++ b/gl-jobs/tests/jobs/pace.rs
@@ -121,3 +121,42 @@
     look(&mut cell, &lasting, &fill, 42.0);
     assert_eq!(look(&mut cell, &lasting, &fill, 42.0), [20]);
 }
+
+/// The pattern: several images beside a lasting task that stays over its target. They were slowed
+/// one after the other, the largest first, which took longer than such harm may last.
+#[test]
+fn all_images_are_slowed_where_a_lasting_task_stays_over_its_target() {
+    let (mut cell, lasting, first) = beside(false, 1);
+    let mut fills = vec![(first, 30_000.0)];
+    for (n, load) in [(3, 6_000.0), (4, 1_000.0)] {
+        let image = Some(format!("image-{n}"));
+        let phase = job::Phase { fills: true, image, ..cell::phase(1, 2_000) };
+        let fill = cell::starts(&cell.submit(n, cell::job(vec![phase]))).remove(0);
+        cell.answer(&fill, worker::Answer::Done);
+        fills.push((fill, load));
+    }
+    let mut paces = [100; 3];
+    let mut look = |tail: f64| {
+        cell.now += 700;
+        let percent = (cell.now / 700 % 90) as f64;
+        let mut runs = vec![cell::running(&lasting, 100.0, tail)];
+        for ((fill, load), pace) in fills.iter().zip(paces) {
+            runs.push(cell::running(fill, percent, load * f64::from(pace) / 100.0));
+        }
+        cell.look(0, &runs);
+        for action in cell.tick() {
+            if let owner::Action::Pace { task, attempt, percent, .. } = action {
+                cell.owner.pace_answered(task, attempt, percent);
+                let n = fills.iter().position(|(fill, _)| fill.task == task).unwrap();
+                paces[n] = percent;
+            }
+        }
+    };
+    for _ in 0..40 {
+        look(20.0);
+    }
+    for _ in 0..4 {
+        look(60.0);
+    }
+    assert_eq!(paces, [0; 3], "2.1 s after the first look with harm");
+}
