fix(gl-jobs): bound start orders by the age of the worker list and by the lease when they are sent

Cause, found by reading: a new owner read the list of workers before it loaded the stored jobs, which takes seconds at 610 workers, and treated the list as read when loading ended. Likewise the permission to start runs was a flag that only the tick refreshed, so a process that was suspended could place tasks after its lease had run out.

Change: the owner records when its newest list was requested. A start order is valid no longer than until that time plus the drain time, and none is sent that would be valid for less than 300 ms. The permission has an end that each decision compares with its own time, and an order that waited is checked again before it is sent. While no daemon reaches the store, the list stays valid, as no worker can announce a drain either.

Ruled out: following only RemainingMs, which new list entries have after the drain has begun only.

--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -11,9 +11,11 @@
 use super::{commit, event, lease, node, placement_pause, rows, worker_client};
 use crate::clock;
 
-/// Interval at which the list of workers is read. It is short compared with the time for a drain,
-/// so that a draining worker soon gets no new tasks and a new worker is soon used.
+/// Interval at which changes of the list of workers are read. It is short compared with the time for
+/// a drain, so that a draining worker soon gets no new tasks and a new worker is soon used.
 const WORKER_LIST_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
+/// Interval at which the whole list of workers is read, in case a change was missed.
+const WHOLE_LIST_INTERVAL: time::Span = time::Span::seconds(10);
 /// Interval at which changes of the work table are read, as a daemon's message about a stored row
 /// may have been lost.
 const CHANGE_FEED_INTERVAL: std::time::Duration = std::time::Duration::from_millis(400);
@@ -24,6 +26,9 @@
 /// Time between two ticks above which the process counts as suspended, so that messages of other
 /// daemons may have been lost.
 const SUSPENSION_THRESHOLD: time::Span = time::Span::millis(800);
+/// Time for which new runs are permitted while no daemon can reach the store. The permission is
+/// renewed with each tick, so that it ends if the process is suspended.
+const OUTAGE_PERMISSION: time::Span = SUSPENSION_THRESHOLD;
 /// Age up to which a follower's heartbeat counts as current; covers two heartbeats.
 const HEARTBEAT_VALIDITY: time::Span = time::Span::millis(1_200);
 /// Time for which a follower without heartbeats still counts as a daemon that may claim the cell.
@@ -51,6 +56,9 @@
         cell::RefCell<collections::BTreeMap<worker::WorkerId, rc::Rc<worker_client::WorkerClient>>>,
     /// Version of the store up to which changes of the work table have been read.
     pub(super) feed_version: cell::Cell<u64>,
+    /// Version of the store up to which changes of the list of workers have been read; `None` if
+    /// the whole list has to be read.
+    pub(super) list_version: cell::Cell<Option<u64>>,
     /// Row version that the first commit checks.
     pub(super) fence_version: cell::Cell<u64>,
     /// Whether the process may have been suspended since it last read the work table.
@@ -80,6 +88,7 @@
         followers: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
         feed_version: cell::Cell::new(0),
+        list_version: cell::Cell::new(None),
         fence_version: cell::Cell::new(0),
         is_stale: cell::Cell::new(false),
         last_tick: cell::Cell::new(now),
@@ -128,16 +137,28 @@
     }
 }
 
-/// Reads the list of workers at an interval.
+/// Reads the changes of the list of workers at an interval, and at times the whole list.
 async fn refresh_workers(ownership: rc::Rc<Ownership>) {
+    let mut whole_at = clock::steady();
     while !ownership.is_ended() {
-        ntex::time::sleep(WORKER_LIST_INTERVAL).await;
-        let listed = ownership.node.platform.directory.workers().await;
-        ownership.node.record_store_result(&listed, clock::steady());
-        if let Ok(listed) = listed {
-            ownership.owner.borrow_mut().workers_listed(&listed, clock::steady());
-            ownership.process_decisions();
+        let sent = clock::steady();
+        if sent.since(whole_at) >= WHOLE_LIST_INTERVAL {
+            ownership.list_version.set(None);
+        }
+        let version = ownership.list_version.get();
+        let read = match version {
+            Some(version) => ownership.read_worker_changes(version, sent).await,
+            None => ownership.read_worker_list(sent).await,
+        };
+        match read {
+            Ok(()) if version.is_none() => whole_at = sent,
+            Err(platform::StoreError::Compacted { .. }) => {
+                ownership.list_version.set(None);
+                continue;
+            }
+            _ => {}
         }
+        ntex::time::sleep(WORKER_LIST_INTERVAL).await;
     }
 }
 
@@ -206,6 +227,37 @@
         self.owner.borrow_mut().lease_renewed(sent);
     }
 
+    /// Reads the whole list of workers by a request sent at `sent`.
+    async fn read_worker_list(
+        self: &rc::Rc<Self>,
+        sent: time::Timestamp,
+    ) -> Result<(), platform::StoreError> {
+        let list = self.node.platform.directory.workers().await;
+        let now = clock::steady();
+        self.node.record_store_result(&list, now);
+        let list = list?;
+        self.owner.borrow_mut().workers_listed(&list.workers, sent, now);
+        self.list_version.set(Some(list.version));
+        self.process_decisions();
+        Ok(())
+    }
+
+    /// Reads the changes of the list of workers after `version` by a request sent at `sent`.
+    async fn read_worker_changes(
+        self: &rc::Rc<Self>,
+        version: u64,
+        sent: time::Timestamp,
+    ) -> Result<(), platform::StoreError> {
+        let update = self.node.platform.directory.workers_changed(version).await;
+        let now = clock::steady();
+        self.node.record_store_result(&update, now);
+        let update = update?;
+        self.owner.borrow_mut().workers_changed(&update.changes, sent, now);
+        self.list_version.set(Some(update.version));
+        self.process_decisions();
+        Ok(())
+    }
+
     /// Applies changed rows of the work table: jobs first, then cancellations.
     fn apply_work(&self, work: &[platform::Row]) {
         let moment = node::Node::moment();
@@ -275,13 +327,20 @@
             self.is_stale.set(true);
         }
         let is_valid = now < self.lease_until.get();
-        let allowed = !self.is_stale.get() && (is_valid || self.is_store_down_for_followers(now));
+        let is_store_down = self.is_store_down_for_followers(now);
+        let allowed = !self.is_stale.get() && (is_valid || is_store_down);
         let is_new = now.since(self.started_at) < lease::DURATION;
         let is_cut_off = !lease::is_store_up(&self.node, now);
         if !is_valid && !is_new && is_cut_off && self.is_store_up_for_follower(now) {
             return self.step_down("another daemon can reach the store and this daemon cannot");
         }
-        self.owner.borrow_mut().allow_starts(allowed && !self.node.is_draining.get());
+        let outage_until = if is_store_down { now + OUTAGE_PERMISSION } else { now };
+        let may_start = allowed && !self.node.is_draining.get();
+        let until = if may_start { self.lease_until.get().max(outage_until) } else { now };
+        let mut owner = self.owner.borrow_mut();
+        owner.allow_starts(until);
+        owner.set_store_down(is_store_down && is_cut_off);
+        drop(owner);
         if self.starts_allowed.replace(allowed) != allowed {
             let lease_left_ms = self.lease_until.get().since(now).as_millis();
             let cause = if is_valid { "lease" } else { "store" };
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -29,9 +29,10 @@
     /// Loads the stored state and the list of workers, and fences off earlier owners' commits.
     pub(super) async fn load_state(&self, cause: &'static str) -> Result<(), platform::StoreError> {
         let platform = &self.node.platform;
-        let workers = platform.directory.workers().await;
-        self.node.record_store_result(&workers, clock::steady());
-        let workers = workers?;
+        let listed_at = clock::steady();
+        let list = platform.directory.workers().await;
+        self.node.record_store_result(&list, clock::steady());
+        let list = list?;
         self.fence_version.set(commit::fence(self).await?);
         let work = self.read_work().await?;
         let progress = platform.store.range(&rows::all_committed(rows::PROGRESS)).await;
@@ -44,16 +45,17 @@
         self.node.record_store_result(&model, clock::steady());
         let model: Vec<record::ModelSnapshot> = decode_all("learnt", &model?.rows);
         let moment = node::Node::moment();
-        let (jobs, count) = (stored.len(), workers.len());
+        let (jobs, count) = (stored.len(), list.workers.len());
         {
             let mut owner = self.owner.borrow_mut();
-            owner.workers_listed(&workers, moment.now);
+            owner.workers_listed(&list.workers, listed_at, moment.now);
             owner.recover(stored, roster, &moment);
             for model in &model {
                 owner.restore_model(model);
             }
         }
         self.feed_version.set(work.version);
+        self.list_version.set(Some(list.version));
         self.is_loaded.set(true);
         event::emit(&event::Event::Claimed { token: self.token, jobs, workers: count, cause });
         Ok(())
--- a/geraniumlatchd/src/jobs/shutdown.rs
+++ b/geraniumlatchd/src/jobs/shutdown.rs
@@ -51,7 +51,7 @@
 /// daemon can claim the cell at once.
 async fn release_cell(node: &node::Node, ownership: &ownership::Ownership) {
     let until = clock::steady() + FLUSH_TIMEOUT;
-    ownership.owner().allow_starts(false);
+    ownership.owner().allow_starts(clock::steady());
     while ownership.owner().has_commit() && clock::steady() < until {
         ownership.commit_wake.notify_one();
         ntex::time::sleep(POLL_INTERVAL).await;
--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -128,13 +128,17 @@
     client: rc::Rc<WorkerClient>,
     order: worker::StartOrder,
 ) {
-    let Ok(_permit) = client.start_permits.acquire().await else {
-        return;
-    };
-    let Some(target) = client.target(&ownership).filter(|_| !ownership.is_ended()) else {
+    let permit = client.start_permits.acquire().await;
+    if ownership.is_ended() {
         return;
-    };
+    }
+    // The order may have waited, and the process may have been suspended meanwhile.
     let sent = clock::steady();
+    let may_send = permit.is_ok() && ownership.owner().may_start(sent);
+    let Some(target) = client.target(&ownership).filter(|_| may_send) else {
+        ownership.owner().start_unsent(&client.id, order.task, order.attempt, sent);
+        return ownership.process_decisions();
+    };
     let reply = ownership.node().platform.workers.start(&target, ownership.token(), &order).await;
     if !is_still_owner(&ownership, reply) {
         return;
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -66,7 +66,7 @@
         let token = self.version;
         let moment = self.moment();
         let mut owner = owner::Owner::new(self.settings.owner, token, self.now);
-        owner.workers_listed(&self.listed_workers(), self.now);
+        owner.workers_listed(&self.listed_workers(), self.now, self.now);
         let skips_recovery = self.settings.disabled.recovery;
         let stored = self.jobs.iter().map(|(id, job)| owner::StoredJob {
             id: *id,
@@ -191,7 +191,7 @@
             }
             if self.is_due(WORKER_LIST_INTERVAL) && is_up {
                 let list = self.listed_workers();
-                self.ownerships[n].owner.workers_listed(&list, now);
+                self.ownerships[n].owner.workers_listed(&list, now, now);
             }
             if self.is_due(CHANGE_FEED_INTERVAL) && is_up {
                 self.read_feed(n);
@@ -200,7 +200,10 @@
                 let moment = self.moment();
                 let ownership = &mut self.ownerships[n];
                 let is_valid = now.since(ownership.renewed_at) < LEASE_DURATION || !is_up;
-                ownership.owner.allow_starts(is_valid && !ownership.is_stale);
+                let may_start = is_valid && !ownership.is_stale;
+                let until = if may_start { now + LEASE_DURATION } else { now };
+                ownership.owner.allow_starts(until);
+                ownership.owner.set_store_down(!is_up);
                 ownership.owner.tick(&moment);
             }
             self.apply_decisions(n);
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -66,8 +66,12 @@
     recovery: Option<recovery::Recovery>,
     /// The latest time to which leases of workers may be extended.
     horizon: time::Timestamp,
-    /// Whether it is certain that no other daemon has taken over the cell.
-    may_start: bool,
+    /// The time until which it is certain that no other daemon has taken over the cell.
+    starts_until: time::Timestamp,
+    /// The time at which the newest list of workers was requested.
+    list_read_at: time::Timestamp,
+    /// Whether no daemon can reach the store, so that no worker can change its entry either.
+    is_store_down: bool,
     actions: Vec<Action>,
 }
 
@@ -80,6 +84,9 @@
     pub fn new(settings: Settings, token: u64, now: time::Timestamp) -> Self {
         Self {
             horizon: now + settings.horizon,
+            starts_until: now + settings.start_window,
+            list_read_at: now,
+            is_store_down: false,
             settings,
             token,
             last_attempt: token * ATTEMPTS_PER_TOKEN,
@@ -94,7 +101,6 @@
             interference: InterferenceModel::default(),
             model_stored_at: now,
             recovery: None,
-            may_start: true,
             actions: Vec::new(),
         }
     }
@@ -114,10 +120,33 @@
         self.horizon = self.horizon.max(sent + self.settings.horizon);
     }
 
-    /// Sets whether the owner may order new runs. It may while its lease on the cell is valid, or
-    /// while no other daemon can have taken over the cell.
-    pub const fn allow_starts(&mut self, may_start: bool) {
-        self.may_start = may_start;
+    /// Sets the time until which the owner may order new runs. It may while its lease on the cell
+    /// is valid, or while no other daemon can have taken over the cell. The permission is compared
+    /// with the time of each decision, as the process may be suspended between two of them.
+    pub const fn allow_starts(&mut self, until: time::Timestamp) {
+        self.starts_until = until;
+    }
+
+    /// Returns whether the owner may order new runs at `now`.
+    pub fn may_start(&self, now: time::Timestamp) -> bool {
+        now < self.starts_until && now + self.settings.start_window <= self.horizon
+    }
+
+    /// Sets whether no daemon can reach the store. Workers cannot announce then that they drain, so
+    /// the newest list of workers stays valid.
+    pub const fn set_store_down(&mut self, is_store_down: bool) {
+        self.is_store_down = is_store_down;
+    }
+
+    /// Returns the time for which a start order may be valid so that no worker carries it out later
+    /// than [`Settings::drain_time`] after it announced that it drains. The newest list shows all
+    /// announcements made before it was requested.
+    fn start_validity(&self, now: time::Timestamp) -> time::Span {
+        if self.is_store_down {
+            return self.settings.start_window;
+        }
+        let list_validity = (self.list_read_at + self.settings.drain_time).since(now);
+        self.settings.start_window.min(list_validity)
     }
 
     /// Adds a stored job. A job that is already present is left unchanged.
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -65,6 +65,28 @@
         }
     }
 
+    /// Handles a start order that was not sent, because the permission to start runs has expired or
+    /// the worker is gone.
+    pub fn start_unsent(
+        &mut self,
+        worker: &worker::WorkerId,
+        task: task::TaskId,
+        attempt: u64,
+        now: time::Timestamp,
+    ) {
+        let Some(run) = self.run_on(worker, task, attempt) else {
+            return;
+        };
+        let was_starting = match run.stage {
+            Stage::Starting => true,
+            Stage::Stopping(stop) => stop.was_starting,
+            Stage::Running(_) => false,
+        };
+        if was_starting {
+            self.end_run(task, Cause::NeverRan, now);
+        }
+    }
+
     /// Marks a worker as suspect for a short time after a refusal, and polls it at once. Refusals
     /// because of the fencing token or the ticket do not concern the state of the worker.
     fn record_refusal(
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -36,7 +36,7 @@
 
 /// Starts the waiting tasks that can be placed, in the order of their ranks.
 pub fn run(owner: &mut Owner, now: time::Timestamp) {
-    if !owner.may_start || now + owner.settings.start_window > owner.horizon {
+    if !owner.may_start(now) || owner.start_validity(now) < owner.settings.order_time {
         return;
     }
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
@@ -213,7 +213,7 @@
     now: time::Timestamp,
 ) {
     let task = task::TaskId { phase, index };
-    let window = owner.settings.start_window;
+    let window = owner.start_validity(now);
     let Some(target) = owner.workers.get_mut(worker) else {
         return;
     };
--- a/gl-jobs/src/owner/polls.rs
+++ b/gl-jobs/src/owner/polls.rs
@@ -8,17 +8,53 @@
 use crate::{task, worker};
 
 impl Owner {
-    /// Updates the table of workers from a list of the platform.
-    pub fn workers_listed(&mut self, list: &[worker::Registration], now: time::Timestamp) {
-        for worker in self.workers.values_mut() {
-            worker.is_listed = false;
-        }
+    /// Updates the table of workers from a list of the platform that was requested at `sent`.
+    pub fn workers_listed(
+        &mut self,
+        list: &[worker::Registration],
+        sent: time::Timestamp,
+        now: time::Timestamp,
+    ) {
+        let previous = self.workers.values().filter(|w| w.is_listed);
+        let mut missing: collections::BTreeSet<_> =
+            previous.map(|w| w.registration.id.clone()).collect();
         for entry in list {
+            missing.remove(&entry.id);
+        }
+        let removed = missing.into_iter().collect();
+        let changes = worker::ListChanges { changed: list.to_vec(), removed };
+        self.workers_changed(&changes, sent, now);
+    }
+
+    /// Updates the table of workers from the changes of the platform's list since it was last read.
+    /// The changes were requested at `sent`.
+    pub fn workers_changed(
+        &mut self,
+        changes: &worker::ListChanges,
+        sent: time::Timestamp,
+        now: time::Timestamp,
+    ) {
+        self.list_read_at = sent;
+        for id in &changes.removed {
+            self.worker_unlisted(id, now);
+        }
+        for entry in &changes.changed {
             self.worker_listed(entry, now);
         }
     }
 
+    fn worker_unlisted(&mut self, id: &worker::WorkerId, now: time::Timestamp) {
+        if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.is_listed) {
+            worker.is_listed = false;
+            worker.unlisted_at = now;
+        }
+    }
+
     fn worker_listed(&mut self, entry: &worker::Registration, now: time::Timestamp) {
+        let known = self.workers.get(&entry.id);
+        if known.is_some_and(|worker| worker.is_listed && worker.registration == *entry) {
+            return;
+        }
         self.end_older_on_vm(entry, now);
         let settings = self.settings;
         let is_new = !self.workers.contains_key(&entry.id);
@@ -30,13 +66,12 @@
             .entry(entry.id.clone())
             .or_insert_with(|| Worker::new(entry.clone(), &settings, now));
         if entry.incarnation < worker.registration.incarnation {
-            return;
+            return self.worker_unlisted(&entry.id, now);
         }
         let has_restarted = entry.incarnation > worker.registration.incarnation;
         worker.is_enrolled &= worker.registration.address == entry.address;
         worker.registration = entry.clone();
         worker.is_listed = true;
-        worker.listed_at = now;
         if entry.draining {
             worker.draining_since = worker.draining_since.or(Some(now));
         } else {
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -32,6 +32,10 @@
     /// The time for which a start order stays valid in transit. It is longer than the time-out of
     /// an order, and short enough to rule out orders that are carried out seconds late.
     pub start_window: time::Span,
+    /// The minimum time for which a start order has to be valid: a round trip and the time for which
+    /// it may wait for earlier orders to the same worker. While the list of workers is too old to
+    /// give an order that time, none is sent.
+    pub order_time: time::Span,
     /// The time for which a worker may hold a poll while no run ends. One third of the time within
     /// which long-running tasks have to be protected from interference.
     pub poll_wait: time::Span,
@@ -126,6 +130,7 @@
             clock_drift: 0.02,
             clock_margin: time::Span::millis(150),
             start_window: time::Span::millis(1_500),
+            order_time: time::Span::millis(300),
             poll_wait: time::Span::millis(1_000),
             short_wait: time::Span::millis(250),
             stop_retry: time::Span::millis(500),
--- a/gl-jobs/src/owner/timeouts.rs
+++ b/gl-jobs/src/owner/timeouts.rs
@@ -86,7 +86,7 @@
 fn remove_unlisted(owner: &mut Owner, now: time::Timestamp) {
     let keep = owner.settings.worker_retention;
     let is_removable =
-        |w: &super::Worker| !w.is_listed && w.runs.is_empty() && now.since(w.listed_at) > keep;
+        |w: &super::Worker| !w.is_listed && w.runs.is_empty() && now.since(w.unlisted_at) > keep;
     let removable: Vec<_> = owner
         .workers
         .values()
--- a/gl-jobs/src/owner/workers.rs
+++ b/gl-jobs/src/owner/workers.rs
@@ -16,8 +16,8 @@
     pub is_listed: bool,
     /// Whether the worker is stored in the roster, so that a later owner polls it for its runs.
     pub is_enrolled: bool,
-    /// The time at which a list with an entry for the worker was last read.
-    pub listed_at: time::Timestamp,
+    /// The time since which the list has no entry for the worker, if it has none.
+    pub unlisted_at: time::Timestamp,
     /// The time at which its entry was first marked as draining.
     pub draining_since: Option<time::Timestamp>,
     /// The incarnation that last replied to a poll; `None` before the first reply.
@@ -139,7 +139,7 @@
             registration,
             is_listed: true,
             is_enrolled: false,
-            listed_at: now,
+            unlisted_at: now,
             draining_since: None,
             incarnation: None,
             polled_at: time::Timestamp::default(),
--- a/gl-jobs/src/worker.rs
+++ b/gl-jobs/src/worker.rs
@@ -52,6 +52,15 @@
     pub draining: bool,
 }
 
+/// The changes of the platform's list of workers between two versions of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ListChanges {
+    /// The new and changed entries.
+    pub changed: Vec<Registration>,
+    /// The workers whose entries were removed or can no longer be read.
+    pub removed: Vec<WorkerId>,
+}
+
 /// A run that is in progress on a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Running {
--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -74,6 +74,10 @@
 pub struct Cell {
     pub owner: owner::Owner,
     pub now: u64,
+    /// Whether the owner's lease is renewed with each tick.
+    pub is_lease_valid: bool,
+    /// Whether the list of workers is read with each tick.
+    pub is_list_read: bool,
     ends: Vec<Vec<worker::Ended>>,
     numbers: Vec<u64>,
 }
@@ -87,9 +91,16 @@
     pub fn with_settings(n: usize, settings: owner::Settings) -> Self {
         let mut owner = owner::Owner::new(settings, 7, at(1_000));
         let list: Vec<_> = (0..n).map(registration).collect();
-        owner.workers_listed(&list, at(1_000));
+        owner.workers_listed(&list, at(1_000), at(1_000));
         owner.recover(Vec::new(), Vec::new(), &moment(1_000));
-        let mut cell = Self { owner, now: 1_000, ends: vec![Vec::new(); n], numbers: vec![0; n] };
+        let mut cell = Self {
+            owner,
+            now: 1_000,
+            is_lease_valid: true,
+            is_list_read: true,
+            ends: vec![Vec::new(); n],
+            numbers: vec![0; n],
+        };
         cell.commit();
         for worker in 0..n {
             cell.poll(worker, &[]);
@@ -102,6 +113,13 @@
     pub fn tick(&mut self) -> Vec<owner::Action> {
         self.now += 10;
         self.owner.lease_renewed(at(self.now));
+        if self.is_lease_valid {
+            self.owner.allow_starts(at(self.now + 2_000));
+        }
+        if self.is_list_read {
+            let changes = worker::ListChanges::default();
+            self.owner.workers_changed(&changes, at(self.now), at(self.now));
+        }
         self.owner.tick(&moment(self.now));
         self.owner.take_actions()
     }
--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -70,7 +70,11 @@
         incarnation: worker::Incarnation(2),
         ..cell::registration(n)
     };
-    cell.owner.workers_listed(&[cell::registration(1 - n), newer], cell::at(cell.now));
+    cell.owner.workers_listed(
+        &[cell::registration(1 - n), newer],
+        cell::at(cell.now),
+        cell::at(cell.now),
+    );
     let again = cell::starts(&cell.tick()).remove(0);
     assert_eq!(again.worker, cell::worker(1 - n));
     assert!(cell.owner.worker(&start.worker).is_none());
@@ -83,7 +87,7 @@
     cell.poll(n, &[cell::running(&start, 100.0, 20.0)]);
     let draining = worker::Registration { draining: true, ..cell::registration(n) };
     let list = [cell::registration(1 - n), draining];
-    cell.owner.workers_listed(&list, cell::at(cell.now));
+    cell.owner.workers_listed(&list, cell::at(cell.now), cell::at(cell.now));
     assert_eq!(cell::stops(&cell.tick()), [start.task]);
     let next = cell.submit(2, cell::job(vec![cell::phase(1, 1_000)]));
     assert_eq!(cell::starts(&next)[0].worker, cell::worker(1 - n));
@@ -94,7 +98,7 @@
     let (mut cell, start) = long_running(1);
     cell.poll(0, &[cell::running(&start, 100.0, 20.0)]);
     let draining = worker::Registration { draining: true, ..cell::registration(0) };
-    cell.owner.workers_listed(&[draining], cell::at(cell.now));
+    cell.owner.workers_listed(&[draining], cell::at(cell.now), cell::at(cell.now));
     assert!(cell::stops(&cell.tick()).is_empty());
 }
 
@@ -118,7 +122,7 @@
             ..cell::registration(n)
         })
         .collect();
-    cell.owner.workers_listed(&list, cell::at(cell.now));
+    cell.owner.workers_listed(&list, cell::at(cell.now), cell::at(cell.now));
     assert_eq!(cell::stops(&cell.tick()).len(), 1);
     assert!(cell::stops(&cell.tick()).is_empty());
 }
@@ -127,7 +131,7 @@
 fn worker_gets_tasks_only_once_it_is_stored_in_the_roster() {
     let mut cell = Cell::new(1);
     let list = [cell::registration(0), cell::registration(1)];
-    cell.owner.workers_listed(&list, cell::at(cell.now));
+    cell.owner.workers_listed(&list, cell::at(cell.now), cell::at(cell.now));
     let reply = worker::PollReply {
         clock: cell::at(cell.now),
         incarnation: worker::Incarnation(1),
@@ -166,6 +170,6 @@
 
     let listed =
         worker::Registration { incarnation: worker::Incarnation(2), ..cell::registration(0) };
-    cell.owner.workers_listed(&[listed], cell::at(cell.now));
+    cell.owner.workers_listed(&[listed], cell::at(cell.now), cell::at(cell.now));
     assert_eq!(acknowledged(&mut cell), 0, "the list has a newer incarnation");
 }
--- a/gl-jobs/tests/jobs/orders.rs
+++ b/gl-jobs/tests/jobs/orders.rs
@@ -68,9 +68,10 @@
 #[test]
 fn no_task_starts_while_another_owner_may_exist() {
     let mut cell = Cell::new(1);
-    cell.owner.allow_starts(false);
+    cell.is_lease_valid = false;
+    cell.owner.allow_starts(cell::at(cell.now));
     assert!(cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 1)]))).is_empty());
-    cell.owner.allow_starts(true);
+    cell.is_lease_valid = true;
     assert_eq!(cell::starts(&cell.tick()).len(), 1);
 }
 
@@ -107,3 +108,59 @@
     let is_suspect = |action: &owner::Action| matches!(action, owner::Action::Note(owner::Note::Suspected { worker, .. }) if *worker == start.worker);
     assert!(actions.iter().any(is_suspect));
 }
+
+/// The process was suspended between the check of the lease and the decision.
+#[test]
+fn permission_that_expired_during_a_suspension_starts_nothing() {
+    let mut cell = Cell::new(1);
+    cell.is_lease_valid = false;
+    cell.owner.allow_starts(cell::at(cell.now + 100));
+    let job = cell::job(vec![cell::phase(1, 1)]);
+    cell.owner.add_job(cell::id(1), job, &cell::moment(cell.now));
+    cell.owner.place(cell::at(cell.now + 100));
+    assert!(cell::starts(&cell.owner.take_actions()).is_empty());
+    cell.owner.place(cell::at(cell.now + 90));
+    assert_eq!(cell::starts(&cell.owner.take_actions()).len(), 1);
+}
+
+/// A new owner of hundreds of workers needs seconds to load the stored state, and the list that it
+/// read at the beginning does not show which workers have started to drain since.
+#[test]
+fn no_task_starts_on_a_list_that_may_hide_a_draining_worker() {
+    let mut cell = Cell::new(1);
+    cell.is_list_read = false;
+    cell.now += 2_000;
+    cell.poll(0, &[]);
+    let drain_time = 2_000;
+    let list = [cell::registration(0)];
+    let read_at = cell.now - 1_600;
+    cell.owner.workers_listed(&list, cell::at(read_at), cell::at(cell.now));
+    let started = cell.submit(1, cell::job(vec![cell::phase(1, 1)]));
+    let deadline = started.iter().find_map(|action| match action {
+        owner::Action::Start { order, .. } => Some(order.deadline),
+        _ => None,
+    });
+    let latest = cell::at(read_at + drain_time);
+    assert!(deadline.is_some_and(|at| at <= latest), "{deadline:?} is later than {latest:?}");
+
+    let read_at = cell.now - 1_900;
+    cell.owner.workers_listed(&list, cell::at(read_at), cell::at(cell.now));
+    let actions = cell.submit(2, cell::job(vec![cell::phase(1, 1)]));
+    assert!(cell::starts(&actions).is_empty());
+    cell.is_list_read = true;
+    assert_eq!(cell::starts(&cell.tick()).len(), 1);
+}
+
+/// While the store is down, no worker can announce that it drains.
+#[test]
+fn list_stays_valid_while_the_store_is_down() {
+    let mut cell = Cell::new(1);
+    cell.is_list_read = false;
+    cell.owner.set_store_down(true);
+    cell.now += 5_000;
+    cell.poll(0, &[]);
+    let actions = cell.submit(1, cell::job(vec![cell::phase(1, 1)]));
+    assert_eq!(cell::starts(&actions).len(), 1);
+    cell.owner.set_store_down(false);
+    assert!(cell::starts(&cell.submit(2, cell::job(vec![cell::phase(1, 1)]))).is_empty());
+}
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -149,7 +149,11 @@
 fn service_without_capacity_does_not_block_another() {
     let mut cell = Cell::new(2);
     let other = worker::Registration { service: "other".to_owned(), ..cell::registration(1) };
-    cell.owner.workers_listed(&[cell::registration(0), other], cell::at(cell.now));
+    cell.owner.workers_listed(
+        &[cell::registration(0), other],
+        cell::at(cell.now),
+        cell::at(cell.now),
+    );
     let whole = || cell::job(vec![cell::phase(1, 64_000)]);
     assert_eq!(cell::starts(&cell.submit(1, whole())).len(), 1);
     assert!(cell::starts(&cell.submit(2, whole())).is_empty());
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -7,7 +7,7 @@
 
 fn after_claim(roster: Vec<worker::Registration>, progress: record::Progress) -> owner::Owner {
     let mut owner = owner::Owner::new(owner::Settings::default(), 9, cell::at(5_000));
-    owner.workers_listed(&[cell::registration(0)], cell::at(5_000));
+    owner.workers_listed(&[cell::registration(0)], cell::at(5_000), cell::at(5_000));
     let jobs = vec![cell::stored(1, cell::job(vec![cell::phase(2, 1_000)]), progress)];
     owner.recover(jobs, roster, &cell::moment(5_000));
     while let Some(commit) = owner.next_commit(cell::at(5_000)) {
@@ -31,6 +31,8 @@
 
 fn started(owner: &mut owner::Owner, now: u64) -> usize {
     owner.lease_renewed(cell::at(now));
+    owner.allow_starts(cell::at(now + 2_000));
+    owner.workers_changed(&worker::ListChanges::default(), cell::at(now), cell::at(now));
     owner.tick(&cell::moment(now));
     cell::starts(&owner.take_actions()).len()
 }
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -167,7 +167,14 @@
     /// # Errors
     ///
     /// If the read was refused or its reply was lost.
-    async fn workers(&self) -> Result<Vec<worker::Registration>, StoreError>;
+    async fn workers(&self) -> Result<WorkerList, StoreError>;
+
+    /// Returns the changes of the registrations after version `after`.
+    ///
+    /// # Errors
+    ///
+    /// If the read was refused, its reply was lost, or the changes have been removed by compaction.
+    async fn workers_changed(&self, after: u64) -> Result<WorkerUpdate, StoreError>;
 
     /// Returns the newest routing.
     ///
@@ -188,6 +195,24 @@
     ) -> Result<RoutingUpdate, StoreError>;
 }
 
+/// The registrations of the workers and the version of the store at which they were read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerList {
+    /// The registrations.
+    pub workers: Vec<worker::Registration>,
+    /// The version.
+    pub version: u64,
+}
+
+/// The changes of the registrations since a version of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerUpdate {
+    /// The changes.
+    pub changes: worker::ListChanges,
+    /// The version up to which changes have been read.
+    pub version: u64,
+}
+
 /// The routing and the version of the store at which it was read.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoutingSnapshot {
