fix(geraniumlatchd): find claims on idempotency keys across the border of two buckets

Cause, found by reading: releases and stored responses looked for a claim in the bucket of the present time only, so the claim of a call that spans a border stayed open. A daemon whose clock is past the border and one whose clock is not checked different buckets, so both could grant one key and the call ran twice.

Change: a claim checks that its name is absent from the buckets on both sides, and a release looks for the row that holds its own call. 85 claims a transaction keep the number of checks as it was.

Ruled out: one bucket without borders, as keys would have to be listed to be forgotten.

--- a/geraniumlatchd/src/proxy/claims.rs
+++ b/geraniumlatchd/src/proxy/claims.rs
@@ -13,7 +13,7 @@
 /// The time for which claims are collected for one transaction.
 const BATCH_WINDOW: time::Duration = time::Duration::from_millis(2);
 /// The maximum number of claims in one transaction.
-const MAX_BATCH: usize = 128;
+const MAX_BATCH: usize = 85;
 /// The length of a time bucket of claims, which is the minimum time for which a key is remembered.
 /// A key is forgotten after at most twice this time.
 const BUCKET_SPAN: model::Span = model::Span::seconds(12 * 3_600);
@@ -37,8 +37,11 @@
 }
 
 struct PendingClaim {
+    /// The key of the row that the claim writes.
     key: String,
-    previous: String,
+    /// The keys of the same name in the neighbouring buckets. Calls that began before the border of
+    /// a bucket use the previous one, and daemons whose clocks are ahead use the next one.
+    neighbours: [String; 2],
     call: id::CallId,
     limit: model::Timestamp,
     reply: oneshot::Sender<Acquisition>,
@@ -80,7 +83,10 @@
         let (reply, claimed) = oneshot::channel();
         let pending = PendingClaim {
             key: key::claim(bucket(now), service, name),
-            previous: key::claim(bucket(now) - 1, service, name),
+            neighbours: [
+                key::claim(bucket(now) - 1, service, name),
+                key::claim(bucket(now) + 1, service, name),
+            ],
             call: call.clone(),
             limit,
             reply,
@@ -115,19 +121,47 @@
         response: Option<call::Response>,
     ) {
         let table = rc::Rc::clone(&self.table);
-        let key = key::claim(bucket(clock::now()), service, name);
+        let now = bucket(clock::now());
+        let keys = [now, now - 1].map(|bucket| key::claim(bucket, service, name));
         let call = call.clone();
         ntex::rt::spawn(async move {
-            rewrite(table.as_ref(), &key, &call, response.as_ref()).await;
+            rewrite(table.as_ref(), &keys, &call, response.as_ref()).await;
         })
         .detach();
     }
 }
 
-/// Replaces or deletes the row of a claim if this call still holds it.
+/// A row that holds the claim of a call.
+struct ClaimRow<'a> {
+    key: &'a str,
+    version: id::Version,
+    claim: call::Claim,
+}
+
+/// Returns the row that holds the claim of `call`: the row of the present bucket or, if the call was
+/// claimed before the border, that of the previous one.
+async fn find_claim<'a>(
+    table: &dyn Table,
+    keys: &'a [String],
+    call: &id::CallId,
+) -> Result<Option<ClaimRow<'a>>, gl_platform::Error> {
+    for key in keys {
+        let Some(row) = table.read(key).await? else {
+            continue;
+        };
+        let claim: Option<call::Claim> = transaction::parse_value(&row);
+        if let Some(claim) = claim.filter(|claim| claim.call == *call) {
+            return Ok(Some(ClaimRow { key, version: row.version, claim }));
+        }
+    }
+    Ok(None)
+}
+
+/// Replaces or deletes the row of a claim if this call still holds it. `keys` are those under which
+/// the claim may be stored.
 async fn rewrite(
     table: &dyn Table,
-    key: &str,
+    keys: &[String],
     call: &id::CallId,
     response: Option<&call::Response>,
 ) {
@@ -135,8 +169,8 @@
     let late_until = clock::now() + LATE_COMMIT_WINDOW;
     let kind = if response.is_some() { "answer" } else { "release" };
     while clock::now() < limit {
-        let read = match table.read(key).await {
-            Ok(Some(row)) => row,
+        let found = match find_claim(table, keys, call).await {
+            Ok(Some(found)) => found,
             // A claim whose reply was lost may still take effect.
             Ok(None) if response.is_none() && clock::now() < late_until => {
                 ntex::time::sleep(time::Duration::from_millis(500)).await;
@@ -148,16 +182,18 @@
                 continue;
             }
         };
-        let claim: Option<call::Claim> = transaction::parse_value(&read);
-        if claim.is_none_or(|claim| claim.call != *call || claim.response.is_some()) {
+        if found.claim.response.is_some() {
             return;
         }
         let row = response
             .map(|response| call::Claim { call: call.clone(), response: Some(response.clone()) });
         let txn = txn::Txn {
-            id: id::TxnId(format!("claim/{call}/{kind}/{}", read.version)),
-            checks: vec![txn::Check { key: key.to_owned(), version: read.version }],
-            writes: vec![txn::Write { key: key.to_owned(), value: row.as_ref().and_then(to_json) }],
+            id: id::TxnId(format!("claim/{call}/{kind}/{}", found.version)),
+            checks: vec![txn::Check { key: found.key.to_owned(), version: found.version }],
+            writes: vec![txn::Write {
+                key: found.key.to_owned(),
+                value: row.as_ref().and_then(to_json),
+            }],
         };
         if table.transact(&txn).await.is_ok() {
             return;
@@ -213,7 +249,8 @@
         id: id::TxnId(format!("claim/{}/{round}", first.call)),
         checks: batch
             .iter()
-            .flat_map(|pending| [check(&pending.key), check(&pending.previous)])
+            .flat_map(|pending| std::iter::once(&pending.key).chain(&pending.neighbours))
+            .map(check)
             .collect(),
         writes: batch
             .iter()
@@ -255,19 +292,30 @@
     }
 }
 
+/// Returns the row of the claim's key, or of the same name in a neighbouring bucket.
+async fn read_first(
+    table: &dyn Table,
+    pending: &PendingClaim,
+) -> Result<Option<txn::Row>, gl_platform::Error> {
+    for key in std::iter::once(&pending.key).chain(&pending.neighbours) {
+        if let Some(row) = table.read(key).await? {
+            return Ok(Some(row));
+        }
+    }
+    Ok(None)
+}
+
 /// Replies to the calls whose keys are taken and returns the other claims.
 async fn resolve_conflict(table: &dyn Table, batch: Vec<PendingClaim>) -> Vec<PendingClaim> {
     let mut unclaimed = Vec::new();
     for pending in batch {
-        let current = table.read(&pending.key).await;
-        let previous = table.read(&pending.previous).await;
-        let (Ok(current), Ok(previous)) = (current, previous) else {
-            let _ = pending.reply.send(Acquisition::Unconfirmed);
-            continue;
-        };
-        match current.or(previous).as_ref().map(transaction::parse_value::<call::Claim>) {
-            None => unclaimed.push(pending),
-            Some(claim) => {
+        match read_first(table, &pending).await {
+            Err(_) => {
+                let _ = pending.reply.send(Acquisition::Unconfirmed);
+            }
+            Ok(None) => unclaimed.push(pending),
+            Ok(Some(row)) => {
+                let claim: Option<call::Claim> = transaction::parse_value(&row);
                 let response = claim.and_then(|claim| claim.response);
                 let _ = pending.reply.send(Acquisition::Taken(response));
             }
--- a/geraniumlatchd/tests/claims.rs
+++ b/geraniumlatchd/tests/claims.rs
@@ -9,10 +9,10 @@
 use assert_matches::assert_matches;
 use geraniumlatchd::{
     clock,
-    proxy::claims::{Acquisition, Claims},
+    proxy::claims::{self, Acquisition, Claims},
     transaction,
 };
-use gl_model::{call, id, time, txn};
+use gl_model::{call, id, key, time, txn};
 use gl_platform::{Error, Table};
 use gl_standin::store;
 
@@ -153,6 +153,44 @@
     assert_eq!(harness.claim("k", "c2").await, Acquisition::Taken(None));
 }
 
+/// Writes a claim into the bucket that is `offset` buckets from the present one.
+fn store_claim(harness: &Harness, name: &str, call: &str, offset: i64) -> String {
+    let bucket = claims::bucket(clock::now()).checked_add_signed(offset).unwrap();
+    let key = key::claim(bucket, &harness.service, name);
+    let claim = call::Claim { call: id::CallId::from(call), response: None };
+    harness.table.store.borrow_mut().transact(&txn::Txn {
+        id: id::TxnId(format!("earlier/{call}")),
+        checks: Vec::new(),
+        writes: vec![txn::Write { key: key.clone(), value: serde_json::to_string(&claim).ok() }],
+    });
+    key
+}
+
+/// A call that began before the border of two time buckets and ended after it.
+#[ntex::test]
+async fn claim_made_before_the_border_of_its_bucket_is_released() {
+    let harness = Harness::new();
+    let key = store_claim(&harness, "k", "c1", -1);
+    harness.claims.release(&harness.service, "k", &id::CallId::from("c1"));
+    ntex::time::sleep(std::time::Duration::from_millis(200)).await;
+    assert!(harness.table.read(&key).await.unwrap().is_none_or(|row| row.value.is_empty()));
+    assert_matches!(harness.claim("k", "c2").await, Acquisition::Acquired { .. });
+
+    let key = store_claim(&harness, "j", "c3", -1);
+    let response = call::Response { status: 200, content_type: None, body: "seat 7".to_owned() };
+    harness.claims.store_response(&harness.service, "j", &id::CallId::from("c3"), response.clone());
+    ntex::time::sleep(std::time::Duration::from_millis(200)).await;
+    assert_eq!(harness.claim("j", "c4").await, Acquisition::Taken(Some(response)), "{key}");
+}
+
+/// The clock of another daemon is ahead and already counts in the next bucket.
+#[ntex::test]
+async fn key_claimed_by_a_daemon_whose_clock_is_past_the_border_is_taken() {
+    let harness = Harness::new();
+    store_claim(&harness, "k", "c1", 1);
+    assert_eq!(harness.claim("k", "c2").await, Acquisition::Taken(None));
+}
+
 struct Marker;
 
 impl transaction::Marker for Marker {
