fix(gl-route): apply new limits to services that exist

Cause, found by reading: Router::set_limits() replaced only the limits of services added later, so a new shared configuration did not reach a service that was overloaded.

Change: the limits and the share of the retry budget are replaced for all services; queued calls keep their place.

--- a/gl-route/src/retry_budget.rs
+++ b/gl-route/src/retry_budget.rs
@@ -16,6 +16,11 @@
         Self { share, tokens: 1.0 }
     }
 
+    /// Replaces the share of retries per call, from 0 to 1. Tokens that were earned before remain.
+    pub const fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
     /// Deposits the share of one call.
     pub fn deposit(&mut self) {
         self.tokens = (self.tokens + self.share).min(MAX_TOKENS);
--- a/gl-route/src/router.rs
+++ b/gl-route/src/router.rs
@@ -131,9 +131,12 @@
         }
     }
 
-    /// Replaces the limits of services that are added from now on.
-    pub const fn set_limits(&mut self, limits: service::Limits) {
+    /// Replaces the limits of all services, also of those that are added later.
+    pub fn set_limits(&mut self, limits: service::Limits) {
         self.settings.limits = limits;
+        for (_, service) in self.services.iter_mut() {
+            service.set_limits(limits);
+        }
     }
 
     /// Decides about a new call.
--- a/gl-route/src/service.rs
+++ b/gl-route/src/service.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Replaces the limits. Queued calls keep their place even if the queue is now too long.
+    pub const fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+        self.budget.set_share(limits.retry_share);
+    }
+
     /// Returns all backend servers.
     pub fn backends(&self) -> &[backend::Backend] {
         &self.backends
--- a/gl-route/tests/route/router.rs
+++ b/gl-route/tests/route/router.rs
@@ -192,3 +192,18 @@
     let (_, service) = router.services().next().unwrap();
     assert_eq!(service.backends().iter().filter(|b| b.ejected_until > NOW).count(), 3);
 }
+
+/// Limits that reach only services added later would leave an overloaded service as it is until the
+/// daemon restarts.
+#[test]
+fn new_limits_apply_to_services_that_exist() {
+    let limits = Limits { headroom: 1.0, ..Limits::default() };
+    let mut router = router(1, limits);
+    for number in 0..simulation::SLOTS as u32 {
+        sent(router.admit(&call(number), NOW));
+    }
+    router.set_limits(Limits { queue_calls: 0, ..limits });
+    assert_matches!(router.admit(&call(100), NOW), Decision::Refuse(_));
+    router.set_limits(limits);
+    assert_eq!(router.admit(&call(101), NOW), Decision::Wait);
+}
