fix(gl-jobs): leave the commit row of a later owner unchanged

Cause, found by reading: a new owner that read a higher token in the commit row stepped down and still wrote its lower token over it, so that the rightful owner's next commit conflicted and it stepped down too.

Change: election::fence() decides what to do with the row, and a superseded owner writes nothing. A test covers the comparison of attempts in the replies to orders and in polls, which no test covered: it is red with the comparison removed.

Ruled out: relying on the version check of the write alone, which matches the row just read.

--- a/geraniumlatchd/src/jobs/commit.rs
+++ b/geraniumlatchd/src/jobs/commit.rs
@@ -2,7 +2,7 @@
 
 use std::rc;
 
-use gl_jobs::{owner, record};
+use gl_jobs::{election, owner, record};
 use gl_platform::cell as platform;
 
 use super::{event, ownership, rows};
@@ -186,12 +186,15 @@
         .and_then(|row| row.value.as_deref())
         .and_then(|value| record::decode("commit", value).ok());
     let version = row.map_or(0, |row| row.version);
-    match last {
-        Some(last) if last.token == token => return Ok(version),
-        Some(last) if last.token > token => ownership.step_down("another daemon claimed the cell"),
-        _ => {}
-    }
     let refused = |detail: String| platform::StoreError::Refused { operation: "fence", detail };
+    match election::fence(last.map(|last| last.token), token) {
+        election::Fence::Held => return Ok(version),
+        election::Fence::Superseded => {
+            ownership.step_down("another daemon claimed the cell");
+            return Err(refused("a later owner has committed".to_owned()));
+        }
+        election::Fence::Write => {}
+    }
     let value = record::encode("commit", &record::Commit { token, number: 0 });
     let value = value.map_err(|e| refused(e.to_string()))?;
     let txn = platform::Transaction {
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -30,6 +30,26 @@
     }
 }
 
+/// What a new owner has to do to the row of the last commit so that earlier owners cannot commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fence {
+    /// The row already has this owner's token.
+    Held,
+    /// The row has to be written with this owner's token.
+    Write,
+    /// A later owner has committed, and its row must not be changed.
+    Superseded,
+}
+
+/// Returns what the owner that holds `token` has to do, given the token of the last commit.
+pub const fn fence(last_token: Option<u64>, token: u64) -> Fence {
+    match last_token {
+        Some(last) if last == token => Fence::Held,
+        Some(last) if last > token => Fence::Superseded,
+        _ => Fence::Write,
+    }
+}
+
 /// The owner's lease as it was read from the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Observation {
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -70,3 +70,13 @@
     assert_eq!(election::claim_delay(None), time::Span::ZERO);
     assert!(election::claim_delay(Some(0.12)) > time::Span::millis(600), "two checks for an owner");
 }
+
+/// A claim whose reply took long: meanwhile another daemon has claimed the cell and committed. If
+/// the slow one wrote its lower token, the next commit of the rightful owner would conflict.
+#[test]
+fn commit_row_of_a_later_owner_is_left_unchanged() {
+    assert_eq!(election::fence(None, 7), election::Fence::Write);
+    assert_eq!(election::fence(Some(6), 7), election::Fence::Write);
+    assert_eq!(election::fence(Some(7), 7), election::Fence::Held);
+    assert_eq!(election::fence(Some(8), 7), election::Fence::Superseded);
+}
--- a/gl-jobs/tests/jobs/orders.rs
+++ b/gl-jobs/tests/jobs/orders.rs
@@ -164,3 +164,41 @@
     cell.owner.set_store_down(false);
     assert!(cell::starts(&cell.submit(2, cell::job(vec![cell::phase(1, 1)]))).is_empty());
 }
+
+/// Replies to orders of an earlier attempt may arrive after the next attempt has been ordered on the
+/// same worker.
+#[test]
+fn replies_for_an_earlier_attempt_do_not_change_the_current_run() {
+    let (mut cell, first) = one_task(1);
+    let refused = worker::OrderReply::Refused(worker::Refusal::Unspecified);
+    cell.start_replied(&first, refused);
+    cell.now += 1_000;
+    cell.poll(0, &[]);
+    let second = cell::starts(&cell.tick()).remove(0);
+    assert_eq!((second.task, &second.worker), (first.task, &first.worker));
+    assert!(second.attempt > first.attempt);
+    let stage = |cell: &Cell| cell.owner.runs().next().map(|(_, run)| run.stage);
+
+    cell.start_replied(&first, worker::OrderReply::Done);
+    assert_eq!(stage(&cell), Some(owner::Stage::Starting), "a late confirmation");
+    cell.start_replied(&first, refused);
+    assert_eq!(stage(&cell), Some(owner::Stage::Starting), "a late refusal");
+    cell.start_replied(&first, worker::OrderReply::Lost);
+    assert_eq!(stage(&cell), Some(owner::Stage::Starting), "a late loss");
+    cell.poll(0, &[cell::running(&first, 10.0, 1.0)]);
+    let actions = cell.tick();
+    assert_eq!(
+        cell::stops(&actions),
+        [first.task],
+        "the report of another attempt is not this run"
+    );
+    assert_eq!(stage(&cell), Some(owner::Stage::Starting));
+
+    cell.start_replied(&second, worker::OrderReply::Done);
+    cell.owner.cancel_job(cell::id(1), cell::at(cell.now));
+    let id = cell::worker(0);
+    let now = cell::at(cell.now);
+    cell.owner.stop_replied(&id, first.task, first.attempt, worker::OrderReply::Done, now);
+    cell.poll(0, &[]);
+    assert!(stage(&cell).is_some(), "the stop of another attempt confirms nothing");
+}
