fix(gl-jobs): reject jobs that would exhaust a daemon

Looked for: one malformed message that takes down a process. Cause, found by reading: a job of four billion tasks, or of as many occurrences that are due at once, was accepted and stored, and each owner in turn would have filled its memory with it. The critical path was computed over all chains of phases, whose number is exponential: some forty phases that depend on all earlier ones occupied the processor for good. Huge spans wrapped around. A group of large jobs could exceed the length of a call to the store, so that the small jobs in the group were refused with it.

Change: jobs of more than 200 phases or 100,000 tasks are rejected with the remedy, also when they are read from the store; critical paths visit each dependency once; spans saturate; a group of jobs has at most 600 kB.

Ruled out: a limit on the width alone, which occurrences pass. Open: a progress row with very many checkpoints may exceed the store's row length (docs/PROOFS.md).

--- a/geraniumlatchd/src/jobs/rows.rs
+++ b/geraniumlatchd/src/jobs/rows.rs
@@ -126,6 +126,9 @@
     let (id, _) = row.name.split_once('/')?;
     let decoded = id.parse().map_err(|e: task::ParseError| e.to_string()).and_then(|id| {
         let work = record::decode("job", value).map_err(|e| e.to_string())?;
+        if let record::Work::Job(job) = &work {
+            job.validate().map_err(|e| e.to_string())?;
+        }
         Ok(Work { id, work, version: row.version })
     });
     match decoded {
--- a/geraniumlatchd/src/jobs/submission.rs
+++ b/geraniumlatchd/src/jobs/submission.rs
@@ -14,6 +14,9 @@
 /// Maximum number of jobs that one transaction stores. It stays below the store's limit, as jobs
 /// can be large.
 const MAX_GROUP_JOBS: usize = 40;
+/// Maximum total length of the rows that one transaction stores, in bytes. The store takes calls of
+/// up to 1 MB, in which rows are a third longer.
+const MAX_GROUP_BYTES: usize = 600_000;
 /// Maximum number of jobs that wait for one partition of the store.
 const MAX_WAITING_JOBS: usize = 200;
 /// Time for which a job that the store keeps refusing is retried. Short, as the client can send it
@@ -134,7 +137,12 @@
     /// Removes the jobs of the next transaction from the queue.
     fn take(&self) -> Vec<Submission> {
         let mut waiting = self.waiting.borrow_mut();
-        let n = waiting.len().min(MAX_GROUP_JOBS);
+        let mut bytes = 0;
+        let fits = |submission: &&Submission| {
+            bytes += submission.row.len();
+            bytes <= MAX_GROUP_BYTES
+        };
+        let n = waiting.iter().take(MAX_GROUP_JOBS).take_while(fits).count();
         waiting.drain(..n).collect()
     }
 }
--- a/gl-jobs/src/job.rs
+++ b/gl-jobs/src/job.rs
@@ -131,17 +131,29 @@
     /// Returns the length of the critical path from `phase` on: the longest chain of dependent
     /// phases, by their estimates.
     pub fn critical_path(&self, phase: u32) -> time::Span {
-        let own = self.phases.get(phase as usize).map_or(time::Span::ZERO, |p| p.estimate);
-        let later = (phase + 1..).zip(self.phases.iter().skip(phase as usize + 1));
-        let next = later.filter(|(_, p)| p.after.contains(&phase));
-        own + next.map(|(n, _)| self.critical_path(n)).max().unwrap_or_default()
+        self.critical_paths().get(phase as usize).copied().unwrap_or_default()
+    }
+
+    /// Returns the lengths of the critical paths from each phase on. Each phase is visited once for
+    /// each phase that it depends on, as the number of chains can be exponential.
+    fn critical_paths(&self) -> Vec<time::Span> {
+        let mut paths: Vec<_> = self.phases.iter().map(|phase| phase.estimate).collect();
+        let mut rest = vec![time::Span::ZERO; paths.len()];
+        for (number, phase) in self.phases.iter().enumerate().rev() {
+            paths[number] = phase.estimate + rest[number];
+            for before in &phase.after {
+                if let Some(longest) = rest.get_mut(*before as usize) {
+                    *longest = paths[number].max(*longest);
+                }
+            }
+        }
+        paths
     }
 
     /// Returns the latency objective: the time after an occurrence is due within which it should be
     /// complete.
     pub fn objective(&self) -> time::Span {
-        let first = (0..).zip(&self.phases).filter(|(_, p)| p.after.is_empty());
-        let chain = first.map(|(n, _)| self.critical_path(n)).max().unwrap_or_default();
+        let chain = self.critical_paths().into_iter().max().unwrap_or_default();
         chain.scaled(self.policy.slack_factor) + self.policy.target_latency
     }
 
@@ -154,11 +166,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the job has no task, or if a phase depends on itself or on a later one.
+    /// Returns an error if the job has no task, if a phase depends on itself or on a later one, or
+    /// if the job is larger than a daemon can keep.
     pub fn validate(&self) -> Result<(), Invalid> {
         if self.phases.is_empty() {
             return Err(Invalid::Empty);
         }
+        if self.phases.len() > MAX_PHASES {
+            return Err(Invalid::TooManyPhases { phases: self.phases.len() });
+        }
+        let width: u64 = self.phases.iter().map(|phase| u64::from(phase.count)).sum();
+        let tasks = width.saturating_mul(u64::from(self.occurrences()));
+        if tasks > MAX_TASKS {
+            return Err(Invalid::TooManyTasks { tasks });
+        }
         for (number, phase) in (0..).zip(&self.phases) {
             if phase.count == 0 {
                 return Err(Invalid::NoTask { phase: number });
@@ -171,6 +192,12 @@
     }
 }
 
+/// The largest number of phases of a job.
+pub const MAX_PHASES: usize = 200;
+/// The largest number of tasks of a job, over all phases and occurrences. The owner keeps some
+/// hundred bytes for each, and has 160 MB on the smallest VMs.
+pub const MAX_TASKS: u64 = 100_000;
+
 /// The reason why a job cannot be accepted.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Invalid {
@@ -183,6 +210,20 @@
         /// The number of the phase.
         phase: u32,
     },
+    /// The job has too many phases.
+    #[error("the job has {phases} phases; split it into jobs of at most {MAX_PHASES}")]
+    TooManyPhases {
+        /// The number of phases.
+        phases: usize,
+    },
+    /// The job has too many tasks.
+    #[error(
+        "the job has {tasks} tasks in all occurrences; split it into jobs of at most {MAX_TASKS}"
+    )]
+    TooManyTasks {
+        /// The number of tasks, saturating.
+        tasks: u64,
+    },
     /// A phase depends on one that does not precede it.
     #[error("phase {phase} depends on phase {after}; a phase may depend only on earlier phases")]
     Order {
--- a/gl-jobs/tests/jobs/phases.rs
+++ b/gl-jobs/tests/jobs/phases.rs
@@ -1,6 +1,7 @@
 //! Phases, their dependencies, and the states of jobs. A phase must not start before the phases
 //! that it depends on are done, and clients must not see a final state that could still be lost.
 
+use assert_matches::assert_matches;
 use gl_jobs::{job, owner, worker};
 use gl_model::time;
 
@@ -126,3 +127,32 @@
     let error = cell::job(vec![late, cell::phase(1, 1)]).validate();
     assert_eq!(error, Err(job::Invalid::Order { phase: 0, after: 1 }));
 }
+
+/// Each phase depends on all earlier ones, so that the number of chains is exponential. One such
+/// job must not occupy the processor of each daemon that evaluates it.
+#[test]
+fn critical_path_of_densely_connected_phases_is_found_in_time() {
+    let phase = |n: u32| job::Phase { after: (0..n).collect(), ..cell::phase(1, 1) };
+    let job = cell::job((0..200).map(phase).collect());
+    assert_eq!(job.critical_path(0), time::Span::millis(200 * 500));
+    assert_eq!(job.critical_path(199), time::Span::millis(500));
+    assert_eq!(job.critical_path(200), time::Span::ZERO);
+    assert_eq!(job.objective(), time::Span::millis(2 * 200 * 500 + 250));
+}
+
+/// A job of four billion tasks would exhaust the memory of each owner in turn.
+#[test]
+fn job_that_no_daemon_can_keep_is_rejected() {
+    let huge = cell::job(vec![cell::phase(u32::MAX, 1)]);
+    assert_matches!(huge.validate(), Err(job::Invalid::TooManyTasks { .. }));
+    let schedule = job::Schedule {
+        first: time::Timestamp::default(),
+        interval: time::Span::ZERO,
+        count: u32::MAX,
+    };
+    let repeated = job::Job { schedule: Some(schedule), ..cell::job(vec![cell::phase(1, 1)]) };
+    assert_matches!(repeated.validate(), Err(job::Invalid::TooManyTasks { .. }));
+    let phases = cell::job(vec![cell::phase(1, 1); 201]);
+    assert_matches!(phases.validate(), Err(job::Invalid::TooManyPhases { phases: 201 }));
+    assert_eq!(cell::job(vec![cell::phase(1_000, 1); 100]).validate(), Ok(()));
+}
--- a/gl-model/src/time.rs
+++ b/gl-model/src/time.rs
@@ -22,14 +22,14 @@
         Self(n)
     }
 
-    /// Returns a span of `n` milliseconds.
+    /// Returns a span of `n` milliseconds, saturating at the longest span.
     pub const fn millis(n: u64) -> Self {
-        Self(n * MICROS_PER_MILLI)
+        Self(n.saturating_mul(MICROS_PER_MILLI))
     }
 
-    /// Returns a span of `n` seconds.
+    /// Returns a span of `n` seconds, saturating at the longest span.
     pub const fn seconds(n: u64) -> Self {
-        Self(n * MICROS_PER_SECOND)
+        Self(n.saturating_mul(MICROS_PER_SECOND))
     }
 
     /// Returns the span in whole milliseconds, rounded down.
