fix(gl-jobs): place interrupted long-running tasks before short ones after three seconds

Ruled out: capacity that the owner does not see (of 490 workers all were listed, draining or gone as the platform had it); a skipped size in the pass, as only larger tasks of the same kind are skipped.

Change: a long-running phase of which a task has ended, and waits for 3 s, comes first. Phases that have never run keep their place behind short tasks in time.

--- a/gl-jobs/src/owner/adoption.rs
+++ b/gl-jobs/src/owner/adoption.rs
@@ -31,6 +31,7 @@
         };
         let is_done = state.done.contains(task.index);
         state.waiting.remove(&task.index);
+        state.is_interrupted = !state.waiting.is_empty();
         if state.waiting.is_empty() {
             self.open_phases.remove(&task.phase);
         }
--- a/gl-jobs/src/owner/jobs.rs
+++ b/gl-jobs/src/owner/jobs.rs
@@ -46,6 +46,8 @@
     /// The start of the current wait for placement: the time at which the phase was opened, or at
     /// which a task was queued again while none was waiting.
     pub since: time::Timestamp,
+    /// Whether a run of a waiting task has ended or, after a change of owner, may have ended.
+    pub is_interrupted: bool,
     /// The time by which the occurrence should be complete.
     pub deadline: time::Timestamp,
     /// The tickets of the workers that the queue's policy allows.
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -22,6 +22,9 @@
 /// The classes of phases, in the order in which they are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
+    /// A long-running phase of which a task has ended and waits for longer than
+    /// [`settings::Settings::patience`], as short tasks take all capacity that becomes free.
+    Starved,
     /// Can still meet its objective, reserves capacity, and releases it soon.
     Short,
     /// Runs until it is cancelled, and keeps its capacity; its payoff grows with its running time.
@@ -101,7 +104,10 @@
     let spec = entry.spec(phase.phase)?;
     let objective = entry.job.objective();
     let finish = now + entry.job.critical_path(phase.phase);
-    let class = if spec.long_running {
+    let is_starved = state.is_interrupted && now.since(state.since) >= owner.settings.patience;
+    let class = if spec.long_running && is_starved {
+        Class::Starved
+    } else if spec.long_running {
         Class::LongRunning
     } else if finish <= state.deadline && !spec.best_effort {
         Class::Short
@@ -233,6 +239,7 @@
         return;
     };
     state.waiting.remove(&index);
+    state.is_interrupted &= !state.waiting.is_empty();
     let shared = if description.gang { gang::SHARED_INDEX } else { index };
     let checkpoint = state.checkpoints.get(&shared).cloned().unwrap_or_default();
     let ticket = state.tickets.get(worker.0.as_str()).cloned();
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -75,6 +75,9 @@
     /// interference and idle processors. It is shorter than the time within which waiting work has
     /// to start while there is free capacity.
     pub starvation_time: time::Span,
+    /// The time after which a long-running phase with a task that has ended is placed before short
+    /// tasks. Half of the time within which such a task has to run again if there is capacity.
+    pub patience: time::Span,
     /// The time after which an unanswered request for advice is sent again.
     pub advice_retry: time::Span,
     /// The decayed count of failures at which a worker becomes suspect if its failures also
@@ -145,6 +148,7 @@
             drain_time: time::Span::millis(2_000),
             advice_workers: 30,
             starvation_time: time::Span::millis(2_000),
+            patience: time::Span::seconds(3),
             advice_retry: time::Span::seconds(2),
             failure_limit: 2.4,
             refusal_pause: time::Span::millis(500),
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -188,3 +188,30 @@
         "then the long-running task"
     );
 }
+
+/// Short jobs arrive all the time and take all capacity that becomes free, so a long-running task
+/// that lost its worker would never run again.
+#[test]
+fn interrupted_long_running_task_that_waited_for_long_precedes_short_tasks() {
+    let mut cell = Cell::new(1);
+    let long_running = job::Phase { long_running: true, ..cell::phase(1, 64_000) };
+    let start = cell::starts(&cell.submit(1, cell::job(vec![long_running]))).remove(0);
+    cell.start_replied(&start, worker::OrderReply::Done);
+    let short = |cell: &Cell| {
+        let submitted = cell::at(cell.now);
+        job::Job { submitted, ..cell::job(vec![cell::phase(1, 64_000)]) }
+    };
+    cell.report_end(0, &start, worker::Outcome::Failed);
+    cell.owner.add_job(cell::id(2), short(&cell), &cell::moment(cell.now));
+    cell.poll(0, &[]);
+    let blocker = cell::starts(&cell.tick()).remove(0);
+    assert_eq!(blocker.task, cell::task(2, 0, 0), "short tasks come first at the beginning");
+    cell.start_replied(&blocker, worker::OrderReply::Done);
+    cell.now += 3_000;
+    cell.poll(0, &[cell::running(&blocker, 50.0, 64_000.0)]);
+    let next = short(&cell);
+    cell.submit(3, next);
+    cell.report_end(0, &blocker, worker::Outcome::Done);
+    cell.poll(0, &[]);
+    assert_eq!(cell::starts(&cell.tick())[0].task, cell::task(1, 0, 0));
+}
