--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -305,7 +305,8 @@
     let rack = sibling_rack(owner, phase, spec);
     let image = spec.image.as_deref().and_then(|name| owner.interference.find(name));
     let ignores_load = spec.best_effort && is_starved(owner, phase, state, now);
-    let request = Request { phase, entry, spec, state, rack, image, ignores_load };
+    let keeps_free = spec.long_running && is_free_share_reached(owner, &entry.job.service);
+    let request = Request { phase, entry, spec, state, rack, image, ignores_load, keeps_free };
     let mut best: Option<(f64, &Worker)> = None;
     for worker in owner.workers.values() {
         if !is_possible(owner, &request, worker, now) {
@@ -330,6 +331,9 @@
     /// Whether the task starts on any worker with free capacity, without regard to idle processors
     /// and interference.
     pub ignores_load: bool,
+    /// Whether the workers without long-running tasks are used only if no other worker has
+    /// capacity.
+    pub keeps_free: bool,
 }
 
 /// Returns whether the phase has waited for long and no task of its job is running.
@@ -384,6 +388,25 @@
     is_valid && request.state.tickets.contains_key(w.registration.id.0.as_str())
 }
 
+/// The share of workers that stay free of long-running tasks while others have capacity for them.
+const FREE_SHARE: f64 = 0.08;
+/// The malus of a worker without long-running tasks once no more than that share are left. It
+/// outweighs all bonuses but that of a rack.
+const LAST_FREE_MALUS: f64 = 8.0;
+
+/// Returns whether no more than [`FREE_SHARE`] of a service's workers are free of long-running
+/// tasks. These tasks hold their capacity for long. Spread over all workers, they would leave no
+/// worker with enough free processors in one piece for a large short task.
+fn is_free_share_reached(owner: &Owner, service: &str) -> bool {
+    let of_service = owner.workers.values().filter(|w| w.registration.service == service);
+    let (mut total, mut free) = (0_usize, 0_usize);
+    for worker in of_service {
+        total += 1;
+        free += usize::from(worker.long_running_cores == 0);
+    }
+    free as f64 <= total as f64 * FREE_SHARE
+}
+
 /// The bonus of a worker on the preferred rack. It outweighs any difference in free capacity.
 const RACK_BONUS: f64 = 10.0;
 
@@ -395,7 +418,9 @@
         colocation::idle_cores(owner, w) / total
             - colocation::expected_interference(owner, request, w) * colocation::INTERFERENCE_WEIGHT
     } else if spec.long_running {
-        left / total + colocation::image_affinity(request, w)
+        let is_last_free = request.keeps_free && w.long_running_cores == 0;
+        let malus = if is_last_free { LAST_FREE_MALUS } else { 0.0 };
+        left / total + colocation::image_affinity(request, w) - malus
     } else {
         -left / total
     };
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -215,3 +215,32 @@
     cell.poll(0, &[]);
     assert_eq!(cell::starts(&cell.tick())[0].task, cell::task(1, 0, 0));
 }
+
+/// Long-running tasks hold their capacity for the whole day. Spread over all workers, they leave no
+/// worker with enough free processors for a large short task.
+#[test]
+fn long_running_tasks_leave_some_workers_free_for_large_short_tasks() {
+    let mut cell = Cell::new(25);
+    let long_running = |image: &str, count| job::Phase {
+        long_running: true,
+        image: Some(image.to_owned()),
+        per_worker: Some(1),
+        ..cell::phase(count, 12_000)
+    };
+    for (n, image) in (1..).zip(["a", "b", "c", "d"]) {
+        let job = cell::job(vec![long_running(image, 15)]);
+        assert_eq!(cell::starts(&cell.submit(n, job)).len(), 15);
+    }
+    let large = cell::job(vec![cell::phase(2, 60_000)]);
+    assert_eq!(cell::starts(&cell.submit(5, large)).len(), 2);
+    let wide = cell::job(vec![long_running("e", 25)]);
+    assert_eq!(cell::starts(&cell.submit(6, wide)).len(), 23, "two workers are full");
+}
+
+/// The workers that are kept free are used if no other worker has capacity.
+#[test]
+fn long_running_tasks_take_the_last_free_workers_if_there_are_no_others() {
+    let mut cell = Cell::new(25);
+    let phase = job::Phase { long_running: true, ..cell::phase(25, 64_000) };
+    assert_eq!(cell::starts(&cell.submit(1, cell::job(vec![phase]))).len(), 25);
+}
