refactor: move the worker list and the skipped tasks of a pass to modules of their own

The reads of the worker list are now in worker_list.rs, the tasks that a pass need not seek a worker for in unplaced.rs. Only moved: names, order and behaviour are as before.

--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -22,3 +22,4 @@
 mod shutdown;
 mod submission;
 mod worker_client;
+mod worker_list;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -8,15 +8,9 @@
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
 
-use super::{commit, event, lease, node, placement_pause, rows, worker_client};
+use super::{commit, event, lease, node, placement_pause, rows, worker_client, worker_list};
 use crate::clock;
 
-/// Interval at which changes of the list of workers are read. It is short compared with the time for
-/// a drain, so that a draining worker soon gets no new tasks and a new worker is soon used.
-const WORKER_LIST_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
-/// Interval at which the whole list of workers is read, in case a change was missed. The list of
-/// hundreds of workers takes many pages, and no changes are read meanwhile.
-const WHOLE_LIST_INTERVAL: time::Span = time::Span::seconds(60);
 /// Interval at which changes of the work table are read, as a daemon's message about a stored row
 /// may have been lost.
 const CHANGE_FEED_INTERVAL: std::time::Duration = std::time::Duration::from_millis(400);
@@ -116,7 +110,7 @@
             ownership.step_down("the cell's rows could not be read in time");
         }
     }
-    ntex::rt::spawn(refresh_workers(rc::Rc::clone(&ownership)));
+    ntex::rt::spawn(worker_list::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(follow_changes(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(commit::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(run_placement(rc::Rc::clone(&ownership)));
@@ -138,31 +132,6 @@
     }
 }
 
-/// Reads the changes of the list of workers at an interval, and at times the whole list.
-async fn refresh_workers(ownership: rc::Rc<Ownership>) {
-    let mut whole_at = clock::steady();
-    while !ownership.is_ended() {
-        let sent = clock::steady();
-        if sent.since(whole_at) >= WHOLE_LIST_INTERVAL {
-            ownership.list_version.set(None);
-        }
-        let version = ownership.list_version.get();
-        let read = match version {
-            Some(version) => ownership.read_worker_changes(version, sent).await,
-            None => ownership.read_worker_list(sent).await,
-        };
-        match read {
-            Ok(()) if version.is_none() => whole_at = sent,
-            Err(platform::StoreError::Compacted { .. }) => {
-                ownership.list_version.set(None);
-                continue;
-            }
-            _ => {}
-        }
-        ntex::time::sleep(WORKER_LIST_INTERVAL).await;
-    }
-}
-
 /// Reads changes of the work table at an interval.
 async fn follow_changes(ownership: rc::Rc<Ownership>) {
     while !ownership.is_ended() {
@@ -228,37 +197,6 @@
         self.owner.borrow_mut().lease_renewed(sent);
     }
 
-    /// Reads the whole list of workers by a request sent at `sent`.
-    async fn read_worker_list(
-        self: &rc::Rc<Self>,
-        sent: time::Timestamp,
-    ) -> Result<(), platform::StoreError> {
-        let list = self.node.platform.directory.workers().await;
-        let now = clock::steady();
-        self.node.record_store_result(&list, now);
-        let list = list?;
-        self.owner.borrow_mut().workers_listed(&list.workers, sent, now);
-        self.list_version.set(Some(list.version));
-        self.process_decisions();
-        Ok(())
-    }
-
-    /// Reads the changes of the list of workers after `version` by a request sent at `sent`.
-    async fn read_worker_changes(
-        self: &rc::Rc<Self>,
-        version: u64,
-        sent: time::Timestamp,
-    ) -> Result<(), platform::StoreError> {
-        let update = self.node.platform.directory.workers_changed(version).await;
-        let now = clock::steady();
-        self.node.record_store_result(&update, now);
-        let update = update?;
-        self.owner.borrow_mut().workers_changed(&update.changes, sent, now);
-        self.list_version.set(Some(update.version));
-        self.process_decisions();
-        Ok(())
-    }
-
     /// Applies changed rows of the work table: jobs first, then cancellations.
     fn apply_work(&self, work: &[platform::Row]) {
         let moment = node::Node::moment();
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -24,6 +24,7 @@
 mod settings;
 mod throttle;
 mod timeouts;
+mod unplaced;
 mod workers;
 
 use std::collections;
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -1,11 +1,11 @@
 //! Placement: decides which waiting tasks start, and on which workers.
 
-use gl_model::{size, time};
+use gl_model::time;
 
 use super::adoption::{RunOrder, make_run};
 use super::{
     Action, JobEntry, Note, Owner, PhaseState, Stage, Worker, advice, colocation, gang,
-    interference, jobs, settings,
+    interference, jobs, settings, unplaced,
 };
 use crate::{job, task, worker};
 
@@ -44,87 +44,12 @@
     }
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
     ranks.sort_unstable();
-    let mut skip = Unplaced { rooms: rooms(owner, now), ..Unplaced::default() };
+    let mut skip = unplaced::Unplaced::new(owner, now);
     for rank in ranks {
         start_phase(owner, rank.phase, &mut skip, now);
     }
 }
 
-/// Tasks that could not be placed in this pass. Tasks of the same kind that need at least as much
-/// cannot be placed either, and are skipped.
-#[derive(Default)]
-struct Unplaced {
-    tasks: Vec<Requirements>,
-    rooms: Vec<Room>,
-}
-
-/// The largest free capacity of a service's workers at the start of a pass, in each dimension. It is
-/// an upper bound, as a pass only takes capacity. In a full service it spares the search for a
-/// worker for nearly all waiting tasks.
-struct Room {
-    service: String,
-    largest: size::Size,
-}
-
-fn rooms(owner: &Owner, now: time::Timestamp) -> Vec<Room> {
-    let mut rooms: Vec<Room> = Vec::new();
-    for worker in owner.workers.values().filter(|w| w.is_eligible(&owner.settings, now)) {
-        let service = &worker.registration.service;
-        match rooms.iter_mut().find(|room| room.service == *service) {
-            Some(room) => room.largest = room.largest.max(&worker.free()),
-            None => rooms.push(Room { service: service.clone(), largest: worker.free() }),
-        }
-    }
-    rooms
-}
-
-/// The requirements of a task that could not be placed and that has no special constraints.
-struct Requirements {
-    service: String,
-    best_effort: bool,
-    /// The image of a best-effort task, which decides where the task would interfere.
-    image: Option<String>,
-    size: size::Size,
-}
-
-impl Requirements {
-    fn new(job: &job::Job, spec: &job::Phase) -> Self {
-        let service = job.service.clone();
-        let image = spec.image.clone().filter(|_| spec.best_effort);
-        Self { service, best_effort: spec.best_effort, image, size: spec.size }
-    }
-
-    fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
-        self.best_effort == spec.best_effort
-            && (!spec.best_effort || self.image == spec.image)
-            && self.service == job.service
-            && self.size.fits_in(&spec.size)
-    }
-}
-
-impl Unplaced {
-    fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
-        let room = self.rooms.iter().find(|room| room.service == job.service);
-        let has_room = room.is_some_and(|room| spec.reserved().fits_in(&room.largest));
-        // A request for advice does not need room, and the answer takes a while.
-        if !has_room && job.advice.is_none() {
-            return true;
-        }
-        self.tasks.iter().any(|task| task.covers(job, spec))
-    }
-
-    fn add(&mut self, job: &job::Job, spec: &job::Phase) {
-        let is_plain = spec.label.is_none()
-            && spec.per_worker.is_none()
-            && !spec.gang
-            && !spec.long_running
-            && job.advice.is_none();
-        if is_plain {
-            self.tasks.push(Requirements::new(job, spec));
-        }
-    }
-}
-
 fn rank(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<Rank> {
     let entry = owner.jobs.get(&phase.job)?;
     let state = entry.phases.get(&(phase.occurrence, phase.phase))?;
@@ -179,7 +104,12 @@
 
 const MILLICORES_PER_CORE: f64 = 1_000.0;
 
-fn start_phase(owner: &mut Owner, phase: task::PhaseId, skip: &mut Unplaced, now: time::Timestamp) {
+fn start_phase(
+    owner: &mut Owner,
+    phase: task::PhaseId,
+    skip: &mut unplaced::Unplaced,
+    now: time::Timestamp,
+) {
     let entry = owner.jobs.get(&phase.job);
     let Some((job, spec)) = entry.and_then(|e| Some((&e.job, e.spec(phase.phase)?))) else {
         owner.open_phases.remove(&phase);
