fix(gl-jobs): bound all start orders by the age of the worker list again

Ruled out: load of other processes as the only cause, as the owner's late reads were seen without any.

The list is read each 300 ms in place of 500.

--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -276,7 +276,10 @@
         let outage_until = if is_store_down { now + OUTAGE_PERMISSION } else { now };
         let may_start = allowed && !self.node.is_draining.get();
         let until = if may_start { self.lease_until.get().max(outage_until) } else { now };
-        self.owner.borrow_mut().allow_starts(until);
+        let mut owner = self.owner.borrow_mut();
+        owner.allow_starts(until);
+        owner.set_store_down(is_store_down && is_cut_off);
+        drop(owner);
         if self.starts_allowed.replace(allowed) != allowed {
             let lease_left_ms = self.lease_until.get().since(now).as_millis();
             let cause = if is_valid { "lease" } else { "store" };
--- a/geraniumlatchd/src/jobs/worker_list.rs
+++ b/geraniumlatchd/src/jobs/worker_list.rs
@@ -10,7 +10,7 @@
 
 /// Interval at which changes of the list of workers are read. It is short compared with the time for
 /// a drain, so that a draining worker soon gets no new tasks and a new worker is soon used.
-const WORKER_LIST_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
+const WORKER_LIST_INTERVAL: std::time::Duration = std::time::Duration::from_millis(300);
 /// Interval at which the whole list of workers is read, in case a change was missed. The list of
 /// hundreds of workers takes many pages, and no changes are read meanwhile.
 const WHOLE_LIST_INTERVAL: time::Span = time::Span::seconds(60);
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -203,6 +203,7 @@
                 let may_start = is_valid && !ownership.is_stale;
                 let until = if may_start { now + LEASE_DURATION } else { now };
                 ownership.owner.allow_starts(until);
+                ownership.owner.set_store_down(!is_up);
                 ownership.owner.tick(&moment);
             }
             self.apply_decisions(n);
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -75,8 +75,8 @@
     starts_until: time::Timestamp,
     /// The time at which the newest list of workers was requested.
     list_read_at: time::Timestamp,
-    /// Whether that list was read before the stored state was loaded, which takes seconds.
-    is_list_initial: bool,
+    /// Whether no daemon can reach the store, so that no worker can change its entry either.
+    is_store_down: bool,
     actions: Vec<Action>,
 }
 
@@ -91,7 +91,7 @@
             horizon: now + settings.horizon,
             starts_until: now + settings.start_window,
             list_read_at: now,
-            is_list_initial: true,
+            is_store_down: false,
             settings,
             token,
             last_attempt: token * ATTEMPTS_PER_TOKEN,
@@ -139,15 +139,17 @@
         now < self.starts_until && now + self.settings.start_window <= self.horizon
     }
 
-    /// Returns the time for which a start order may be valid. Until the list of workers is read again
-    /// after a change of owner, no worker may carry an order out later than
-    /// [`Settings::drain_time`] after it announced that it drains, and the list shows only the
+    /// Sets whether no daemon can reach the store. Workers cannot announce then that they drain, so
+    /// the newest list of workers stays valid.
+    pub const fn set_store_down(&mut self, is_store_down: bool) {
+        self.is_store_down = is_store_down;
+    }
+
+    /// Returns the time for which a start order may be valid so that no worker carries it out later
+    /// than [`Settings::drain_time`] after it announced that it drains. The newest list shows all
     /// announcements made before it was requested.
-    ///
-    /// The list is not bounded later on: an owner without processor time to read it, or without
-    /// the store, would stop all starts although hardly any worker drains.
     fn start_validity(&self, now: time::Timestamp) -> time::Span {
-        if !self.is_list_initial {
+        if self.is_store_down {
             return self.settings.start_window;
         }
         let list_validity = (self.list_read_at + self.settings.drain_time).since(now);
--- a/gl-jobs/src/owner/polls.rs
+++ b/gl-jobs/src/owner/polls.rs
@@ -35,7 +35,6 @@
         now: time::Timestamp,
     ) {
         self.list_read_at = sent;
-        self.is_list_initial = false;
         for id in &changes.removed {
             self.worker_unlisted(id, now);
         }
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery.rs
@@ -47,7 +47,6 @@
         moment: &Moment,
     ) {
         let settings = self.settings;
-        self.is_list_initial = true;
         for entry in roster {
             self.add_enrolled(entry, moment.now);
         }
--- a/gl-jobs/tests/jobs/orders.rs
+++ b/gl-jobs/tests/jobs/orders.rs
@@ -127,32 +127,42 @@
 /// read at the beginning does not show which workers have started to drain since.
 #[test]
 fn no_task_starts_on_a_list_that_may_hide_a_draining_worker() {
-    let started = |age: u64, is_read_again: bool| {
-        let mut cell = Cell::new(1);
-        cell.is_list_read = is_read_again;
-        cell.now += 2_000;
-        cell.poll(0, &[]);
-        let read_at = cell.now - age;
-        cell.owner.workers_listed(&[cell::registration(0)], cell::at(read_at), cell::at(cell.now));
-        cell.owner.recover(Vec::new(), Vec::new(), &cell::moment(cell.now));
-        cell.owner.poll_replied(
-            &cell::worker(0),
-            cell::at(cell.now),
-            &worker::PollReply {
-                clock: cell::at(cell.now),
-                incarnation: worker::Incarnation(1),
-                ..worker::PollReply::default()
-            },
-            cell::at(cell.now),
-        );
-        let actions = cell.submit(1, cell::job(vec![cell::phase(1, 1)]));
-        let started = cell::starts(&actions).pop();
-        (started.map(|start| start.order.deadline), cell::at(read_at + 2_000))
-    };
-    let (deadline, latest) = started(1_600, false);
+    let mut cell = Cell::new(1);
+    cell.is_list_read = false;
+    cell.now += 2_000;
+    cell.poll(0, &[]);
+    let drain_time = 2_000;
+    let list = [cell::registration(0)];
+    let read_at = cell.now - 1_600;
+    cell.owner.workers_listed(&list, cell::at(read_at), cell::at(cell.now));
+    let started = cell.submit(1, cell::job(vec![cell::phase(1, 1)]));
+    let deadline = started.iter().find_map(|action| match action {
+        owner::Action::Start { order, .. } => Some(order.deadline),
+        _ => None,
+    });
+    let latest = cell::at(read_at + drain_time);
     assert!(deadline.is_some_and(|at| at <= latest), "{deadline:?} is later than {latest:?}");
-    assert_eq!(started(1_900, false).0, None);
-    assert!(started(1_900, true).0.is_some(), "the list was read again");
+
+    let read_at = cell.now - 1_900;
+    cell.owner.workers_listed(&list, cell::at(read_at), cell::at(cell.now));
+    let actions = cell.submit(2, cell::job(vec![cell::phase(1, 1)]));
+    assert!(cell::starts(&actions).is_empty());
+    cell.is_list_read = true;
+    assert_eq!(cell::starts(&cell.tick()).len(), 1);
+}
+
+/// While the store is down, no worker can announce that it drains.
+#[test]
+fn list_stays_valid_while_the_store_is_down() {
+    let mut cell = Cell::new(1);
+    cell.is_list_read = false;
+    cell.owner.set_store_down(true);
+    cell.now += 5_000;
+    cell.poll(0, &[]);
+    let actions = cell.submit(1, cell::job(vec![cell::phase(1, 1)]));
+    assert_eq!(cell::starts(&actions).len(), 1);
+    cell.owner.set_store_down(false);
+    assert!(cell::starts(&cell.submit(2, cell::job(vec![cell::phase(1, 1)]))).is_empty());
 }
 
 /// Replies to orders of an earlier attempt may arrive after the next attempt has been ordered on the
