test(gl-standin): reserve the ports of daemons until they listen

The tests chose a port by binding and closing it, and until the daemon bound it again the system could give it to a connection of another test. Ruled out: a daemon that waits for the store before it listens; it listens before it reads it. Change: a port is reserved by a connection in TIME_WAIT, which only a listener with SO_REUSEADDR may bind. A daemon that ends before it is ready fails the test at once, with its exit code and its last log lines.

--- a/gl-standin/src/fleet/daemon.rs
+++ b/gl-standin/src/fleet/daemon.rs
@@ -4,6 +4,7 @@
 
 use serde_json::json;
 
+use super::ports;
 use crate::process::{self, Process};
 
 /// A running daemon, its addresses and its log.
@@ -18,29 +19,15 @@
     pub log_path: path::PathBuf,
 }
 
-/// Returns a free loopback port.
-fn free_port() -> io::Result<u16> {
-    Ok(net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?.local_addr()?.port())
-}
-
-/// Returns the first of two consecutive free loopback ports.
-fn free_port_pair() -> io::Result<u16> {
-    loop {
-        let first = free_port()?;
-        let next = first.checked_add(1).ok_or_else(|| io::Error::other("no port"))?;
-        if net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, next)).is_ok() {
-            return Ok(first);
-        }
-    }
-}
-
 fn settings(name: &str, store_address: net::SocketAddr) -> io::Result<serde_json::Value> {
     let address = |port: u16| format!("127.0.0.1:{port}");
-    let pair = free_port_pair()?;
+    let pair = ports::reserve_port_pair()?;
     Ok(json!({
         "NodeName": name, "Role": "scheduler", "MachineClass": "frontend", "Ip": "127.0.0.1",
         "Zone": "a", "Bootstrap": true, "HeartbeatMs": 300, "ControlMode": "push",
-        "ListenAddrs": {"FrontendAddr": address(free_port()?), "Ready": address(free_port()?)},
+        "ListenAddrs": {
+            "FrontendAddr": address(ports::reserve_port()?), "Ready": address(ports::reserve_port()?)
+        },
         "PortRange": [pair, pair + 1],
         "Bounds": {
             "GraceS": 6, "HoldMaxMs": 10_000, "StopTimeoutMs": 900, "DrainMs": 2_000,
@@ -53,6 +40,9 @@
 /// The maximum time from the start of a daemon until it is ready.
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// The log lines that the error of a failed start shows.
+const SHOWN_LINES: usize = 20;
+
 impl Daemon {
     /// Starts a daemon with its settings and its log in `dir`, and waits until it is ready.
     ///
@@ -76,14 +66,14 @@
             text.parse().map_err(io::Error::other)
         };
         let (client_address, ready_address) = (address("FrontendAddr")?, address("Ready")?);
-        let daemon = Self { process, client_address, ready_address, log_path };
+        let mut daemon = Self { process, client_address, ready_address, log_path };
         daemon.wait_until_ready().await?;
         Ok(daemon)
     }
 
-    async fn wait_until_ready(&self) -> io::Result<()> {
+    async fn wait_until_ready(&mut self) -> io::Result<()> {
         let deadline = time::Instant::now() + READY_TIMEOUT;
-        while time::Instant::now() < deadline {
+        while time::Instant::now() < deadline && self.process.exit_code().is_none() {
             if super::client::request_status(self.ready_address, "GET", "/readyz", "").await
                 == Some(200)
             {
@@ -91,7 +81,17 @@
             }
             ntex::time::sleep(time::Duration::from_millis(20)).await;
         }
-        Err(io::Error::other("the daemon is not ready"))
+        let state = match self.process.exit_code() {
+            Some(code) => format!("ended with code {code}"),
+            None => format!("is not ready after {READY_TIMEOUT:?}"),
+        };
+        let log = std::fs::read_to_string(&self.log_path).unwrap_or_default();
+        let first = log.lines().count().saturating_sub(SHOWN_LINES);
+        let lines: Vec<&str> = log.lines().skip(first).collect();
+        Err(io::Error::other(format!(
+            "the daemon {state}; its log ends with:\n{}",
+            lines.join("\n")
+        )))
     }
 
     /// Returns the log lines that are JSON.
--- a/gl-standin/src/fleet/mod.rs
+++ b/gl-standin/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod daemon;
+pub mod ports;
 mod server;
 mod store;
 mod workers;
--- a/gl-standin/src/process.rs
+++ b/gl-standin/src/process.rs
@@ -119,12 +119,18 @@
         let _ = self.child.wait();
     }
 
+    /// Returns the exit code of a process that has ended, -1 after a signal.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().ok().flatten()?;
+        Some(status.code().unwrap_or(-1))
+    }
+
     /// Waits until the process has ended and returns its exit code, or `None` after `timeout`.
     pub async fn wait_for_exit(&mut self, timeout: time::Duration) -> Option<i32> {
         let deadline = time::Instant::now() + timeout;
         while time::Instant::now() < deadline {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return Some(status.code().unwrap_or(-1));
+            if let Some(code) = self.exit_code() {
+                return Some(code);
             }
             ntex::time::sleep(time::Duration::from_millis(20)).await;
         }
--- a/gl-standin/tests/process/mod.rs
+++ b/gl-standin/tests/process/mod.rs
@@ -5,6 +5,7 @@
 mod end_to_end;
 mod hosted;
 mod plans;
+mod ports;
 mod shards;
 
 use gl_standin::{caller, cluster, http, runs};
