fix(gl-jobs): extend workers' leases through an outage in which no daemon can claim the cell

Ruled out: polls that waited for the commit (150 ms at most), a new owner that ended the runs (the workers themselves reported the end of their leases). Change: while neither the owner nor, by their current heartbeats, any follower reaches the store, no claim can have been made until the age of a heartbeat ago, and leases are granted as after a renewal at that time. Not after a suspension, and not while any follower is silent or reaches the store.

--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -26,8 +26,6 @@
 /// Time for which new runs are permitted while no daemon can reach the store. The permission is
 /// renewed with each tick, so that it ends if the process is suspended.
 const OUTAGE_PERMISSION: time::Span = SUSPENSION_THRESHOLD;
-/// Age up to which a follower's heartbeat counts as current; covers two heartbeats.
-const HEARTBEAT_VALIDITY: time::Span = time::Span::millis(1_200);
 /// Time for which a follower without heartbeats still counts as a daemon that may claim the cell.
 const FOLLOWER_RETENTION: time::Span = time::Span::seconds(20);
 
@@ -297,6 +295,14 @@
         let mut owner = self.owner.borrow_mut();
         owner.allow_starts(until);
         owner.set_store_down(is_store_down && is_cut_off);
+        let outage = election::Outage {
+            owner_cut_off: is_cut_off,
+            followers_cut_off: is_store_down,
+            is_stale: self.is_stale.get(),
+        };
+        if let Some(at) = election::no_claim_before(outage, now) {
+            owner.claims_excluded(at);
+        }
         drop(owner);
         if self.starts_allowed.replace(allowed) != allowed {
             let lease_left_ms = self.lease_until.get().since(now).as_millis();
@@ -308,9 +314,9 @@
     /// Returns whether a follower can reach the store, so that it can own the cell instead.
     fn is_store_up_for_follower(&self, now: time::Timestamp) -> bool {
         let followers = self.followers.borrow();
-        followers
-            .values()
-            .any(|heartbeat| heartbeat.is_store_up && now.since(heartbeat.at) < HEARTBEAT_VALIDITY)
+        followers.values().any(|heartbeat| {
+            heartbeat.is_store_up && now.since(heartbeat.at) < election::HEARTBEAT_VALIDITY
+        })
     }
 
     /// Returns whether there are followers and none of them can reach the store. A follower without
@@ -319,7 +325,7 @@
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, heartbeat| now.since(heartbeat.at) < FOLLOWER_RETENTION);
         let is_store_down = |heartbeat: &Heartbeat| {
-            now.since(heartbeat.at) < HEARTBEAT_VALIDITY && !heartbeat.is_store_up
+            now.since(heartbeat.at) < election::HEARTBEAT_VALIDITY && !heartbeat.is_store_up
         };
         !followers.is_empty() && followers.values().all(is_store_down)
     }
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -130,3 +130,27 @@
 pub fn claim_delay(cores: Option<f64>) -> time::Span {
     if cores.is_some_and(|cores| cores < SUFFICIENT_CORES) { CLAIM_DELAY } else { time::Span::ZERO }
 }
+
+/// The age up to which a follower's heartbeat counts as current; covers two heartbeats.
+pub const HEARTBEAT_VALIDITY: time::Span = time::Span::millis(1_200);
+
+/// What an owner that cannot renew its lease knows about the reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outage {
+    /// Whether the owner itself cannot reach the store.
+    pub owner_cut_off: bool,
+    /// Whether there are followers, and the current heartbeats of all of them say that they cannot
+    /// reach the store either.
+    pub followers_cut_off: bool,
+    /// Whether the process may have been suspended since it last read the store, so that heartbeats
+    /// may be older than they seem.
+    pub is_stale: bool,
+}
+
+/// Returns a time before which no other daemon can have claimed the cell, if the outage shows one. A
+/// claim needs the store, and a daemon that reaches it again first watches the lease for longer than
+/// a heartbeat counts as current.
+pub fn no_claim_before(outage: Outage, now: time::Timestamp) -> Option<time::Timestamp> {
+    let is_certain = outage.owner_cut_off && outage.followers_cut_off && !outage.is_stale;
+    is_certain.then_some(now - HEARTBEAT_VALIDITY)
+}
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -125,7 +125,14 @@
 
     /// Records that the owner's lease on the cell was renewed by a request sent at `sent`.
     pub fn lease_renewed(&mut self, sent: time::Timestamp) {
-        self.horizon = self.horizon.max(sent + self.settings.horizon);
+        self.claims_excluded(sent);
+    }
+
+    /// Records that no other daemon can have claimed the cell before `until`, so that a later owner
+    /// waits for leases granted from then on. While no daemon reaches the store, this keeps the
+    /// workers' tasks running although the owner cannot renew its own lease.
+    pub fn claims_excluded(&mut self, until: time::Timestamp) {
+        self.horizon = self.horizon.max(until + self.settings.horizon);
     }
 
     /// Sets the time until which the owner may order new runs. It may while its lease on the cell
--- a/gl-standin/src/fleet/daemon.rs
+++ b/gl-standin/src/fleet/daemon.rs
@@ -19,6 +19,9 @@
     pub log_path: path::PathBuf,
 }
 
+/// The maximum lease of a worker, in milliseconds. Short, so that a test can outlast it.
+pub const MAX_LEASE_MS: u64 = 5_000;
+
 fn settings(name: &str, store_address: net::SocketAddr) -> io::Result<serde_json::Value> {
     let address = |port: u16| format!("127.0.0.1:{port}");
     let pair = ports::reserve_port_pair()?;
@@ -30,7 +33,7 @@
         },
         "PortRange": [pair, pair + 1],
         "Bounds": {
-            "GraceS": 6, "HoldMaxMs": 10_000, "StopTimeoutMs": 900, "DrainMs": 2_000,
+            "GraceS": 6, "HoldMaxMs": MAX_LEASE_MS, "StopTimeoutMs": 900, "DrainMs": 2_000,
             "status_s": 120
         },
         "platform": {"Address": store_address.to_string()}
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -255,3 +255,25 @@
     let runs = hosted.runs().await;
     assert!(runs.iter().all(|run| run.ended.is_some()), "{runs:?}");
 }
+
+/// The outage lasts longer than any lease that was granted before it.
+#[ntex::test]
+async fn long_running_tasks_continue_through_an_outage_of_the_store() {
+    let hosted = Hosted::start(3).await;
+    let phase = json!({"Count": 2, "Cpu": 1000, "LongRunning": true});
+    let body = json!({"Spec": "{\"lasting\":true}", "Phases": [phase]}).to_string();
+    assert_eq!(
+        client::request_status(hosted.address(0), "POST", &job_path(1), &body).await,
+        Some(200)
+    );
+    assert!(client::wait_for_state(hosted.address(1), &job_path(1), "running", TIMEOUT).await);
+    hosted.set_store_down(true).await;
+    let outage = time::Duration::from_millis(daemon::MAX_LEASE_MS * 3 / 2);
+    ntex::time::sleep(outage).await;
+    hosted.set_store_down(false).await;
+    ntex::time::sleep(time::Duration::from_secs(2)).await;
+    let runs = hosted.runs().await;
+    check_runs(&runs);
+    assert_eq!(runs.len(), 2, "tasks must not be restarted: {runs:?}");
+    assert!(runs.iter().all(|run| run.ended.is_none()), "{runs:?}");
+}
