perf(geraniumlatchd): read the stored state at the same time after a claim

Cause: a new owner starts nothing until it has read the list of workers, the commit row, jobs, progress, roster and model. Ruled out: reading before the earlier owners are fenced off, as they could still commit. Change: the list of workers is read beside the fencing, the other rows at the same time after it.

--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -30,20 +30,20 @@
     pub(super) async fn load_state(&self, cause: &'static str) -> Result<(), platform::StoreError> {
         let platform = &self.node.platform;
         let listed_at = clock::steady();
-        let list = platform.directory.workers().await;
+        let (list, fenced) = future::join(platform.directory.workers(), commit::fence(self)).await;
         self.node.record_store_result(&list, clock::steady());
         let list = list?;
-        self.fence_version.set(commit::fence(self).await?);
-        let work = self.read_work().await?;
-        let progress = platform.store.range(&rows::all_committed(rows::PROGRESS)).await;
-        self.node.record_store_result(&progress, clock::steady());
-        let stored = self.join_rows(&work.rows, &progress?.rows);
-        let roster = platform.store.range(&rows::all_committed(rows::ROSTER)).await;
-        self.node.record_store_result(&roster, clock::steady());
-        let roster = decode_all("worker", &roster?.rows);
-        let model = platform.store.range(&rows::single(rows::interference())).await;
-        self.node.record_store_result(&model, clock::steady());
-        let model: Vec<record::ModelSnapshot> = decode_all("learnt", &model?.rows);
+        self.fence_version.set(fenced?);
+        // Earlier owners cannot commit any more, so these rows do not change during the reads.
+        let progress = self.read_rows(rows::all_committed(rows::PROGRESS));
+        let roster = self.read_rows(rows::all_committed(rows::ROSTER));
+        let model = self.read_rows(rows::single(rows::interference()));
+        let (work, progress, roster, model) =
+            future::join4(self.read_work(), progress, roster, model).await;
+        let work = work?;
+        let stored = self.join_rows(&work.rows, &progress?);
+        let roster = decode_all("worker", &roster?);
+        let model: Vec<record::ModelSnapshot> = decode_all("learnt", &model?);
         let moment = node::Node::moment();
         let (jobs, count) = (stored.len(), list.workers.len());
         {
@@ -61,6 +61,15 @@
         Ok(())
     }
 
+    async fn read_rows(
+        &self,
+        range: platform::Range,
+    ) -> Result<Vec<platform::Row>, platform::StoreError> {
+        let read = self.node.platform.store.range(&range).await;
+        self.node.record_store_result(&read, clock::steady());
+        Ok(read?.rows)
+    }
+
     /// Reads all partitions of the work table concurrently. The returned version is the lowest one
     /// of all partitions, so that the changes after it are complete.
     pub(super) async fn read_work(&self) -> Result<platform::Rows, platform::StoreError> {
--- a/gl-standin/src/fleet/server.rs
+++ b/gl-standin/src/fleet/server.rs
@@ -69,6 +69,8 @@
             .service(web::resource("/rows-feed").route(web::get().to(read_feed)))
             .service(web::resource("/admin/config").route(web::post().to(set_config)))
             .service(web::resource("/admin/down").route(web::post().to(set_down)))
+            .service(web::resource("/admin/slow").route(web::post().to(set_read_time)))
+            .service(web::resource("/admin/reads").route(web::get().to(get_read_together)))
             .service(web::resource("/admin/runs").route(web::get().to(get_runs)))
     });
     server.workers(1).disable_signals().listen(store_socket)?.run().await
@@ -118,7 +120,14 @@
     fleet: web::types::State<Fleet>,
     query: web::types::Query<Query>,
 ) -> web::HttpResponse {
-    let store = fleet.store.lock();
+    let read_time = {
+        let mut store = fleet.store.lock();
+        store.begin_read(&query.table);
+        store.read_time
+    };
+    ntex::time::sleep(read_time).await;
+    let mut store = fleet.store.lock();
+    store.end_read(&query.table);
     if store.is_down {
         return unavailable();
     }
@@ -162,6 +171,19 @@
     web::HttpResponse::Ok().finish()
 }
 
+/// Sets the time that a read of a range takes, in milliseconds.
+async fn set_read_time(
+    fleet: web::types::State<Fleet>,
+    body: web::types::Json<u64>,
+) -> web::HttpResponse {
+    fleet.store.lock().read_time = time::Duration::from_millis(*body);
+    web::HttpResponse::Ok().finish()
+}
+
+async fn get_read_together(fleet: web::types::State<Fleet>) -> web::HttpResponse {
+    web::HttpResponse::Ok().json(&fleet.store.lock().read_together)
+}
+
 async fn get_runs(fleet: web::types::State<Fleet>) -> web::HttpResponse {
     web::HttpResponse::Ok().json(&fleet.workers.lock().runs)
 }
--- a/gl-standin/src/fleet/store.rs
+++ b/gl-standin/src/fleet/store.rs
@@ -1,6 +1,6 @@
 //! The store of the stand-in: versioned rows, transactions and a change feed.
 
-use std::collections;
+use std::{collections, time};
 
 use serde_json::{Value, json};
 
@@ -22,6 +22,12 @@
     version: u64,
     /// True during an outage: all requests are refused.
     pub is_down: bool,
+    /// The time that a read of a range takes.
+    pub read_time: time::Duration,
+    /// The tables of the reads in progress, one entry for each read.
+    pub reading: Vec<String>,
+    /// The largest set of tables that were being read at the same time.
+    pub read_together: collections::BTreeSet<String>,
 }
 
 fn text(value: &Value, field: &str) -> String {
@@ -37,6 +43,22 @@
 }
 
 impl Store {
+    /// Records that a read of a table has begun.
+    pub fn begin_read(&mut self, table: &str) {
+        self.reading.push(table.to_owned());
+        let together: collections::BTreeSet<_> = self.reading.iter().cloned().collect();
+        if together.len() > self.read_together.len() {
+            self.read_together = together;
+        }
+    }
+
+    /// Records that a read of a table has ended.
+    pub fn end_read(&mut self, table: &str) {
+        if let Some(n) = self.reading.iter().position(|other| other == table) {
+            self.reading.swap_remove(n);
+        }
+    }
+
     /// Writes a row without a transaction, as operators and workers do.
     pub fn put(&mut self, table: &str, key: &str, value: &str) {
         self.version += 1;
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -277,3 +277,23 @@
     assert_eq!(runs.len(), 2, "tasks must not be restarted: {runs:?}");
     assert!(runs.iter().all(|run| run.ended.is_none()), "{runs:?}");
 }
+
+/// Nothing starts until a new owner has read the stored state. Reads one after the other from a slow
+/// store add up to seconds.
+#[ntex::test]
+async fn new_owner_reads_the_stored_state_at_the_same_time() {
+    let mut hosted = Hosted::start(0).await;
+    http::post(&format!("http://{}/admin/slow", hosted.store), &300).await.unwrap();
+    hosted.start_daemon("only").await;
+    let body = two_phase_job("{}");
+    let (address, path) = (hosted.address(0), job_path(1));
+    let deadline = time::Instant::now() + TIMEOUT;
+    while client::request_status(address, "POST", &path, &body).await != Some(200) {
+        assert!(time::Instant::now() < deadline, "the job was not accepted");
+    }
+    assert!(client::wait_for_state(address, &path, "complete", TIMEOUT).await);
+    let url = format!("http://{}/admin/reads", hosted.store);
+    let read: collections::BTreeSet<String> = http::get(&url).await.unwrap();
+    let stored = ["progress", "roster", "work"].map(str::to_owned);
+    assert!(read.is_superset(&stored.into()), "read at the same time: {read:?}");
+}
