feat(gl-jobs): hold the last free workers for short tasks

The workers kept free so far were taken as soon as the others were full. Ruled out: the order of the classes (nothing would fit in any order), hopeless jobs (27 failed runs in 549), the time that the owner takes (half of the first starts within 20 ms). Change: long-running tasks that have not run yet wait while the workers without any are needed for short tasks: at most 8% of the service and twice the recent peak of what short tasks use or wait for. Interrupted tasks are exempt. Nothing is held once short tasks are rare.

--- /dev/null
+++ b/gl-jobs/src/owner/headroom.rs
@@ -0,0 +1,112 @@
+//! Workers that are held free of long-running tasks for the short tasks that arrive.
+//!
+//! Long-running tasks hold their capacity for long. Where they fill a service, no worker has enough
+//! free processors in one piece for a large short task, which is worth far more per processor and
+//! second. So long-running tasks that have not run yet wait while the free workers are needed.
+
+use gl_model::time;
+
+use super::{Owner, placement};
+
+/// The share of a service's workers that stay free of long-running tasks while others have capacity
+/// for them, and the largest share that is held for short tasks.
+const FREE_SHARE: f64 = 0.08;
+/// The processors held, relative to the recent peak of those that short tasks use or wait for.
+const PEAK_RATIO: f64 = 2.0;
+/// The time in which the recorded peak falls by half if short tasks need less.
+const PEAK_HALF_LIFE: time::Span = time::Span::seconds(5);
+/// The interval at which the demand is recorded: shorter than nearly all short tasks, and long
+/// compared with the pauses between placement passes.
+const INTERVAL: time::Span = time::Span::millis(100);
+/// The number of processors below which a peak is forgotten, in thousandths of a core.
+const MIN_PEAK: f64 = 500.0;
+
+/// The recent demand of the short tasks of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Demand {
+    service: String,
+    /// The peak of the processors in use or waited for, in thousandths of a core.
+    peak: f64,
+    at: time::Timestamp,
+}
+
+/// The workers of a service that are free of long-running tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// There are enough free workers.
+    Ample,
+    /// Free workers are taken only if no others have capacity.
+    Scarce,
+    /// Free workers are held for short tasks.
+    Held,
+}
+
+/// Updates the recorded demand of all services, once per interval.
+pub(super) fn update(owner: &mut Owner, now: time::Timestamp) {
+    if now.since(owner.demand_at) < INTERVAL {
+        return;
+    }
+    owner.demand_at = now;
+    for demand in &mut owner.demands {
+        let halvings = now.since(demand.at).as_seconds() / PEAK_HALF_LIFE.as_seconds();
+        demand.peak *= 0.5_f64.powf(halvings);
+        demand.at = now;
+    }
+    owner.demands.retain(|demand| demand.peak >= MIN_PEAK);
+    for needed in current(owner, now) {
+        match owner.demands.iter_mut().find(|demand| demand.service == needed.service) {
+            Some(demand) => demand.peak = demand.peak.max(needed.peak),
+            None => owner.demands.push(needed),
+        }
+    }
+}
+
+/// Returns the processors that short tasks use or wait for now.
+fn current(owner: &Owner, now: time::Timestamp) -> Vec<Demand> {
+    let mut needed: Vec<Demand> = Vec::new();
+    let mut add = |service: &str, cores: u64| {
+        if cores == 0 {
+            return;
+        }
+        match needed.iter_mut().find(|demand| demand.service == service) {
+            Some(demand) => demand.peak += cores as f64,
+            None => {
+                needed.push(Demand { service: service.to_owned(), peak: cores as f64, at: now })
+            }
+        }
+    };
+    for worker in owner.workers.values() {
+        let in_use = worker.reserved.cores.saturating_sub(worker.long_running_cores);
+        add(&worker.registration.service, in_use);
+    }
+    for phase in &owner.open_phases {
+        let entry = owner.jobs.get(&phase.job);
+        let waiting = placement::state_of(owner, *phase).map_or(0, |state| state.waiting.len());
+        let spec = entry.and_then(|entry| Some((entry, entry.spec(phase.phase)?)));
+        if let Some((entry, spec)) = spec.filter(|(_, s)| !s.long_running && !s.best_effort) {
+            add(&entry.job.service, spec.size.cores * waiting as u64);
+        }
+    }
+    needed
+}
+
+/// Returns whether the workers of a service that are free of long-running tasks suffice.
+pub(super) fn room(owner: &Owner, service: &str) -> Room {
+    let of_service = owner.workers.values().filter(|w| w.registration.service == service);
+    let (mut total, mut free, mut cores) = (0_usize, 0_usize, 0_u64);
+    for worker in of_service {
+        total += 1;
+        cores += worker.registration.size.cores;
+        free += usize::from(worker.long_running_cores == 0);
+    }
+    let share = total as f64 * FREE_SHARE;
+    let peak = owner.demands.iter().find(|d| d.service == service).map_or(0.0, |d| d.peak);
+    let needed = peak * PEAK_RATIO * total as f64 / (cores as f64).max(1.0);
+    if free as f64 <= share.min(needed) {
+        Room::Held
+    } else if free as f64 <= share {
+        Room::Scarce
+    } else {
+        Room::Ample
+    }
+}
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod completion;
 mod drain;
 mod gang;
+mod headroom;
 mod interference;
 mod jobs;
 mod orders;
@@ -70,6 +71,10 @@
     /// The time at which the learned model was last included in a commit.
     model_stored_at: time::Timestamp,
     recovery: Option<recovery::Recovery>,
+    /// The recent demand of short tasks, one entry for each service that has any.
+    demands: Vec<headroom::Demand>,
+    /// The time at which the demand was last recorded.
+    demand_at: time::Timestamp,
     /// The latest time to which leases of workers may be extended.
     horizon: time::Timestamp,
     /// The time until which it is certain that no other daemon has taken over the cell.
@@ -109,6 +114,8 @@
             interference: InterferenceModel::default(),
             model_stored_at: now,
             recovery: None,
+            demands: Vec::new(),
+            demand_at: time::Timestamp::default(),
             actions: Vec::new(),
         }
     }
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -4,7 +4,8 @@
 
 use super::adoption::{RunOrder, make_run};
 use super::{
-    Action, JobEntry, Note, Owner, PhaseState, Stage, advice, gang, search, settings, unplaced,
+    Action, JobEntry, Note, Owner, PhaseState, Stage, advice, gang, headroom, search, settings,
+    unplaced,
 };
 use crate::{job, task, worker};
 
@@ -41,6 +42,7 @@
     if !owner.may_start(now) || owner.start_validity(now) < owner.settings.order_time {
         return;
     }
+    headroom::update(owner, now);
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
     ranks.sort_unstable();
     let mut skip = unplaced::Unplaced::new(owner, now);
--- a/gl-jobs/src/owner/search.rs
+++ b/gl-jobs/src/owner/search.rs
@@ -2,7 +2,9 @@
 
 use gl_model::time;
 
-use super::{JobEntry, Owner, PhaseState, Worker, colocation, interference, jobs, placement};
+use super::{
+    JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, placement,
+};
 use crate::{job, task, worker};
 
 /// Returns whether any worker has capacity for one more task of the phase.
@@ -31,9 +33,8 @@
     /// Whether the task starts on any worker with free capacity, without regard to idle processors
     /// and interference.
     pub ignores_load: bool,
-    /// Whether the workers without long-running tasks are used only if no other worker has
-    /// capacity.
-    pub keeps_free: bool,
+    /// For a long-running task, how many workers are left without any.
+    pub room: headroom::Room,
 }
 
 impl Candidates {
@@ -52,7 +53,7 @@
             rack: sibling_rack(owner, phase, spec),
             image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
             ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
-            keeps_free: spec.long_running && is_free_share_reached(owner, &entry.job.service),
+            room: room_for(owner, entry, spec, state),
         };
         let request = Request { phase, entry, spec, state, conditions: &conditions };
         if self.conditions.as_ref() == Some(&conditions) {
@@ -71,6 +72,22 @@
     }
 }
 
+fn room_for(
+    owner: &Owner,
+    entry: &JobEntry,
+    spec: &job::Phase,
+    state: &PhaseState,
+) -> headroom::Room {
+    if !spec.long_running {
+        return headroom::Room::Ample;
+    }
+    match headroom::room(owner, &entry.job.service) {
+        // Interrupted tasks have to run again soon.
+        headroom::Room::Held if state.is_interrupted => headroom::Room::Scarce,
+        room => room,
+    }
+}
+
 /// Returns the position of the highest score, and of the first one among equals.
 fn first_highest(scores: &[Option<f64>]) -> Option<usize> {
     let mut best: Option<(usize, f64)> = None;
@@ -147,25 +164,10 @@
     is_valid && request.state.tickets.contains_key(w.registration.id.0.as_str())
 }
 
-/// The share of workers that stay free of long-running tasks while others have capacity for them.
-const FREE_SHARE: f64 = 0.08;
-/// The malus of a worker without long-running tasks once no more than that share are left. It
-/// outweighs all bonuses but that of a rack.
+/// The malus of a worker without long-running tasks once few of them are left. It outweighs all
+/// bonuses but that of a rack.
 const LAST_FREE_MALUS: f64 = 8.0;
 
-/// Returns whether no more than [`FREE_SHARE`] of a service's workers are free of long-running
-/// tasks. These tasks hold their capacity for long. Spread over all workers, they would leave no
-/// worker with enough free processors in one piece for a large short task.
-fn is_free_share_reached(owner: &Owner, service: &str) -> bool {
-    let of_service = owner.workers.values().filter(|w| w.registration.service == service);
-    let (mut total, mut free) = (0_usize, 0_usize);
-    for worker in of_service {
-        total += 1;
-        free += usize::from(worker.long_running_cores == 0);
-    }
-    free as f64 <= total as f64 * FREE_SHARE
-}
-
 /// The bonus of a worker on the preferred rack. It outweighs any difference in free capacity.
 const RACK_BONUS: f64 = 10.0;
 
@@ -176,8 +178,11 @@
     let capacity = if spec.best_effort {
         colocation::best_effort_score(owner, request, w)?
     } else if spec.long_running {
-        let is_last_free = request.conditions.keeps_free && w.long_running_cores == 0;
-        let malus = if is_last_free { LAST_FREE_MALUS } else { 0.0 };
+        let malus = match request.conditions.room {
+            headroom::Room::Held if w.long_running_cores == 0 => return None,
+            headroom::Room::Scarce if w.long_running_cores == 0 => LAST_FREE_MALUS,
+            _ => 0.0,
+        };
         left / total + colocation::image_affinity(request, w) - malus
     } else {
         -left / total
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -244,3 +244,51 @@
     let phase = job::Phase { long_running: true, ..cell::phase(25, 64_000) };
     assert_eq!(cell::starts(&cell.submit(1, cell::job(vec![phase]))).len(), 25);
 }
+
+/// Fills a service with long-running tasks some time after a short job, and returns their starts.
+fn starts_after_a_short_job(cell: &mut Cell, after: u64) -> Vec<cell::Started> {
+    let short = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(2, 64_000)])));
+    cell.now += 200;
+    cell.tick();
+    for start in &short {
+        cell.start_replied(start, worker::OrderReply::Done);
+        cell.report_end(cell::index(&start.worker), start, worker::Outcome::Done);
+        cell.poll(cell::index(&start.worker), &[]);
+    }
+    cell.now += after;
+    for n in 0..25 {
+        cell.poll(n, &[]);
+    }
+    let phase = job::Phase { long_running: true, ..cell::phase(50, 32_000) };
+    cell::starts(&cell.submit(2, cell::job(vec![phase])))
+}
+
+/// A full service would leave no room for the large short jobs of the next minutes.
+#[test]
+fn new_long_running_tasks_wait_while_the_last_free_workers_are_needed_for_short_tasks() {
+    let mut cell = Cell::new(25);
+    assert_eq!(starts_after_a_short_job(&mut cell, 100).len(), 46);
+    let next = cell::starts(&cell.submit(3, cell::job(vec![cell::phase(2, 64_000)])));
+    assert_eq!(next.len(), 2, "the short job starts at once");
+}
+
+#[test]
+fn long_running_tasks_get_all_workers_once_short_tasks_are_rare() {
+    assert_eq!(starts_after_a_short_job(&mut Cell::new(25), 60_000).len(), 50);
+}
+
+/// A task that has run before must run again soon, wherever there is capacity.
+#[test]
+fn interrupted_long_running_task_takes_a_worker_that_is_held_free() {
+    let mut cell = Cell::new(25);
+    let starts = starts_after_a_short_job(&mut cell, 100);
+    cell.start_replied(&starts[0], worker::OrderReply::Done);
+    let n = cell::index(&starts[0].worker);
+    cell.report_end(n, &starts[0], worker::Outcome::Failed);
+    cell.poll(n, &[]);
+    let removed = vec![starts[0].worker.clone()];
+    let changes = worker::ListChanges { removed, ..worker::ListChanges::default() };
+    cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
+    let again = cell::starts(&cell.tick());
+    assert!(again.iter().any(|start| start.task == starts[0].task), "{}", again.len());
+}
