fix(gl-jobs): hold no workers for short tasks past their deadline

Cause, found by reading: a short task that fits on no worker waits for ever, and its demand would have held 8% of a service's workers free of new long-running tasks for as long. Ruled out: leaving out only tasks larger than every worker, as labels and limits per worker can keep a task waiting as well. Change: tasks that wait past their phase's deadline don't count; they come last anyway.

--- a/gl-jobs/src/owner/headroom.rs
+++ b/gl-jobs/src/owner/headroom.rs
@@ -7,6 +7,7 @@
 use gl_model::time;
 
 use super::{Owner, placement};
+use crate::task;
 
 /// The share of a service's workers that stay free of long-running tasks while others have capacity
 /// for them, and the largest share that is held for short tasks.
@@ -80,16 +81,25 @@
         add(&worker.registration.service, in_use);
     }
     for phase in &owner.open_phases {
-        let entry = owner.jobs.get(&phase.job);
-        let waiting = placement::state_of(owner, *phase).map_or(0, |state| state.waiting.len());
-        let spec = entry.and_then(|entry| Some((entry, entry.spec(phase.phase)?)));
-        if let Some((entry, spec)) = spec.filter(|(_, s)| !s.long_running && !s.best_effort) {
-            add(&entry.job.service, spec.size.cores * waiting as u64);
-        }
+        let Some((service, cores)) = waiting(owner, *phase, now) else {
+            continue;
+        };
+        add(service, cores);
     }
     needed
 }
 
+/// Returns the service of a short phase and the processors that its tasks wait for. A phase past its
+/// deadline is left out: its tasks come last, and one that fits on no worker would hold them for
+/// ever.
+fn waiting(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<(&str, u64)> {
+    let entry = owner.jobs.get(&phase.job)?;
+    let state = placement::state_of(owner, phase)?;
+    let spec = entry.spec(phase.phase)?;
+    let is_counted = !spec.long_running && !spec.best_effort && now <= state.deadline;
+    is_counted.then(|| (entry.job.service.as_str(), spec.size.cores * state.waiting.len() as u64))
+}
+
 /// Returns whether the workers of a service that are free of long-running tasks suffice.
 pub(super) fn room(owner: &Owner, service: &str) -> Room {
     let of_service = owner.workers.values().filter(|w| w.registration.service == service);
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -277,6 +277,14 @@
     assert_eq!(starts_after_a_short_job(&mut Cell::new(25), 60_000).len(), 50);
 }
 
+/// A short task that fits on no worker waits for ever, and must not hold workers all that time.
+#[test]
+fn short_task_that_fits_on_no_worker_holds_none_after_its_deadline() {
+    let mut cell = Cell::new(25);
+    assert!(cell::starts(&cell.submit(9, cell::job(vec![cell::phase(9, 900_000)]))).is_empty());
+    assert_eq!(starts_after_a_short_job(&mut cell, 60_000).len(), 50);
+}
+
 /// A task that has run before must run again soon, wherever there is capacity.
 #[test]
 fn interrupted_long_running_task_takes_a_worker_that_is_held_free() {
