--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -82,6 +82,17 @@
     json!({"Spec": spec, "Phases": [phase(&[]), phase(&[0])]}).to_string()
 }
 
+/// Submits a long-running job of two tasks, and waits until it runs.
+async fn run_long_running_job(hosted: &Hosted) {
+    let phase = json!({"Count": 2, "Cpu": 1000, "LongRunning": true});
+    let body = json!({"Spec": "{\"lasting\":true}", "Phases": [phase]}).to_string();
+    assert_eq!(
+        client::request_status(hosted.address(0), "POST", &job_path(1), &body).await,
+        Some(200)
+    );
+    assert!(client::wait_for_state(hosted.address(1), &job_path(1), "running", TIMEOUT).await);
+}
+
 /// Asserts that no two runs of a task overlapped and that each task was done at most once.
 fn check_runs(runs: &[fleet::Run]) {
     let mut by_task = collections::BTreeMap::<&str, Vec<&fleet::Run>>::new();
@@ -235,13 +246,7 @@
 #[ntex::test]
 async fn cancelled_job_ends_and_stays_cancelled() {
     let hosted = Hosted::start(2).await;
-    let phase = json!({"Count": 2, "Cpu": 1000, "LongRunning": true});
-    let body = json!({"Spec": "{\"lasting\":true}", "Phases": [phase]}).to_string();
-    assert_eq!(
-        client::request_status(hosted.address(0), "POST", &job_path(1), &body).await,
-        Some(200)
-    );
-    assert!(client::wait_for_state(hosted.address(1), &job_path(1), "running", TIMEOUT).await);
+    run_long_running_job(&hosted).await;
     assert_eq!(
         client::request_status(hosted.address(1), "DELETE", &job_path(1), "").await,
         Some(200)
@@ -260,13 +265,7 @@
 #[ntex::test]
 async fn long_running_tasks_continue_through_an_outage_of_the_store() {
     let hosted = Hosted::start(3).await;
-    let phase = json!({"Count": 2, "Cpu": 1000, "LongRunning": true});
-    let body = json!({"Spec": "{\"lasting\":true}", "Phases": [phase]}).to_string();
-    assert_eq!(
-        client::request_status(hosted.address(0), "POST", &job_path(1), &body).await,
-        Some(200)
-    );
-    assert!(client::wait_for_state(hosted.address(1), &job_path(1), "running", TIMEOUT).await);
+    run_long_running_job(&hosted).await;
     hosted.set_store_down(true).await;
     let outage = time::Duration::from_millis(daemon::MAX_LEASE_MS * 3 / 2);
     ntex::time::sleep(outage).await;
