feat: report the workers that a new owner waits for

The log showed the number of missing workers, once the wait was over, but neither which ones nor how long the wait took. `recovering` names the first eight after half a second, with the time that is left; `recovered` has `took_ms`. The test fails without it, as there was no such event.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 
-use gl_jobs::{job, owner, task};
+use gl_jobs::{job, owner, task, worker};
 
 /// An event of the log. The names of variants and fields, or the names that `rename` gives, are
 /// written to the log, and tools that read the log depend on them.
@@ -90,8 +90,10 @@
     Suspected { worker: &'a str, reason: &'static str },
     /// A worker's incarnation was replaced.
     Replaced { worker: &'a str, runs_lost: usize },
+    /// A new owner waits for workers that may run tasks of earlier owners' jobs.
+    Recovering { missing: usize, workers: Vec<Text<worker::WorkerId>>, left_ms: u64 },
     /// All runs that earlier owners may have started have been accounted for.
-    Recovered { missing: usize },
+    Recovered { missing: usize, took_ms: u64 },
     /// A commit was not stored at once.
     CommitRetried { number: u64, detail: String },
     /// A row cannot be decoded.
@@ -138,7 +140,14 @@
             Note::Replaced { worker, runs } => {
                 Self::Replaced { worker: worker.as_str(), runs_lost: *runs }
             }
-            Note::Recovered { missing } => Self::Recovered { missing: *missing },
+            Note::Recovering { missing, workers, left } => Self::Recovering {
+                missing: *missing,
+                workers: workers.iter().cloned().map(Text).collect(),
+                left_ms: left.as_millis(),
+            },
+            Note::Recovered { missing, took } => {
+                Self::Recovered { missing: *missing, took_ms: took.as_millis() }
+            }
         }
     }
 }
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -125,12 +125,24 @@
         /// The number of runs that were lost.
         runs: usize,
     },
+    /// The recovery takes long, because workers that may run tasks of earlier owners' jobs have not
+    /// replied.
+    Recovering {
+        /// The number of workers that have not replied.
+        missing: usize,
+        /// The first of them.
+        workers: Vec<worker::WorkerId>,
+        /// The time until all leases of earlier owners have expired.
+        left: time::Span,
+    },
     /// The recovery is complete: all runs that may exist are known, so the tasks of earlier owners'
     /// jobs can be started.
     Recovered {
         /// The number of workers that did not reply; their leases have expired, so their runs have
         /// ended.
         missing: usize,
+        /// The time since the stored state was read.
+        took: time::Span,
     },
 }
 
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery.rs
@@ -32,8 +32,17 @@
     pending: collections::BTreeSet<worker::WorkerId>,
     /// The time at which all leases granted by earlier owners have expired.
     until: time::Timestamp,
+    /// The time at which the stored state was read.
+    since: time::Timestamp,
+    /// Whether the wait for workers has been reported.
+    is_reported: bool,
 }
 
+/// The time after which the wait for workers is reported. Workers that can be reached reply sooner.
+const REPORT_DELAY: time::Span = time::Span::millis(500);
+/// The maximum number of workers that such a report names.
+const REPORTED_WORKERS: usize = 8;
+
 impl Owner {
     /// Restores what an earlier owner has stored, after the claim at `moment`.
     ///
@@ -56,6 +65,8 @@
         self.recovery = Some(Recovery {
             pending: self.workers.keys().cloned().collect(),
             until: moment.now + leases,
+            since: moment.now,
+            is_reported: false,
         });
         for row in stored {
             self.restore(row, moment);
@@ -124,12 +135,18 @@
 
 /// Completes the recovery once all workers have replied or their leases have expired.
 pub fn run(owner: &mut Owner, now: time::Timestamp) {
-    let Some(recovery) = &owner.recovery else {
+    let Some(recovery) = &mut owner.recovery else {
         return;
     };
+    let missing = recovery.pending.len();
+    let took = now.since(recovery.since);
     if recovery.pending.is_empty() || now >= recovery.until {
-        let missing = recovery.pending.len();
         owner.recovery = None;
-        owner.note(Note::Recovered { missing });
+        owner.note(Note::Recovered { missing, took });
+    } else if took >= REPORT_DELAY && !recovery.is_reported {
+        recovery.is_reported = true;
+        let workers = recovery.pending.iter().take(REPORTED_WORKERS).cloned().collect();
+        let left = recovery.until.since(now);
+        owner.note(Note::Recovering { missing, workers, left });
     }
 }
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -142,3 +142,26 @@
     // The next poll is delayed by a slow commit.
     assert_eq!(started(&mut owner, 5_600), 0);
 }
+
+/// A new owner starts nothing of earlier jobs while it waits, and its log has to say for whom.
+#[test]
+fn long_recovery_reports_the_workers_that_it_waits_for() {
+    let roster = vec![cell::registration(0), cell::registration(1)];
+    let mut owner = after_claim(roster, record::Progress::default());
+    poll_replied(&mut owner, 0, &empty(5_010), 5_010);
+    owner.tick(&cell::moment(5_400));
+    assert!(!owner.take_actions().iter().any(is_wait_report));
+    owner.tick(&cell::moment(5_600));
+    let reports: Vec<_> = owner.take_actions().into_iter().filter(is_wait_report).collect();
+    let [owner::Action::Note(owner::Note::Recovering { missing, workers, .. })] = &reports[..]
+    else {
+        panic!("one report: {reports:?}");
+    };
+    assert_eq!((*missing, &workers[..]), (1, &[cell::worker(1)][..]));
+    owner.tick(&cell::moment(6_000));
+    assert!(!owner.take_actions().iter().any(is_wait_report), "it is reported once");
+}
+
+fn is_wait_report(action: &owner::Action) -> bool {
+    matches!(action, owner::Action::Note(owner::Note::Recovering { .. }))
+}
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -84,7 +84,9 @@
             owner::Note::Suspected { .. } => self.event("suspect"),
             owner::Note::Replaced { .. } => self.event("replaced"),
             owner::Note::Stopping { .. } => self.event("stop"),
-            owner::Note::Ordered { .. } | owner::Note::Recovered { .. } => {}
+            owner::Note::Ordered { .. }
+            | owner::Note::Recovering { .. }
+            | owner::Note::Recovered { .. } => {}
         }
     }
 
