--- a/gl-emulate/src/report.rs
+++ b/gl-emulate/src/report.rs
@@ -38,6 +38,9 @@
     CorrectState,
     /// Every accepted job reaches a final state.
     Completion,
+    /// A long-running task whose run has ended soon has another one while there is capacity for it
+    /// and no disturbance that is not planned.
+    Continuity,
 }
 
 /// Totals over the jobs of one kind. Long-running jobs are counted anew every two seconds.
--- a/gl-emulate/src/simulation/checks.rs
+++ b/gl-emulate/src/simulation/checks.rs
@@ -5,8 +5,15 @@
 
 use super::Simulation;
 use super::settings::{Fault, ScheduledFault};
-use crate::{load, report};
+use crate::{load, report, worker};
 
+/// The longest time for which a long-running task may have no run: the six seconds within which it
+/// has to run again, and the three over which this is observed.
+const MAX_GAP: time::Span = time::Span::seconds(9);
+/// The time after a disturbance during which gaps are not checked.
+const CALM_TIME: time::Span = time::Span::seconds(7);
+/// The interval at which gaps are checked.
+const GAP_INTERVAL: time::Span = time::Span::millis(500);
 /// The time after a cancellation during which a task may still be started.
 const CANCEL_GRACE: time::Span = time::Span::seconds(3);
 
@@ -84,6 +91,45 @@
         }
     }
 
+    /// Checks that long-running tasks have a run. A gap is reported once.
+    pub(super) fn check_continuity(&mut self) {
+        let now = self.now;
+        if !self.is_due(GAP_INTERVAL) {
+            return;
+        }
+        for worker in self.workers.iter().filter(|worker| !worker.is_down) {
+            let is_long_running = |run: &worker::Run| run.behaviour.long_running;
+            let running = worker.runs.iter().filter(|(_, run)| is_long_running(run));
+            self.last_runs.extend(running.map(|(task, _)| (*task, now)));
+        }
+        if now.since(self.disturbed_until) < CALM_TIME {
+            return;
+        }
+        let is_overdue = |at: &time::Timestamp| now.since(*at) > MAX_GAP;
+        let overdue: Vec<_> =
+            self.last_runs.iter().filter(|(_, at)| is_overdue(at)).map(|(task, _)| *task).collect();
+        for task in overdue {
+            self.last_runs.remove(&task);
+            let is_cancelled =
+                self.jobs.get(&task.phase.job).is_none_or(|job| job.cancelled.is_some());
+            if !is_cancelled && self.has_room(task) {
+                self.record_violation(report::Guarantee::Continuity, &task);
+            }
+        }
+    }
+
+    /// Returns whether a worker without a fault has capacity for the task.
+    fn has_room(&self, task: task::TaskId) -> bool {
+        let Some(behaviour) = self.behaviour(task.phase) else {
+            return false;
+        };
+        self.workers.iter().any(|worker| {
+            let needed = worker.reserved().plus(&behaviour.size);
+            let is_usable = !worker.is_down && !worker.draining;
+            is_usable && worker.fault == Default::default() && needed.fits_in(&worker.spec.size)
+        })
+    }
+
     pub(super) fn is_stored_done(&self, task: task::TaskId) -> bool {
         let Some(job) = self.jobs.get(&task.phase.job) else {
             return true;
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -27,12 +27,17 @@
 
     pub(super) fn inject(&mut self, fault: &Fault) {
         let now = self.now;
+        if !fault.is_planned() {
+            self.disturbed_until = self.disturbed_until.max(now + fault.length());
+        }
         match fault {
             Fault::KillOwner => {
                 for ownership in &mut self.ownerships {
                     ownership.is_killed = true;
                 }
             }
+            Fault::ReleaseOwner => self.release_owner(),
+            Fault::StartWorker(n) => self.workers[*n].restart(now),
             Fault::PauseOwner(span) => {
                 if let Some(ownership) = self.ownerships.last_mut() {
                     ownership.paused_until = now + *span;
--- a/gl-emulate/src/simulation/messages.rs
+++ b/gl-emulate/src/simulation/messages.rs
@@ -6,6 +6,7 @@
 use gl_model::time;
 use rand::Rng as _;
 
+use super::settings::MAX_ORDER_DELAY;
 use super::{ORDER_TIMEOUT, Simulation};
 
 /// A message. Numbers after a task are its attempt and, in `SetCpuLimit`, the limit in percent. The
@@ -98,7 +99,7 @@
             let lost = Message::Started(order.task, order.attempt, model::OrderReply::Lost);
             self.send(n, worker, ORDER_TIMEOUT, lost);
         }
-        let after = time::Span::millis(self.rng.random_range(2_000..12_000));
+        let after = time::Span::millis(self.rng.random_range(2_000..MAX_ORDER_DELAY.as_millis()));
         self.sequence += 1;
         self.deliveries.push(Delivery {
             at: self.now + after,
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -57,6 +57,12 @@
     roster: collections::BTreeMap<model::WorkerId, model::Registration>,
     stored_model: record::ModelSnapshot,
     last_renewal: time::Timestamp,
+    /// Whether the last owner has released the cell.
+    is_released: bool,
+    /// The end of the latest disturbance that was not planned.
+    disturbed_until: time::Timestamp,
+    /// The time at which each long-running task last had a run.
+    last_runs: collections::BTreeMap<task::TaskId, time::Timestamp>,
     completed: collections::BTreeSet<task::TaskId>,
     pending_ends: Vec<PendingEnd>,
     report: report::Report,
@@ -70,7 +76,12 @@
         let now = time::Timestamp(time::Span::seconds(1).0);
         let specs = settings.workers.iter().cloned().enumerate();
         let workers = specs.map(|(n, spec)| worker::Worker::new(n, spec, time::Timestamp(0)));
-        let workers = workers.collect();
+        let mut workers: Vec<_> = workers.collect();
+        for scheduled in &settings.faults {
+            if let Fault::StartWorker(n) = scheduled.fault {
+                workers[n].is_down = true;
+            }
+        }
         Self {
             rng: rngs::SmallRng::seed_from_u64(settings.seed),
             settings,
@@ -93,6 +104,9 @@
             roster: collections::BTreeMap::new(),
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
+            is_released: false,
+            disturbed_until: now,
+            last_runs: collections::BTreeMap::new(),
             completed: collections::BTreeSet::new(),
             pending_ends: Vec::new(),
             report: report::Report::default(),
@@ -133,6 +147,7 @@
         self.deliver();
         self.advance_workers();
         self.advance_owners();
+        self.check_continuity();
     }
 
     fn is_due(&self, interval: time::Span) -> bool {
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -57,10 +57,11 @@
     pub(super) fn claim(&mut self) {
         let unrenewed_since = self.last_renewal.max(self.outage_end);
         let is_expired = self.now.since(unrenewed_since) >= TAKEOVER_TIMEOUT;
-        let may_claim = self.is_store_up() && (self.ownerships.is_empty() || is_expired);
-        if !may_claim {
+        let is_claimable = self.ownerships.is_empty() || is_expired || self.is_released;
+        if !self.is_store_up() || !is_claimable {
             return;
         }
+        self.is_released = false;
         self.last_renewal = self.now;
         self.version += 1;
         let token = self.version;
@@ -92,6 +93,20 @@
         });
     }
 
+    /// Ends the ownership as a daemon does that is shutting down: pending decisions are stored, and
+    /// another daemon can claim the cell at once.
+    pub(super) fn release_owner(&mut self) {
+        let now = self.now;
+        let Some(n) = self.ownerships.iter().rposition(|o| is_active(o, now)) else {
+            return;
+        };
+        while let Some(commit) = self.ownerships[n].owner.next_commit(now) {
+            self.apply_commit(n, &commit);
+        }
+        self.ownerships[n].is_ended = true;
+        self.is_released = true;
+    }
+
     pub(super) fn deliver_to_owner(&mut self, delivery: Delivery) {
         let now = self.now;
         let ownership = &mut self.ownerships[delivery.owner];
--- a/gl-emulate/src/simulation/settings.rs
+++ b/gl-emulate/src/simulation/settings.rs
@@ -10,6 +10,8 @@
 pub enum Fault {
     /// The owner's process is killed.
     KillOwner,
+    /// The owner's daemon stops: it stores its decisions and releases the cell.
+    ReleaseOwner,
     /// The owner's process is suspended for the given time, and resumes with its state unchanged.
     PauseOwner(time::Span),
     /// The store is unavailable for the given time.
@@ -25,8 +27,34 @@
     UnlistWorker(usize, time::Span),
     /// A worker is draining and terminates after the given time.
     DrainWorker(usize, time::Span),
+    /// A worker that did not exist before starts.
+    StartWorker(usize),
 }
 
+impl Fault {
+    /// Returns whether this is planned work, during which long-running tasks have to keep running.
+    pub const fn is_planned(&self) -> bool {
+        matches!(self, Self::ReleaseOwner | Self::DrainWorker(..) | Self::StartWorker(_))
+    }
+
+    /// Returns the time for which the fault lasts, or after which its last effects occur.
+    pub(super) const fn length(&self) -> time::Span {
+        match self {
+            Self::KillOwner | Self::ReleaseOwner | Self::StartWorker(_) => time::Span::ZERO,
+            Self::DelayOrders(span, _) => time::Span(span.0 + MAX_ORDER_DELAY.0),
+            Self::PauseOwner(span)
+            | Self::StoreOutage(span)
+            | Self::Worker(_, span, _)
+            | Self::CrashWorker(_, span)
+            | Self::UnlistWorker(_, span)
+            | Self::DrainWorker(_, span) => *span,
+        }
+    }
+}
+
+/// The longest time after which a delayed order is carried out.
+pub(super) const MAX_ORDER_DELAY: time::Span = time::Span::seconds(12);
+
 /// A fault and the time at which it is injected.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ScheduledFault {
