fix(gl-jobs): remove emptied workers from the roster at once

Cause: a new owner waits for each worker of the roster until it replies or its longest lease must have expired, 10 s and a margin after the claim. A row stayed in the roster for 12 s after its worker had left the list, so with a replacement each 0.7 s some 15 departed workers were in it ("missing":15). Ruled out: a cell without owner (jobs accepted after the claim started within 15 ms) and a lack of capacity (the same).

Change: an owner removes a worker from the roster once it is draining or unlisted, has replied to this owner or been waited for, and has no run left, also none whose start order is unsettled. It stays in the table, so that its ends are acknowledged, and has to be enrolled again before it gets a task. A draining worker is no longer enrolled.

--- a/gl-jobs/src/owner/commit.rs
+++ b/gl-jobs/src/owner/commit.rs
@@ -90,7 +90,10 @@
         let enrolled: Vec<_> =
             self.unenrolled_workers().take(MAX_ROWS - rows.len()).cloned().collect();
         let left = MAX_ROWS - rows.len() - enrolled.len();
-        let removed_workers: Vec<_> = self.removed_workers.iter().take(left).cloned().collect();
+        // A worker that is listed again is enrolled by this commit or a later one instead.
+        let is_removed = |id: &&worker::WorkerId| !self.unenrolled.contains(*id);
+        let removed_workers = self.removed_workers.iter().filter(is_removed);
+        let removed_workers: Vec<_> = removed_workers.take(left).cloned().collect();
         let removed_jobs = self.removable_jobs((left - removed_workers.len()) / ROWS_PER_JOB, now);
         let ends = if self.dirty_jobs.is_empty() { self.unstored_ends() } else { Vec::new() };
         let mut commit =
@@ -124,7 +127,8 @@
     /// need not be sought among all.
     pub(super) fn update_unstored(&mut self, id: &worker::WorkerId) {
         let worker = self.workers.get(id);
-        let is_unenrolled = worker.is_some_and(|w| w.is_listed && !w.is_enrolled);
+        let is_unenrolled =
+            worker.is_some_and(|w| w.is_listed && !w.is_enrolled && w.draining_since.is_none());
         let has_ends = worker.is_some_and(|w| w.processed_end > w.stored_end);
         set_member(&mut self.unenrolled, id, is_unenrolled);
         set_member(&mut self.unstored, id, has_ends);
@@ -163,10 +167,11 @@
             self.orphans.remove(job);
         }
         for entry in &commit.enrolled {
+            // A worker that has left the table meanwhile is removed by a later commit.
             if let Some(worker) = self.workers.get_mut(&entry.id) {
                 worker.is_enrolled = worker.registration.address == entry.address;
+                self.removed_workers.remove(&entry.id);
             }
-            self.removed_workers.remove(&entry.id);
             self.update_unstored(&entry.id);
         }
         for id in &commit.removed_workers {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod polls;
 mod recovery;
+mod roster;
 mod runs;
 mod search;
 mod settings;
@@ -247,6 +248,7 @@
     pub fn tick(&mut self, moment: &Moment) {
         timeouts::run(self, moment.now);
         recovery::run(self, moment.now);
+        roster::run(self);
         for id in self.scheduled_jobs.clone() {
             self.open_due(id, moment);
         }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -14,4 +14,5 @@
 mod phases;
 mod placement;
 mod recovery;
+mod roster;
 mod throttle;
