test(gl-emulate): count expiries of leases on idle workers

The check that no task is started after its end was listed exempts ends after which the worker's lease has expired, as the platform discards these.

--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -83,8 +83,10 @@
     pub is_down: bool,
     /// Whether the worker is draining.
     pub draining: bool,
-    /// The number of lease expiries that ended runs.
+    /// The number of lease expiries, also of those without any run in progress: an end that was listed
+    /// before counts as lost.
     pub lease_expiries: u64,
+    was_expired: bool,
     ended: Vec<worker::Ended>,
     end_count: u64,
     /// The highest attempt of each task that was stopped or has ended. It is not started again.
@@ -123,6 +125,7 @@
             is_down: false,
             draining: false,
             lease_expiries: 0,
+            was_expired: true,
             ended: Vec::new(),
             end_count: 0,
             refused_attempts: collections::BTreeMap::new(),
@@ -140,6 +143,7 @@
         self.end_count = 0;
         self.refused_attempts.clear();
         self.lease_expiry = time::Timestamp::default();
+        self.was_expired = true;
         self.is_down = false;
     }
 
@@ -290,9 +294,10 @@
         self.advance_runs(interference, now, step);
         let clock = self.clock(now);
         let is_expired = clock > self.lease_expiry;
-        if is_expired && !self.runs.is_empty() {
+        if is_expired && !self.was_expired {
             self.lease_expiries += 1;
         }
+        self.was_expired = is_expired;
         let mut finished = Vec::new();
         for (task, run) in &self.runs {
             let outcome = if is_expired {
