fix(gl-jobs): start nothing on a worker whose runs exceed its shrunk capacity

Callers may see a worker over its capacity: it may shrink below what its runs reserve and grow again. Cause, found by reading: free capacity saturates at zero in each dimension, so a task that reserves none of the dimension that has shrunk, such as a best-effort task, which reserves no processors, still fitted on a worker that was over its capacity already. Change: a task fits if the sum of all reservations is within the capacity in every dimension. Measured: `worker_that_has_shrunk_below_its_reservations_gets_no_tasks` failed before (a task started) and passes. `worker_that_has_shrunk_gets_no_more_than_its_new_capacity` passed before as well.

--- a/gl-jobs/src/owner/search.rs
+++ b/gl-jobs/src/owner/search.rs
@@ -142,7 +142,7 @@
 fn is_possible(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> bool {
     let settings = &owner.settings;
     let spec = request.spec;
-    spec.reserved().fits_in(&w.free())
+    w.has_room(&spec.reserved())
         && w.registration.service == request.entry.job.service
         && w.is_eligible(settings, now)
         && spec.label.as_ref().is_none_or(|label| w.registration.labels.contains(label))
--- a/gl-jobs/src/owner/workers.rs
+++ b/gl-jobs/src/owner/workers.rs
@@ -172,6 +172,12 @@
         self.registration.size.minus(&self.reserved)
     }
 
+    /// Returns whether a task that reserves `needed` keeps the worker within its capacity. A worker
+    /// that has shrunk may exceed it in any dimension, also in one of which the task needs nothing.
+    pub const fn has_room(&self, needed: &size::Size) -> bool {
+        self.reserved.plus(needed).fits_in(&self.registration.size)
+    }
+
     /// Returns the number of processors that are estimated to be idle, in thousandths of a core, if
     /// the best-effort tasks use all that they declare.
     pub fn idle_cores(&self) -> f64 {
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -4,7 +4,7 @@
 use std::collections;
 
 use gl_jobs::{job, owner, worker};
-use gl_model::time;
+use gl_model::{size, time};
 
 use crate::cell::{self, Cell};
 
@@ -300,3 +300,52 @@
     let again = cell::starts(&cell.tick());
     assert!(again.iter().any(|start| start.task == starts[0].task), "{}", again.len());
 }
+
+/// Returns the cell's first worker with another capacity, in thousandths of a core and megabytes.
+fn resized(cores: u64, memory: u64) -> worker::Registration {
+    let size = size::Size { cores, memory, accelerators: 0 };
+    worker::Registration { size, ..cell::registration(0) }
+}
+
+fn list(cell: &mut Cell, entry: worker::Registration) {
+    let now = cell::at(cell.now);
+    cell.owner.workers_listed(&[entry], now, now);
+}
+
+/// Guards against starts that exceed the capacity of a worker that has shrunk.
+#[test]
+fn worker_that_has_shrunk_gets_no_more_than_its_new_capacity() {
+    let mut cell = Cell::new(1);
+    list(&mut cell, resized(20_000, 250_000));
+    let started = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(9, 8_000)])));
+    assert_eq!(started.len(), 2);
+    list(&mut cell, resized(64_000, 250_000));
+    assert_eq!(cell::starts(&cell.tick()).len(), 6, "its capacity is back");
+}
+
+/// Guards against starts on a worker whose runs exceed what is left of it, also of tasks that need
+/// nothing of the resource that has shrunk.
+#[test]
+fn worker_that_has_shrunk_below_its_reservations_gets_no_tasks() {
+    let mut cell = Cell::new(1);
+    let started = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(4, 10_000)])));
+    for start in &started {
+        cell.start_replied(start, worker::OrderReply::Done);
+    }
+    list(&mut cell, resized(25_000, 250_000));
+    let best_effort = job::Phase { best_effort: true, ..cell::phase(1, 1_000) };
+    assert!(cell::starts(&cell.submit(2, cell::job(vec![best_effort]))).is_empty());
+    assert!(cell::starts(&cell.submit(3, cell::job(vec![cell::phase(1, 0)]))).is_empty());
+    let waited = cell.now + 2_500;
+    while cell.now < waited {
+        let running: Vec<_> =
+            started.iter().map(|s| cell::running(s, cell.now as f64 / 100.0, 0.0)).collect();
+        cell.poll(0, &running);
+        assert!(
+            cell::starts(&cell.tick()).is_empty(),
+            "started on a worker that is over its capacity"
+        );
+    }
+    list(&mut cell, resized(64_000, 250_000));
+    assert_eq!(cell::starts(&cell.tick()).len(), 2);
+}
