fix(gl-jobs): give up tasks that crash the workers that start them

Cause: only runs that a worker reports as failed count. A run that ends with its worker left no trace, and what a dead owner had started was unknown to the next one. Change: a crash implicates the tasks that were started on the worker within 0.5 s before its last reply. Such a task is started again only on a worker that gets no other task until it has shown that it survived, on an eighth of the workers at a time, and after the start is stored, so that the next crash implicates it alone and a later owner knows of it. It is given up after two crashes that no other task can have caused, or after three in all; long-running tasks never are. A new owner that finds workers replaced also stores the starts of inherited tasks first. Not counted: ends of draining workers, and lapsed runs whose worker turns out to live. Ruled out: counting every run on a worker that crashes, as a rack that loses power twice would fail the jobs of all its tasks (test `tasks_of_workers_that_lose_power_complete`).

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -88,6 +88,10 @@
     },
     /// A worker gets no new tasks for a while.
     Suspected { worker: &'a str, reason: &'static str },
+    /// A worker has crashed soon after it started a task.
+    Implicated { task: Text<task::TaskId>, attempt: u64, worker: &'a str, crashes: usize },
+    /// A task has crashed too many workers, so its job has failed.
+    GivenUp { task: Text<task::TaskId>, crashes: usize },
     /// A worker's incarnation was replaced.
     Replaced { worker: &'a str, runs_lost: usize },
     /// All runs that earlier owners may have started have been accounted for.
@@ -138,6 +142,15 @@
             Note::Replaced { worker, runs } => {
                 Self::Replaced { worker: worker.as_str(), runs_lost: *runs }
             }
+            Note::Implicated { task, attempt, worker, crashes } => Self::Implicated {
+                task: Text(*task),
+                attempt: *attempt,
+                worker: worker.as_str(),
+                crashes: *crashes,
+            },
+            Note::GivenUp { task, crashes } => {
+                Self::GivenUp { task: Text(*task), crashes: *crashes }
+            }
             Note::Recovered { missing } => Self::Recovered { missing: *missing },
         }
     }
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -118,6 +118,25 @@
         /// The time until which it receives no new tasks.
         until: time::Timestamp,
     },
+    /// A worker has crashed soon after it started a task. The task is started apart from others
+    /// until it has run for longer.
+    Implicated {
+        /// The task.
+        task: task::TaskId,
+        /// The attempt.
+        attempt: u64,
+        /// The worker that has crashed.
+        worker: worker::WorkerId,
+        /// The number of workers that have crashed soon after they started the task.
+        crashes: usize,
+    },
+    /// A task has crashed too many workers, so its job has failed.
+    GivenUp {
+        /// The task.
+        task: task::TaskId,
+        /// The number of workers that have crashed.
+        crashes: usize,
+    },
     /// An incarnation of a worker has ended.
     Replaced {
         /// The worker.
--- a/gl-jobs/src/owner/commit.rs
+++ b/gl-jobs/src/owner/commit.rs
@@ -154,6 +154,7 @@
     /// Records that a commit was stored.
     pub fn committed(&mut self, commit: &Commit) {
         for row in &commit.rows {
+            self.send_stored(row);
             if let Some(entry) = self.jobs.get_mut(&row.job) {
                 entry.stored_state = entry.stored_state.or(row.progress.final_state);
             }
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -140,7 +140,7 @@
     }
 
     /// Decides the final state of a job. Clients see it once it is stored.
-    fn end_job(&mut self, id: task::JobId, state: job::State, now: time::Timestamp) {
+    pub(super) fn end_job(&mut self, id: task::JobId, state: job::State, now: time::Timestamp) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -160,6 +160,9 @@
             return;
         };
         self.keep_checkpoint(task, &run.checkpoint);
+        if cause == Cause::Lapsed {
+            self.run_lost(task, &run);
+        }
         let (attempt, worker) = (run.attempt, run.worker);
         self.note(Note::Ended { task, attempt, worker, cause });
         self.requeue(task, now);
--- a/gl-jobs/src/owner/gang.rs
+++ b/gl-jobs/src/owner/gang.rs
@@ -22,7 +22,7 @@
         let spec = entry.spec(phase.phase)?;
         let state = entry.phases.get(&(phase.occurrence, phase.phase))?;
         let is_complete = state.waiting.len() == spec.count as usize;
-        if !is_complete {
+        if !is_complete || owner.has_spent_member(phase) {
             return None;
         }
         state.waiting.iter().copied().collect()
--- a/gl-jobs/src/owner/jobs.rs
+++ b/gl-jobs/src/owner/jobs.rs
@@ -45,6 +45,8 @@
     pub failures: collections::BTreeMap<u32, Vec<u64>>,
     /// The newest checkpoint of each task.
     pub checkpoints: collections::BTreeMap<u32, String>,
+    /// The tasks that may have crashed a worker.
+    pub suspects: collections::BTreeMap<u32, record::Suspect>,
     /// Whether all phases that it depends on are done.
     pub is_open: bool,
     /// The start of the current wait for placement: the time at which the phase was opened, or at
@@ -167,7 +169,10 @@
 
     pub(super) fn progress(&self) -> record::Progress {
         let has_progress = |state: &&PhaseState| {
-            state.done.count() > 0 || !state.failures.is_empty() || !state.checkpoints.is_empty()
+            state.done.count() > 0
+                || !state.failures.is_empty()
+                || !state.checkpoints.is_empty()
+                || !state.suspects.is_empty()
         };
         let phases = self.phases.iter().filter(|(_, state)| has_progress(state));
         let phases = phases.map(|(&(occurrence, phase), state)| record::Phase {
@@ -176,6 +181,7 @@
             done: state.done.clone(),
             failures: state.failures.clone(),
             checkpoints: state.checkpoints.clone(),
+            suspects: state.suspects.clone(),
         });
         record::Progress { final_state: self.final_state, phases: phases.collect() }
     }
@@ -190,6 +196,7 @@
             state.done = phase.done;
             state.failures = phase.failures;
             state.checkpoints = phase.checkpoints;
+            state.suspects = phase.suspects;
         }
     }
 }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod colocation;
 mod commit;
 mod completion;
+mod crashes;
 mod drain;
 mod gang;
 mod headroom;
@@ -26,6 +27,7 @@
 mod settings;
 mod throttle;
 mod timeouts;
+mod trials;
 mod unplaced;
 mod workers;
 
@@ -55,6 +57,20 @@
     runs: collections::BTreeMap<task::TaskId, Run>,
     /// Phases with tasks that wait for placement.
     open_phases: collections::BTreeSet<task::PhaseId>,
+    /// Tasks that may have crashed a worker, and are not done.
+    suspects: collections::BTreeSet<task::TaskId>,
+    /// The starts of such tasks on workers of their own.
+    trials: collections::BTreeMap<task::TaskId, trials::Trial>,
+    /// Start orders that wait until the start is stored.
+    unsent: collections::BTreeMap<task::TaskId, trials::Unsent>,
+    /// Whether runs have ended with their workers since the suspects were last reviewed.
+    has_lost_runs: bool,
+    /// The worker that last lost a run that may have crashed it.
+    last_lost: Option<(worker::WorkerId, worker::Incarnation)>,
+    /// The time at which the suspects were last reviewed.
+    reviewed_at: time::Timestamp,
+    /// Whether workers may have crashed under tasks that an earlier owner had started.
+    has_hidden_crashes: bool,
     /// Jobs with occurrences that are not due yet.
     scheduled_jobs: collections::BTreeSet<task::JobId>,
     /// Jobs whose progress has changed since it was last stored.
@@ -105,6 +121,13 @@
             workers: collections::BTreeMap::new(),
             runs: collections::BTreeMap::new(),
             open_phases: collections::BTreeSet::new(),
+            suspects: collections::BTreeSet::new(),
+            trials: collections::BTreeMap::new(),
+            unsent: collections::BTreeMap::new(),
+            has_lost_runs: false,
+            last_lost: None,
+            reviewed_at: now,
+            has_hidden_crashes: false,
             scheduled_jobs: collections::BTreeSet::new(),
             dirty_jobs: collections::BTreeSet::new(),
             orphans: collections::BTreeSet::new(),
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -4,8 +4,8 @@
 
 use super::adoption::{RunOrder, make_run};
 use super::{
-    Action, JobEntry, Note, Owner, PhaseState, Stage, advice, gang, headroom, search, settings,
-    unplaced,
+    JobEntry, Note, Owner, PhaseState, Stage, advice, crashes, gang, headroom, search, settings,
+    trials, unplaced,
 };
 use crate::{job, task, worker};
 
@@ -43,6 +43,8 @@
         return;
     }
     headroom::update(owner, now);
+    crashes::run(owner, now);
+    trials::run(owner, now);
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
     ranks.sort_unstable();
     let mut skip = unplaced::Unplaced::new(owner, now);
@@ -138,11 +140,20 @@
         owner.last_attempt += 1;
         start(owner, phase, index, &worker, owner.last_attempt, now);
     }
-    owner.open_phases.remove(&phase);
+    trials::plan(owner, phase, now);
+    close_if_started(owner, phase);
+}
+
+/// Removes a phase from the open ones if none of its tasks waits.
+pub(super) fn close_if_started(owner: &mut Owner, phase: task::PhaseId) {
+    if state_of(owner, phase).is_none_or(|state| state.waiting.is_empty()) {
+        owner.open_phases.remove(&phase);
+    }
 }
 
 fn next_waiting(owner: &Owner, phase: task::PhaseId) -> Option<u32> {
-    state_of(owner, phase)?.waiting.first().copied()
+    let may_start = |index: &&u32| !owner.is_withheld(task::TaskId { phase, index: **index });
+    state_of(owner, phase)?.waiting.iter().find(may_start).copied()
 }
 
 pub(super) fn state_of(owner: &Owner, phase: task::PhaseId) -> Option<&PhaseState> {
@@ -169,7 +180,7 @@
 }
 
 /// Orders a run on a worker.
-fn start(
+pub(super) fn start(
     owner: &mut Owner,
     phase: task::PhaseId,
     index: u32,
@@ -212,7 +223,7 @@
     let estimate = description.estimate;
     owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate });
     let order = worker::StartOrder { task, attempt, spec, checkpoint, deadline, ticket };
-    owner.actions.push(Action::Start { worker: worker.clone(), order });
+    owner.send_start(worker.clone(), order);
 }
 
 /// Reserves capacity for a run that may be ordered later in the same pass.
--- a/gl-jobs/src/owner/polls.rs
+++ b/gl-jobs/src/owner/polls.rs
@@ -119,6 +119,7 @@
             return;
         };
         let lost: Vec<_> = worker.runs.iter().filter(|t| !kept.contains(t)).copied().collect();
+        self.has_hidden_crashes |= self.is_recovering();
         self.note(Note::Replaced { worker: id.clone(), runs: lost.len() });
         for task in lost {
             self.end_run(task, Cause::Lapsed, now);
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery.rs
@@ -71,6 +71,7 @@
         });
         if is_superseded {
             self.removed_workers.insert(entry.id);
+            self.has_hidden_crashes = true;
             return;
         }
         let settings = self.settings;
@@ -81,6 +82,7 @@
         });
         worker.is_enrolled = worker.registration.address == entry.address;
         worker.was_enrolled = true;
+        worker.enrolled_as = Some(entry.incarnation);
         self.update_unstored(&entry.id);
     }
 
@@ -98,6 +100,7 @@
             self.scheduled_jobs.insert(row.id);
         }
         self.jobs.insert(row.id, entry);
+        self.index_suspects(row.id);
         if is_open {
             self.open_due(row.id, moment);
             self.finish_if_done(row.id, moment.now);
@@ -130,6 +133,7 @@
     if recovery.pending.is_empty() || now >= recovery.until {
         let missing = recovery.pending.len();
         owner.recovery = None;
+        owner.has_hidden_crashes |= owner.workers.values().any(super::Worker::was_replaced);
         owner.note(Note::Recovered { missing });
     }
 }
--- a/gl-jobs/src/owner/runs.rs
+++ b/gl-jobs/src/owner/runs.rs
@@ -99,6 +99,29 @@
         matches!(self.stage, Stage::Running(_))
     }
 
+    /// Returns the time at which the run had started at the latest, or at which it was ordered if
+    /// its start is not confirmed.
+    pub const fn started_at(&self) -> time::Timestamp {
+        match self.stage {
+            Stage::Running(at) => at,
+            Stage::Starting | Stage::Stopping(_) => self.since,
+        }
+    }
+
+    /// Returns whether the worker has confirmed the start.
+    pub const fn was_confirmed(&self) -> bool {
+        match self.stage {
+            Stage::Running(_) => true,
+            Stage::Starting => false,
+            Stage::Stopping(stop) => !stop.was_starting,
+        }
+    }
+
+    /// Returns whether the worker has reported the run at least `window` after its start.
+    pub fn has_survived(&self, window: time::Span) -> bool {
+        self.reported_at.since(self.started_at()) >= window
+    }
+
     /// Returns whether the run was ordered to stop.
     pub const fn is_stopping(&self) -> bool {
         matches!(self.stage, Stage::Stopping(_))
--- a/gl-jobs/src/owner/search.rs
+++ b/gl-jobs/src/owner/search.rs
@@ -22,6 +22,8 @@
     scores: Vec<Option<f64>>,
     /// The position of the worker that was found last.
     found: Option<usize>,
+    /// Whether the worker is for a task that may crash it.
+    is_trial: bool,
 }
 
 /// What the scores of a phase depend on, apart from the state of the assessed worker.
@@ -35,9 +37,16 @@
     pub ignores_load: bool,
     /// For a long-running task, how many workers are left without any.
     pub room: headroom::Room,
+    /// Whether the task may crash the worker.
+    pub is_trial: bool,
 }
 
 impl Candidates {
+    /// Returns the workers for a task that may crash the one on which it starts.
+    pub fn for_trial() -> Self {
+        Self { is_trial: true, ..Self::default() }
+    }
+
     /// Returns the best worker for the next task of the phase, or `None` if it cannot be placed.
     /// Since the last call, only the worker found by it may have changed.
     pub fn find(
@@ -49,12 +58,8 @@
         let entry = owner.jobs.get(&phase.job)?;
         let spec = entry.spec(phase.phase)?;
         let state = placement::state_of(owner, phase)?;
-        let conditions = Conditions {
-            rack: sibling_rack(owner, phase, spec),
-            image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
-            ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
-            room: room_for(owner, entry, spec, state),
-        };
+        let conditions =
+            Conditions { is_trial: self.is_trial, ..conditions(owner, entry, phase, now)? };
         let request = Request { phase, entry, spec, state, conditions: &conditions };
         if self.conditions.as_ref() == Some(&conditions) {
             let changed = self.found.and_then(|n| Some((n, owner.workers.values().nth(n)?)));
@@ -72,6 +77,41 @@
     }
 }
 
+fn conditions(
+    owner: &Owner,
+    entry: &JobEntry,
+    phase: task::PhaseId,
+    now: time::Timestamp,
+) -> Option<Conditions> {
+    let spec = entry.spec(phase.phase)?;
+    let state = placement::state_of(owner, phase)?;
+    Some(Conditions {
+        rack: sibling_rack(owner, phase, spec),
+        image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
+        ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
+        room: room_for(owner, entry, spec, state),
+        is_trial: false,
+    })
+}
+
+/// Returns whether a task of the phase may start on a worker that is held for it.
+pub(super) fn is_possible_on(
+    owner: &Owner,
+    phase: task::PhaseId,
+    id: &worker::WorkerId,
+    now: time::Timestamp,
+) -> bool {
+    let is_possible = || {
+        let entry = owner.jobs.get(&phase.job)?;
+        let spec = entry.spec(phase.phase)?;
+        let state = placement::state_of(owner, phase)?;
+        let conditions = conditions(owner, entry, phase, now)?;
+        let request = Request { phase, entry, spec, state, conditions: &conditions };
+        Some(is_possible(owner, &request, owner.workers.get(id)?, now))
+    };
+    is_possible().unwrap_or_default()
+}
+
 fn room_for(
     owner: &Owner,
     entry: &JobEntry,
@@ -136,7 +176,8 @@
 
 /// Returns the score of a worker for the requested task, or `None` if the task must not start there.
 fn assess(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> Option<f64> {
-    is_possible(owner, request, w, now).then(|| score(owner, request, w))?
+    let is_free = w.held_for.is_none() && is_possible(owner, request, w, now);
+    is_free.then(|| score(owner, request, w))?
 }
 
 fn is_possible(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> bool {
@@ -168,6 +209,9 @@
 /// bonuses but that of a rack.
 const LAST_FREE_MALUS: f64 = 8.0;
 
+/// The malus of a worker with long-running tasks for a task that may crash it.
+const TRIAL_MALUS: f64 = 8.0;
+
 /// The bonus of a worker on the preferred rack. It outweighs any difference in free capacity.
 const RACK_BONUS: f64 = 10.0;
 
@@ -184,11 +228,15 @@
             _ => 0.0,
         };
         left / total + colocation::image_affinity(request, w) - malus
+    } else if request.conditions.is_trial {
+        left / total
     } else {
         -left / total
     };
+    let has_users = request.conditions.is_trial && w.long_running_cores > 0;
+    let trial_malus = if has_users { TRIAL_MALUS } else { 0.0 };
     let is_near = |rack: &Option<String>| rack.is_some() && *rack == w.registration.rack;
     let data_bonus = if is_near(&spec.data_rack) { RACK_BONUS } else { 0.0 };
     let rack_bonus = if is_near(&request.conditions.rack) { RACK_BONUS } else { 0.0 };
-    Some(capacity + data_bonus + rack_bonus)
+    Some(capacity + data_bonus + rack_bonus - trial_malus)
 }
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -86,6 +86,16 @@
     /// outnumber its successes. Three failures in a row reach it, while a job that always fails
     /// adds only one failure per worker.
     pub failure_limit: f64,
+    /// The number of workers that have to crash soon after the start of a task before the task is
+    /// given up.
+    pub crash_limit: usize,
+    /// The same for crashes that no other task can have caused.
+    pub sole_limit: usize,
+    /// The time from the start of a task within which it crashes the worker, if it does.
+    pub crash_window: time::Span,
+    /// The largest share of a service's workers on which tasks that may crash them run at the same
+    /// time.
+    pub trial_share: f64,
     /// The time for which a worker that refused an order gets no new order: one round trip and a
     /// poll.
     pub refusal_pause: time::Span,
@@ -154,6 +164,10 @@
             patience: time::Span::seconds(3),
             advice_retry: time::Span::seconds(2),
             failure_limit: 2.4,
+            crash_limit: 3,
+            sole_limit: 2,
+            crash_window: time::Span::millis(500),
+            trial_share: 0.125,
             refusal_pause: time::Span::millis(500),
             worker_retention: time::Span::seconds(12),
             throttle_interval: time::Span::millis(600),
--- a/gl-jobs/src/owner/workers.rs
+++ b/gl-jobs/src/owner/workers.rs
@@ -33,6 +33,8 @@
     pub granted_until: time::Timestamp,
     /// Whether an earlier owner may have started tasks on the worker.
     pub was_enrolled: bool,
+    /// The incarnation on which earlier owners may have started tasks first.
+    pub enrolled_as: Option<worker::Incarnation>,
     /// The latest end of a lease that an earlier owner may have granted, by the worker's clock.
     pub inherited_until: time::Timestamp,
     /// The highest sequence number of an end that has been processed.
@@ -56,6 +58,10 @@
     pub health: Health,
     /// The worker gets no new tasks before this time.
     pub suspect_until: time::Timestamp,
+    /// The task that is tried on the worker, as it may crash it. The worker gets no other tasks.
+    pub held_for: Option<task::TaskId>,
+    /// The time at which it was last polled for the outcome of a start that may have crashed it.
+    pub probed_at: time::Timestamp,
     /// The time at which the CPU limits of its best-effort tasks last changed.
     pub throttled_at: time::Timestamp,
     /// The time at which the interference model was last updated from its reports.
@@ -147,6 +153,7 @@
             clock: None,
             granted_until: time::Timestamp::default(),
             was_enrolled: false,
+            enrolled_as: None,
             inherited_until: time::Timestamp::default(),
             processed_end: 0,
             stored_end: 0,
@@ -158,6 +165,8 @@
             unknown_runs: 0,
             health: Health::default(),
             suspect_until: time::Timestamp::default(),
+            held_for: None,
+            probed_at: time::Timestamp::default(),
             throttled_at: time::Timestamp::default(),
             observed_at: time::Timestamp::default(),
             long_running_images: Vec::new(),
@@ -199,6 +208,11 @@
         self.is_unresponsive || self.incarnation != Some(self.registration.incarnation)
     }
 
+    /// Returns whether the worker has restarted since an earlier owner enrolled it.
+    pub(super) fn was_replaced(&self) -> bool {
+        self.enrolled_as.is_some_and(|enrolled| enrolled < self.registration.incarnation)
+    }
+
     /// Returns the time, by the owner's clock, at which all leases of the worker have certainly
     /// expired.
     pub(super) fn expiry(&self, settings: &Settings) -> Option<time::Timestamp> {
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -5,7 +5,7 @@
 use gl_model::time;
 use serde::de;
 
-use crate::{bitset, job};
+use crate::{bitset, job, worker};
 
 /// The error returned by [`decode()`] and [`encode()`].
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
@@ -54,6 +54,37 @@
     pub failures: collections::BTreeMap<u32, Vec<u64>>,
     /// The newest checkpoint of each task whose run ended before the task was done.
     pub checkpoints: collections::BTreeMap<u32, String>,
+    /// The tasks that may have crashed a worker.
+    #[serde(default, skip_serializing_if = "collections::BTreeMap::is_empty")]
+    pub suspects: collections::BTreeMap<u32, Suspect>,
+}
+
+/// A task that may have crashed a worker.
+#[gl_derive::domain]
+#[derive(Default)]
+pub struct Suspect {
+    /// The attempt numbers of the runs during which a worker crashed.
+    pub crashes: Vec<u64>,
+    /// Those of them that no other task can have caused, and whose start the worker had confirmed.
+    pub sole: Vec<u64>,
+    /// Runs of which it is not known yet whether the worker crashed. A start of a task with crashes
+    /// is stored here before it is ordered, so that a later owner learns how it ended.
+    pub trials: Vec<Trial>,
+}
+
+/// A run that may have crashed its worker.
+#[gl_derive::domain]
+pub struct Trial {
+    /// The attempt number.
+    pub attempt: u64,
+    /// The worker.
+    pub worker: worker::WorkerId,
+    /// The VM of the worker. After a crash it may have a worker of another name.
+    pub vm: String,
+    /// The incarnation of the worker.
+    pub incarnation: worker::Incarnation,
+    /// Whether a crash of the worker cannot have another cause among the tasks, as far as is known.
+    pub is_sole: bool,
 }
 
 /// The owner of a cell.
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -3,9 +3,11 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "tests")]
 
 mod cell;
+mod fleet;
 
 mod commits;
 mod cost;
+mod crashes;
 mod election;
 mod identity;
 mod interference;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -84,6 +84,8 @@
             owner::Note::Suspected { .. } => self.event("suspect"),
             owner::Note::Replaced { .. } => self.event("replaced"),
             owner::Note::Stopping { .. } => self.event("stop"),
+            owner::Note::Implicated { .. } => self.event("implicated"),
+            owner::Note::GivenUp { .. } => self.event("given-up"),
             owner::Note::Ordered { .. } | owner::Note::Recovered { .. } => {}
         }
     }
