test(gl-emulate): random faults beside tasks that crash their workers

Purpose: owners are killed, suspended and cut from the store while tasks crash workers, which no scenario had. A share of the batch jobs has a first task that crashes its worker 10 ms after each start; the worker is back after 3 s. New guarantee `CrashLimit`: a task under which three workers have crashed has at most two starts more. A job may be shown as failed only if it has such a task and two workers have crashed under one of its tasks; a job without such tasks never for that reason.

--- a/gl-emulate/src/load.rs
+++ b/gl-emulate/src/load.rs
@@ -48,6 +48,8 @@
     pub best_effort_images: u32,
     /// The share of batch jobs whose tasks always fail.
     pub failing: f64,
+    /// The share of batch jobs of which a task crashes its workers.
+    pub crashing: f64,
     /// The share of batch and best-effort jobs that clients cancel after a second.
     pub cancelled: f64,
     /// A temporary increase of the arrival rate of best-effort jobs.
@@ -76,6 +78,7 @@
             long_running_images: 4,
             best_effort_images: 6,
             failing: 0.03,
+            crashing: 0.0,
             cancelled: 0.03,
             burst: None,
         }
@@ -160,9 +163,14 @@
         let cancelled = self.rng.random_bool(settings.cancelled);
         let cancelled = cancelled.then(|| at + time::Span::seconds(1));
         let mut arrival = self.arrival(at, phases, "batch", 0.4, cancelled);
+        // Without such jobs the sequence of random numbers stays the same.
+        let crashes_worker = settings.crashing > 0.0 && self.rng.random_bool(settings.crashing);
         for behaviour in &mut arrival.behaviours {
             behaviour.always_fails = always_fails;
         }
+        if let Some(behaviour) = arrival.behaviours.first_mut() {
+            behaviour.crashes_worker = crashes_worker;
+        }
         arrival
     }
 
@@ -229,6 +237,7 @@
         tail_target: phase.tail_target.map_or(0.0, |tail| tail.as_seconds() * 1_000.0),
         image,
         always_fails: false,
+        crashes_worker: false,
         checkpointing: phase.checkpointing,
         speculative: phase.speculative,
     }
--- a/gl-emulate/src/report.rs
+++ b/gl-emulate/src/report.rs
@@ -30,6 +30,8 @@
     /// A job fails only after the permitted number of runs of a task have failed, and no run of
     /// that task starts afterwards.
     AttemptLimit,
+    /// A task under which three workers have crashed is started at most twice more.
+    CrashLimit,
     /// Only tasks of jobs that were submitted and not cancelled are started.
     Requested,
     /// The completion of a run is acknowledged to the worker only after it is stored.
--- a/gl-emulate/src/simulation/checks.rs
+++ b/gl-emulate/src/simulation/checks.rs
@@ -20,8 +20,48 @@
     pub is_restarted: bool,
 }
 
+/// The number of workers that may crash under a task before its starts are limited, and the number
+/// of starts that it may have after that.
+const CRASHES: u32 = 3;
+const STARTS_AFTER_CRASHES: u32 = 2;
+/// The number of workers that have to crash under a task before its job may fail.
+const MIN_CRASHES: u32 = 2;
+
+/// The workers that have crashed under a task, and its starts after the third one.
+#[derive(Default)]
+pub(super) struct CrashCount {
+    crashes: u32,
+    later_starts: u32,
+}
+
 impl Simulation {
+    /// Counts the crash of a worker for the tasks that run on it.
+    pub(super) fn count_crash(&mut self, n: usize) {
+        for task in self.workers[n].runs.keys() {
+            self.crash_counts.entry(*task).or_default().crashes += 1;
+        }
+    }
+
+    /// Counts a start of a task that crashes its workers.
+    fn check_crash_limit(&mut self, task: task::TaskId) {
+        let Some(count) = self.crash_counts.get_mut(&task).filter(|c| c.crashes >= CRASHES) else {
+            return;
+        };
+        count.later_starts += 1;
+        let is_exceeded = count.later_starts > STARTS_AFTER_CRASHES;
+        let is_first = task.index == 0;
+        if is_exceeded && is_first && self.behaviour(task.phase).is_some_and(|b| b.crashes_worker) {
+            self.record_violation(report::Guarantee::CrashLimit, &task);
+        }
+    }
+
+    fn may_have_crashed(&self, id: task::JobId) -> bool {
+        let of_job = self.crash_counts.iter().filter(|(task, _)| task.phase.job == id);
+        of_job.map(|(_, count)| count.crashes).max().unwrap_or_default() >= MIN_CRASHES
+    }
+
     pub(super) fn check_start(&mut self, n: usize, task: task::TaskId, is_speculative: bool) {
+        self.check_crash_limit(task);
         let runs_elsewhere = self
             .workers
             .iter()
@@ -143,11 +183,13 @@
             (0..spec.count).all(|index| self.completed.contains(&task::TaskId { phase, index }))
         });
         let always_fails = arrival.behaviours.iter().any(|b| b.always_fails);
+        let crashes_workers = arrival.behaviours.iter().any(|b| b.crashes_worker);
         let is_correct = match state {
             job::State::Complete => is_done,
             job::State::Failed => {
                 (always_fails || self.has_failing_workers())
                     && self.has_failed(row.job, &arrival.job)
+                    || crashes_workers && self.may_have_crashed(row.job)
             }
             _ => true,
         };
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -1,8 +1,13 @@
 //! Injection of faults, and recovery from them.
 
+use gl_model::time;
+
 use super::{Fault, Simulation};
 use crate::worker;
 
+/// The time for which a worker is down that a task has crashed.
+const CRASH_DOWNTIME: time::Span = time::Span::seconds(3);
+
 impl Simulation {
     pub(super) fn apply_faults(&mut self) {
         while let Some(scheduled) = self.settings.faults.get(self.next_fault).cloned() {
@@ -19,6 +24,11 @@
         for (_, n) in self.restarts.extract_if(.., |(at, _)| *at <= now) {
             self.workers[n].restart(now);
         }
+        for (_, n, task) in self.crashes.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
+            if self.workers[n].runs.contains_key(&task) {
+                self.inject(&Fault::CrashWorker(n, CRASH_DOWNTIME));
+            }
+        }
         for (_, n) in self.terminations.extract_if(.., |(at, _)| *at <= now) {
             self.workers[n].is_down = true;
             self.workers[n].runs.clear();
@@ -46,6 +56,7 @@
                 self.fault_ends.push((now + *span, *n));
             }
             Fault::CrashWorker(n, span) => {
+                self.count_crash(*n);
                 self.workers[*n].is_down = true;
                 self.workers[*n].runs.clear();
                 self.restarts.push((now + *span, *n));
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -16,7 +16,7 @@
 
 pub use settings::{Disabled, Fault, ScheduledFault, Settings};
 
-use checks::PendingEnd;
+use checks::{CrashCount, PendingEnd};
 use messages::Delivery;
 use owners::{Ownership, StoredJob, is_active};
 
@@ -54,6 +54,10 @@
     terminations: Vec<(time::Timestamp, usize)>,
     unlisted: Vec<(time::Timestamp, usize)>,
     failures: collections::BTreeMap<task::TaskId, u32>,
+    /// The times at which tasks crash their workers, with the worker and the task.
+    crashes: Vec<(time::Timestamp, usize, task::TaskId)>,
+    /// The workers that have crashed under each task, and the starts after the third crash.
+    crash_counts: collections::BTreeMap<task::TaskId, CrashCount>,
     roster: collections::BTreeMap<model::WorkerId, model::Registration>,
     stored_model: record::ModelSnapshot,
     last_renewal: time::Timestamp,
@@ -90,6 +94,8 @@
             terminations: Vec::new(),
             unlisted: Vec::new(),
             failures: collections::BTreeMap::new(),
+            crashes: Vec::new(),
+            crash_counts: collections::BTreeMap::new(),
             roster: collections::BTreeMap::new(),
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -8,6 +8,9 @@
 use super::{MESSAGE_DELAY, ORDER_TIMEOUT, Simulation, TIME_STEP};
 use crate::{load, report, worker};
 
+/// The time from the start of a task to the crash of its worker, if the task causes one.
+const CRASH_DELAY: time::Span = time::Span::millis(10);
+
 impl Simulation {
     pub(super) fn deliver_to_worker(&mut self, delivery: Delivery) {
         let n = delivery.worker;
@@ -123,9 +126,13 @@
         };
         let was_running = self.workers[n].runs.contains_key(&order.task);
         let is_speculative = behaviour.speculative;
+        let crashes_worker = behaviour.crashes_worker && order.task.index == 0;
         let reply = self.workers[n].start(token, order, behaviour, self.now);
         if reply == model::OrderReply::Done && !was_running {
             self.report.starts += 1;
+            if crashes_worker {
+                self.crashes.push((self.now + CRASH_DELAY, n, order.task));
+            }
             self.check_start(n, order.task, is_speculative);
         }
         reply
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -37,6 +37,8 @@
     pub image: Option<u32>,
     /// Whether every run of the task fails.
     pub always_fails: bool,
+    /// Whether every run of the phase's first task crashes its worker.
+    pub crashes_worker: bool,
     /// Whether the task saves checkpoints.
     pub checkpointing: bool,
     /// Whether several runs of the task may overlap.
--- a/gl-emulate/tests/simulation/faults.rs
+++ b/gl-emulate/tests/simulation/faults.rs
@@ -20,9 +20,8 @@
 }
 
 /// Returns a load within the capacity of the small fleet.
-pub fn arrivals(seed: u64) -> Vec<load::Arrival> {
-    load::generate(&load::Settings {
-        seed,
+pub fn load() -> load::Settings {
+    load::Settings {
         length: seconds(14),
         long_running: 4,
         batch: 2.0,
@@ -30,7 +29,12 @@
         failing: 0.12,
         cancelled: 0.1,
         ..load::Settings::default()
-    })
+    }
+}
+
+/// Returns the jobs of that load.
+pub fn arrivals(seed: u64) -> Vec<load::Arrival> {
+    load::generate(&load::Settings { seed, ..load() })
 }
 
 fn fault(rng: &mut rngs::SmallRng) -> simulation::Fault {
--- a/gl-emulate/tests/simulation/main.rs
+++ b/gl-emulate/tests/simulation/main.rs
@@ -1,4 +1,5 @@
 //! Simulation runs of the owner's decisions in virtual time.
 
+mod crashes;
 pub mod faults;
 mod scenarios;
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -60,6 +60,7 @@
         tail_target: 50.0,
         image: None,
         always_fails: description.always_fails,
+        crashes_worker: false,
         checkpointing: false,
         speculative: false,
     }
