--- a/gl-emulate/tests/simulation/main.rs
+++ b/gl-emulate/tests/simulation/main.rs
@@ -1,5 +1,6 @@
 //! Simulation runs of the owner's decisions in virtual time.
 
+mod crashes;
 pub mod faults;
 mod handover;
 mod scenarios;
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement.rs
@@ -4,8 +4,8 @@
 
 use super::adoption::{RunOrder, make_run};
 use super::{
-    Action, JobEntry, Note, Owner, PhaseState, Stage, advice, gang, headroom, search, settings,
-    unplaced,
+    JobEntry, Note, Owner, PhaseState, Stage, advice, crashes, gang, headroom, search, settings,
+    trials, unplaced,
 };
 use crate::{job, task, worker};
 
@@ -43,6 +43,8 @@
         return;
     }
     headroom::update(owner, now);
+    crashes::run(owner, now);
+    trials::run(owner, now);
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
     ranks.sort_unstable();
     let mut skip = unplaced::Unplaced::new(owner, now);
@@ -120,21 +122,21 @@
         return;
     }
     let spec = spec.clone();
-    let may_overlap = spec.speculative || !is_inherited(owner, phase);
-    if next_startable(owner, phase, may_overlap).is_none() {
+    let has_suspects = state_of(owner, phase).is_some_and(|state| !state.suspects.is_empty());
+    if next_waiting(owner, phase).is_none() && !has_suspects {
         return close_if_started(owner, phase);
     }
     if !advice::has_advice(owner, phase, now) {
         return;
     }
     if spec.gang {
-        if may_overlap || !may_run_unseen(owner, phase) {
+        if !has_unseen(owner, phase) {
             start_gang(owner, phase, now);
         }
         return;
     }
     let mut candidates = search::Candidates::default();
-    while let Some(index) = next_startable(owner, phase, may_overlap) {
+    while let Some(index) = next_waiting(owner, phase) {
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
                 skip.add(&entry.job, &spec);
@@ -144,26 +146,23 @@
         owner.last_attempt += 1;
         start(owner, phase, index, &worker, owner.last_attempt, now);
     }
+    trials::plan(owner, phase, now);
     close_if_started(owner, phase);
 }
 
-/// Closes a phase without waiting tasks.
-fn close_if_started(owner: &mut Owner, phase: task::PhaseId) {
+/// Removes a phase from the open ones if none of its tasks waits.
+pub(super) fn close_if_started(owner: &mut Owner, phase: task::PhaseId) {
     if state_of(owner, phase).is_none_or(|state| state.waiting.is_empty()) {
         owner.open_phases.remove(&phase);
     }
 }
 
-/// Returns whether any waiting task of the phase may be running on a worker that has not replied.
-fn may_run_unseen(owner: &Owner, phase: task::PhaseId) -> bool {
-    let is_unseen = |index: &u32| owner.may_run_unseen(task::TaskId { phase, index: *index });
-    state_of(owner, phase).is_some_and(|state| state.waiting.iter().any(is_unseen))
-}
-
-/// Returns the next waiting task that no worker may be running, or of which the runs may overlap.
-fn next_startable(owner: &Owner, phase: task::PhaseId, may_overlap: bool) -> Option<u32> {
-    let may_start =
-        |index: &&u32| may_overlap || !owner.may_run_unseen(task::TaskId { phase, index: **index });
+/// Returns the next waiting task that is not held back.
+fn next_waiting(owner: &Owner, phase: task::PhaseId) -> Option<u32> {
+    let may_start = |index: &&u32| {
+        let task = task::TaskId { phase, index: **index };
+        !owner.is_withheld(task) && !is_unseen(owner, task)
+    };
     state_of(owner, phase)?.waiting.iter().find(may_start).copied()
 }
 
@@ -171,9 +170,21 @@
     owner.jobs.get(&phase.job)?.phases.get(&(phase.occurrence, phase.phase))
 }
 
-/// Returns whether an earlier owner may have started runs of the phase that are not known yet.
-fn is_inherited(owner: &Owner, phase: task::PhaseId) -> bool {
-    owner.is_recovering() && owner.jobs.get(&phase.job).is_some_and(|entry| entry.is_inherited)
+/// Returns whether the task may be running on a worker that has not replied, and has one run at a
+/// time.
+pub(super) fn is_unseen(owner: &Owner, task: task::TaskId) -> bool {
+    if !owner.is_recovering() {
+        return false;
+    }
+    let entry = owner.jobs.get(&task.phase.job).filter(|entry| entry.is_inherited);
+    let spec = entry.and_then(|entry| entry.spec(task.phase.phase));
+    spec.is_some_and(|spec| !spec.speculative) && owner.may_run_unseen(task)
+}
+
+/// Returns whether any waiting task of the phase may be running on a worker that has not replied.
+fn has_unseen(owner: &Owner, phase: task::PhaseId) -> bool {
+    let is_unseen = |index: &u32| is_unseen(owner, task::TaskId { phase, index: *index });
+    state_of(owner, phase).is_some_and(|state| state.waiting.iter().any(is_unseen))
 }
 
 fn start_gang(owner: &mut Owner, phase: task::PhaseId, now: time::Timestamp) {
@@ -189,7 +200,7 @@
 }
 
 /// Orders a run on a worker.
-fn start(
+pub(super) fn start(
     owner: &mut Owner,
     phase: task::PhaseId,
     index: u32,
@@ -232,7 +243,7 @@
     let estimate = description.estimate;
     owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate });
     let order = worker::StartOrder { task, attempt, spec, checkpoint, deadline, ticket };
-    owner.actions.push(Action::Start { worker: worker.clone(), order });
+    owner.send_start(worker.clone(), order);
 }
 
 /// Reserves capacity for a run that may be ordered later in the same pass.
