--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -7,6 +7,8 @@
 
 /// The time after which other daemons notice that a process has terminated.
 const NOTICE_DELAY: time::Span = time::Span::millis(300);
+/// The time for which a worker is down that a task has crashed.
+const CRASH_DOWNTIME: time::Span = time::Span::seconds(3);
 
 impl Simulation {
     pub(super) fn apply_faults(&mut self) {
@@ -24,6 +26,11 @@
         for (_, n) in self.restarts.extract_if(.., |(at, _)| *at <= now) {
             self.workers[n].restart(now);
         }
+        for (_, n, task) in self.crashes.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
+            if self.workers[n].runs.contains_key(&task) {
+                self.inject(&Fault::CrashWorker(n, CRASH_DOWNTIME));
+            }
+        }
         for (_, n) in self.terminations.extract_if(.., |(at, _)| *at <= now) {
             self.workers[n].is_down = true;
             self.workers[n].runs.clear();
@@ -57,6 +64,7 @@
                 self.fault_ends.push((now + *span, *n));
             }
             Fault::CrashWorker(n, span) => {
+                self.count_crash(*n);
                 self.workers[*n].is_down = true;
                 self.workers[*n].runs.clear();
                 self.restarts.push((now + *span, *n));
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery.rs
@@ -135,6 +135,7 @@
         });
         if is_superseded {
             self.removed_workers.insert(entry.id);
+            self.has_hidden_crashes = true;
             return;
         }
         let settings = self.settings;
@@ -146,6 +147,7 @@
         worker.is_enrolled = worker.registration.address == entry.address;
         worker.in_roster = true;
         worker.was_enrolled = true;
+        worker.enrolled_as = Some(entry.incarnation);
         self.update_unstored(&entry.id);
     }
 
@@ -173,6 +175,7 @@
             self.scheduled_jobs.insert(row.id);
         }
         self.jobs.insert(row.id, entry);
+        self.index_suspects(row.id);
         if is_open {
             self.open_due(row.id, moment);
             self.finish_if_done(row.id, moment.now);
@@ -223,6 +226,7 @@
     if left == 0 {
         let missing = recovery.missing;
         owner.recovery = None;
+        owner.has_hidden_crashes |= owner.workers.values().any(super::Worker::was_replaced);
         owner.note(Note::Recovered { missing, took });
     } else if took >= REPORT_DELAY && !recovery.is_reported {
         recovery.is_reported = true;
