fix: skip a reading of the store's clock that is missing

A reply without the store's clock counted as a reading of zero. The end of a worker's leases stored by such a reading lies in the past for the next owner, which would start the worker's tasks a second time. Such replies give no reading now.

--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -222,8 +222,10 @@
 
     /// Records the store's clock in the reply to a read that was sent at `sent`.
     pub(super) fn store_clock_read(&self, read: &platform::Rows, sent: time::Timestamp) {
-        let reading = owner::StoreClock { clock: read.clock, sent, at: clock::steady() };
-        self.owner.borrow_mut().store_clock_read(reading);
+        if let Some(store_clock) = read.clock {
+            let reading = owner::StoreClock { clock: store_clock, sent, at: clock::steady() };
+            self.owner.borrow_mut().store_clock_read(reading);
+        }
     }
 
     /// Returns the longest time for which leases of workers may last if this owner extends none any
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -81,8 +81,8 @@
     pub rows: Vec<Row>,
     /// The version of the store that the rows reflect.
     pub version: u64,
-    /// The store's steady clock at some time during the read.
-    pub clock: time::Timestamp,
+    /// The store's steady clock at some time during the read, if the store tells it.
+    pub clock: Option<time::Timestamp>,
 }
 
 /// A range of rows.
