fix(gl-jobs): count leases from the claim after an outage was reported

The wait for leases counted from the last renewal of a silent owner, or from the last report to it that the store could not be reached. The owner may extend its leases from such a report on, and gets it later than it was sent, so the margin against a second run was the margin for clocks alone.

--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -130,7 +130,8 @@
     /// The time since which the owner has not renewed its lease, if this daemon has followed it.
     pub unrenewed_since: Option<time::Timestamp>,
     /// The last time at which this daemon reported to the owner that it could not reach the store. The
-    /// owner may have extended leases then as if it had renewed its own.
+    /// owner may extend leases from then on as if it had renewed its own, and the report may reach it
+    /// late.
     pub outage_reported: time::Timestamp,
 }
 
@@ -145,7 +146,9 @@
     let after =
         |at: time::Timestamp, span: time::Span| (at + span + span.scaled(clock_drift)).since(now);
     let ended = last.ended.map(|ended| after(ended.at, ended.outstanding));
-    let unrenewed = last.unrenewed_since.map(|at| after(at.max(last.outage_reported), horizon));
+    let unrenewed =
+        last.unrenewed_since.filter(|at| last.outage_reported + HEARTBEAT_VALIDITY < *at);
+    let unrenewed = unrenewed.map(|at| after(at, horizon));
     ended.into_iter().chain(unrenewed).min()
 }
 
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -97,7 +97,9 @@
     let silent = election::LastOwner { unrenewed_since: Some(at(20_000)), ..none };
     assert_eq!(left(&silent, 22_500), Some(time::Span::millis(7_500)));
     let outage = election::LastOwner { outage_reported: at(22_000), ..silent };
-    assert_eq!(left(&outage, 22_500), Some(time::Span::millis(9_500)), "as after a renewal");
+    assert_eq!(left(&outage, 22_500), None, "the owner may have extended leases since");
+    let earlier = election::LastOwner { outage_reported: at(18_000), ..silent };
+    assert_eq!(left(&earlier, 22_500), Some(time::Span::millis(7_500)), "it has renewed since");
 }
 
 #[test]
