fix: keep what is known of leases when a daemon claims the cell

A claim wrote that nothing was known of the leases of earlier owners, until its owner had read the stored state. A claim stores how long they last at most, and renewals go on from there; also a claim whose reply was lost keeps it. The time to load the stored state is part of the wait now instead of added to it.

--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -4,7 +4,7 @@
 
 use std::rc;
 
-use gl_jobs::{election, record};
+use gl_jobs::{election, owner, record};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
@@ -119,6 +119,8 @@
     /// Version of the owner's row that the claim checks.
     checked_version: u64,
     sent: time::Timestamp,
+    /// See [`owner::Takeover::outstanding`].
+    outstanding: Option<time::Span>,
 }
 
 impl OwnerWatch {
@@ -182,18 +184,18 @@
         let claim = clock::now().0;
         let settings = &node.settings;
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
-        let txn = match claim_transaction(cell, &owner, settings.owner.horizon) {
+        let sent = clock::steady();
+        let outstanding = self.outstanding_lease(node, cell, sent);
+        let txn = match claim_transaction(cell, &owner, &settings.owner, outstanding) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
         };
         node.has_open_claim.set(true);
-        let sent = clock::steady();
         let result = node.platform.store.transact(&txn).await;
         node.record_store_result(&result, clock::steady());
         let is_lost = matches!(result, Err(platform::StoreError::Lost { .. }));
         match result {
             Ok(platform::Outcome::Committed(token)) => {
-                let outstanding = self.outstanding_lease(node, cell, sent);
                 ownership::start(node, ownership::Claim { token, sent, outstanding, cause });
             }
             Ok(platform::Outcome::Conflict(_)) => {
@@ -202,7 +204,8 @@
             Err(error) => log_claim_failure(cause, error.to_string()),
         }
         let checked_version = cell.owner.as_ref().map_or(0, |owner| owner.version);
-        self.open_claim = is_lost.then_some(OpenClaim { claim, checked_version, sent });
+        let open = OpenClaim { claim, checked_version, sent, outstanding };
+        self.open_claim = is_lost.then_some(open);
         node.has_open_claim.set(is_lost);
     }
 
@@ -243,7 +246,7 @@
             let claim = ownership::Claim {
                 token: owner.version,
                 sent: open.sent,
-                outstanding: None,
+                outstanding: open.outstanding,
                 cause: "the reply to its claim was lost, and the claim took effect",
             };
             ownership::start(node, claim);
@@ -274,16 +277,20 @@
     CellRows { owner: find(read, rows::OWNER), lease: find(read, rows::LEASE) }
 }
 
-/// Returns the transaction that makes `owner` the cell's owner if the cell's rows are unchanged.
+/// Returns the transaction that makes `owner` the cell's owner if the cell's rows are unchanged. The
+/// leases that earlier owners have extended last for `outstanding` at most, if that is known.
 fn claim_transaction(
     cell: &CellRows,
     owner: &record::Owner,
-    horizon: time::Span,
+    settings: &owner::Settings,
+    outstanding: Option<time::Span>,
 ) -> Result<platform::Transaction, record::Error> {
     let version_of = |version: Option<u64>| version.unwrap_or_default();
     let check = |name, version| platform::Check { key: rows::cell_row(name), version };
     let write = |name, value| platform::Write { key: rows::cell_row(name), value };
-    let lease = record::Lease { renewals: 0, released: false, horizon, outstanding: None };
+    let horizon = settings.horizon;
+    let outstanding = Some(outstanding.unwrap_or(horizon).max(settings.lease));
+    let lease = record::Lease { renewals: 0, released: false, horizon, outstanding };
     Ok(platform::Transaction {
         checks: vec![
             check(rows::OWNER, version_of(cell.owner.as_ref().map(|row| row.version))),
@@ -400,7 +407,7 @@
     released: bool,
 ) -> Result<platform::Outcome, platform::StoreError> {
     let horizon = node.settings.owner.horizon;
-    let outstanding = ownership.outstanding_lease();
+    let outstanding = Some(ownership.outstanding_lease(clock::steady()));
     let row = record::encode("lease", &record::Lease { renewals, released, horizon, outstanding });
     let value = row.map_err(|e| platform::StoreError::Refused {
         operation: "renew the lease",
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -228,10 +228,20 @@
         }
     }
 
-    /// Returns the longest time for which leases of workers may last if this owner extends none any
-    /// more; `None` while that is not known.
-    pub(super) fn outstanding_lease(&self) -> Option<time::Span> {
-        self.is_loaded.get().then(|| self.owner.borrow().outstanding(clock::steady()))
+    /// Returns the longest time for which the leases that earlier owners have extended may last at
+    /// `now`, if that was known at the claim.
+    pub(super) fn inherited_lease(&self, now: time::Timestamp) -> Option<time::Span> {
+        self.outstanding.map(|left| (self.started_at + left).since(now))
+    }
+
+    /// Returns the longest time for which leases of workers may last at `now` if this owner extends
+    /// none any more.
+    pub(super) fn outstanding_lease(&self, now: time::Timestamp) -> time::Span {
+        if self.is_loaded.get() {
+            return self.owner.borrow().outstanding(now);
+        }
+        let settings = &self.node.settings.owner;
+        self.inherited_lease(now).unwrap_or(settings.horizon).max(settings.lease)
     }
 
     /// Applies changed rows of the work table: jobs first, then cancellations.
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -53,7 +53,7 @@
         {
             let mut owner = self.owner.borrow_mut();
             owner.workers_listed(&list.workers, listed_at, moment.now);
-            let outstanding = self.outstanding;
+            let outstanding = self.inherited_lease(moment.now);
             let takeover = owner::Takeover { jobs: stored, roster, vacating, outstanding };
             owner.recover(takeover, &moment);
             for model in &model {
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -100,7 +100,8 @@
         };
         owner.store_clock_read(store_clock(self.now));
         owner.recover(takeover, &moment);
-        self.outstanding = None;
+        let carried = outstanding.unwrap_or(settings.horizon).max(settings.lease);
+        self.outstanding = Some(carried);
         owner.restore_model(&self.stored_model);
         self.ownerships.push(Ownership {
             owner,
--- a/gl-emulate/tests/simulation/handover.rs
+++ b/gl-emulate/tests/simulation/handover.rs
@@ -57,7 +57,6 @@
         workers: fleet::mixed(2 * WORKERS),
         arrivals,
         faults,
-
         ..simulation::Settings::default()
     };
     simulation::Simulation::new(settings).run()
@@ -86,6 +85,8 @@
 
 /// The number of runs with random faults.
 const RUNS: u64 = 100;
+/// Seeds that failed when a claim discarded what was known of the leases of earlier owners.
+const FAILED_SEEDS: [u64; 11] = [249, 336, 496, 505, 697, 714, 719, 1022, 1185, 1230, 1274];
 
 /// Returns random faults beside the roll: owners end in all ways while workers leave, are unreachable
 /// or are missing from the list.
@@ -113,7 +114,7 @@
 /// Guards against second runs: what is stored of departed workers must hold for every later owner.
 #[test]
 fn random_faults_beside_a_roll_violate_no_guarantee() {
-    for seed in 0..RUNS {
+    for seed in (0..RUNS).chain(FAILED_SEEDS) {
         let report = run(seed, Some(1), random_faults(seed));
         assert!(report.violations.is_empty(), "seed {seed}: {report}");
     }
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -108,8 +108,8 @@
     pub released: bool,
     /// The longest time that leases of workers may last after a renewal.
     pub horizon: time::Span,
-    /// The longest time that they may last once the owner extends none any more; `None` before the
-    /// owner has read the stored state.
+    /// The longest time that they may last once the owner extends none any more; `None` if an earlier
+    /// version of the program wrote the row.
     pub outstanding: Option<time::Span>,
 }
 
