fix(gl-jobs): store the end of leases only of workers that failed to reply

Half a second after a takeover the end of the leases of each worker without a reply was stored, although no poll had failed. Leases of such a worker are extended only after a commit has replaced that row: by review, with 610 workers that reply after 0.7 s and a store that takes 400 ms for a commit, 250 of them got their first extension later than 6 s, so their tasks would lapse; and none during an outage. A poll has to fail first now. The new test failed before (no extension); the test of the stored end reports a failed poll before it expects the row, and checks that there is none without. has_stored_end is the new name of is_bounded.

--- a/gl-jobs/src/owner/commit.rs
+++ b/gl-jobs/src/owner/commit.rs
@@ -166,7 +166,8 @@
     pub(super) fn update_unstored(&mut self, id: &worker::WorkerId) {
         let worker = self.workers.get(id);
         let is_unenrolled = worker.is_some_and(|w| {
-            let is_out_of_reach = w.is_bounded && (w.is_unresponsive || w.incarnation.is_none());
+            let is_out_of_reach =
+                w.has_stored_end && (w.is_unresponsive || w.incarnation.is_none());
             w.is_listed && !w.is_enrolled && w.draining_since.is_none() && !is_out_of_reach
         });
         let has_ends = worker.is_some_and(|w| w.processed_end > w.stored_end);
@@ -215,7 +216,7 @@
             if let Some(worker) = self.workers.get_mut(&entry.id) {
                 worker.is_enrolled = worker.registration.address == entry.address;
                 worker.in_roster = true;
-                worker.is_bounded = false;
+                worker.has_stored_end = false;
                 worker.vacating = None;
                 self.removed_workers.remove(&entry.id);
                 self.unstored_vacating.remove(&entry.id);
@@ -246,7 +247,7 @@
     fn vacating_stored(&mut self, row: &record::Vacating) {
         let worker = self.workers.get_mut(&row.worker);
         if let Some(worker) = worker.filter(|worker| worker.vacating.as_ref() == Some(row)) {
-            worker.is_bounded = row.until.is_some();
+            worker.has_stored_end = row.until.is_some();
             self.unstored_vacating.remove(&row.worker);
         }
     }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -80,19 +80,19 @@
     dirty_jobs: collections::BTreeSet<task::JobId>,
     /// Jobs of which only the progress is still stored.
     orphans: collections::BTreeSet<task::JobId>,
-    /// Listed workers that are not stored in the roster yet.
+    /// Listed workers that have to be stored in the roster before they get tasks.
     unenrolled: collections::BTreeSet<worker::WorkerId>,
     /// Workers with processed ends whose effects are not stored yet.
     unstored: collections::BTreeSet<worker::WorkerId>,
-    /// Workers that have been removed from the table and are still stored in the roster.
+    /// Workers that are still stored in the roster and have to be removed from it.
     removed_workers: collections::BTreeSet<worker::WorkerId>,
     interference: InterferenceModel,
     /// The time at which the learned model was last included in a commit.
     model_stored_at: time::Timestamp,
-    /// Workers of which the stored state is not up to date, apart from their enrolment.
+    /// Workers whose [`record::Vacating`] has to be stored.
     unstored_vacating: collections::BTreeSet<worker::WorkerId>,
     recovery: Option<recovery::Recovery>,
-    /// The longest lease that earlier owners may have granted to an enrolled worker.
+    /// The longest time for which leases that earlier owners have extended may last from the takeover.
     inherited_lease: time::Span,
     /// The newest reading of the store's clock.
     store_clock: Option<StoreClock>,
--- a/gl-jobs/src/owner/polls.rs
+++ b/gl-jobs/src/owner/polls.rs
@@ -140,7 +140,7 @@
         let span = if is_draining { settings.draining_lease } else { settings.lease };
         let until = (now + span).min(horizon);
         let lease = worker.clock_at(now).map(|clock| clock + until.since(now));
-        let is_due = until > now && !worker.is_unresponsive && !worker.is_bounded;
+        let is_due = until > now && !worker.is_unresponsive && !worker.has_stored_end;
         let lease = lease.filter(|lease| is_due && *lease > worker.granted_until);
         if let Some(lease) = lease {
             worker.granted_until = lease;
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery.rs
@@ -155,7 +155,7 @@
         let id = row.worker.clone();
         if let Some(worker) = self.workers.get_mut(&id).filter(|worker| worker.in_roster) {
             worker.is_enrolled = false;
-            worker.is_bounded = row.until.is_some();
+            worker.has_stored_end = row.until.is_some();
             worker.vacating = Some(row);
         }
         self.update_unstored(&id);
--- a/gl-jobs/src/owner/roster.rs
+++ b/gl-jobs/src/owner/roster.rs
@@ -50,11 +50,11 @@
         until: None,
     };
     if worker.is_unresponsive {
-        let until = worker.expiry(&owner.settings).filter(|_| !worker.is_bounded)?;
+        let until = worker.expiry(&owner.settings).filter(|_| !worker.has_stored_end)?;
         return bound(owner, row, until.max(now));
     }
     let is_stored = worker.vacating.as_ref().is_some_and(|row| row.tasks.is_some());
-    (worker.is_bounded || !is_stored).then_some(Change::Vacate(row))
+    (worker.has_stored_end || !is_stored).then_some(Change::Vacate(row))
 }
 
 /// Returns the changes for workers that have not replied since the takeover.
@@ -63,7 +63,8 @@
         return Vec::new();
     };
     let unbounded = recovery.unreachable(now).filter_map(|(id, until)| {
-        let worker = owner.workers.get(id).filter(|worker| !worker.is_bounded)?;
+        let is_due = |worker: &&Worker| worker.is_unresponsive && !worker.has_stored_end;
+        let worker = owner.workers.get(id).filter(is_due)?;
         let tasks = worker.vacating.as_ref().and_then(|row| row.tasks.clone());
         let row = record::Vacating { worker: id.clone(), tasks, until: None };
         Some((id.clone(), bound(owner, row, until)?))
@@ -95,7 +96,7 @@
                 self.unstored_vacating.insert(id.clone());
             }
             Change::Bound(row) => {
-                worker.is_bounded = true;
+                worker.has_stored_end = true;
                 worker.vacating = Some(row);
                 self.unstored_vacating.insert(id.clone());
             }
--- a/gl-jobs/src/owner/workers.rs
+++ b/gl-jobs/src/owner/workers.rs
@@ -23,7 +23,7 @@
     pub vacating: Option<record::Vacating>,
     /// Whether the store has, or may have, a time at which its leases have expired. They must not be
     /// extended until that is replaced.
-    pub is_bounded: bool,
+    pub has_stored_end: bool,
     /// The time since which the list has no entry for the worker, if it has none.
     pub unlisted_at: time::Timestamp,
     /// The time at which its entry was first marked as draining.
@@ -155,7 +155,7 @@
             is_enrolled: false,
             in_roster: false,
             vacating: None,
-            is_bounded: false,
+            has_stored_end: false,
             unlisted_at: now,
             draining_since: None,
             incarnation: None,
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -244,6 +244,9 @@
 fn end_of_leases_is_stored_and_shortens_the_wait_of_the_next_owner() {
     let mut owner = after_handover(2, Vec::new());
     owner.tick(&cell::moment(5_600));
+    assert_eq!(owner.next_commit(cell::at(5_600)), None, "w-1 may be slow to reply");
+    owner.poll_failed(&cell::worker(1), cell::at(5_600));
+    owner.tick(&cell::moment(5_600));
     let commit = owner.next_commit(cell::at(5_600)).expect("w-1 did not reply");
     let [row] = &commit.vacating[..] else { panic!("one row: {commit:?}") };
     assert_eq!((&row.worker, &row.tasks), (&cell::worker(1), &None));
@@ -290,3 +293,14 @@
     poll_replied(&mut owner, 1, &empty(7_000), 7_000);
     assert_eq!(owner.outstanding(cell::at(7_000)), time::Span::seconds(6));
 }
+
+/// Guards against leases that lapse on sound workers: their extension would wait for a commit.
+#[test]
+fn leases_of_a_worker_that_replies_late_are_extended_without_a_commit() {
+    let mut owner = after_handover(2, Vec::new());
+    owner.tick(&cell::moment(5_600));
+    poll_replied(&mut owner, 1, &empty(5_700), 5_700);
+    let request = owner.poll_request(&cell::worker(1), cell::at(5_710)).expect("a known worker");
+    assert!(request.lease.is_some());
+    assert_eq!(owner.next_commit(cell::at(5_710)), None);
+}
