test(gl-emulate): an owner that is split off with workers of its own

The emulator had no owner that goes on at workers which later owners cannot reach, the case for which a new owner waits: partitions cut workers from all owners, and paused owners send nothing.

--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -10,7 +10,32 @@
 /// The time for which a worker is down that a task has crashed.
 const CRASH_DOWNTIME: time::Span = time::Span::seconds(3);
 
+/// Every worker whose number is a multiple of this is on the side of the owner in a split.
+const SPLIT_WORKERS: usize = 3;
+
+/// A partition between an owner with some of the workers and everything else.
+#[derive(Clone, Copy)]
+pub(super) struct Split {
+    pub owner: usize,
+    pub until: time::Timestamp,
+}
+
 impl Simulation {
+    fn split_owner(&self) -> Option<usize> {
+        self.split.filter(|split| self.now < split.until).map(|split| split.owner)
+    }
+
+    /// Returns whether an owner can reach the store.
+    pub(super) fn is_store_up_for(&self, owner: usize) -> bool {
+        self.is_store_up() && self.split_owner() != Some(owner)
+    }
+
+    /// Returns whether an owner can reach a worker that has no fault of its own.
+    pub(super) fn is_connected(&self, owner: usize, worker: usize) -> bool {
+        let has_worker = worker.is_multiple_of(SPLIT_WORKERS);
+        self.split_owner().is_none_or(|split| (split == owner) == has_worker)
+    }
+
     pub(super) fn apply_faults(&mut self) {
         while let Some(scheduled) = self.settings.faults.get(self.next_fault).cloned() {
             if scheduled.at > self.now {
@@ -57,6 +82,12 @@
                     ownership.is_stale = true;
                 }
             }
+            Fault::SplitOwner(span) if !self.ownerships.is_empty() => {
+                let owner = self.ownerships.len() - 1;
+                self.ownerships[owner].was_split = true;
+                self.split = Some(Split { owner, until: now + *span });
+            }
+            Fault::SplitOwner(_) => {}
             Fault::StoreOutage(span) => self.outage_end = now + *span,
             Fault::DelayOrders(span, share) => self.order_delay = Some((now + *span, *share)),
             Fault::Worker(n, span, worker_fault) => {
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -17,6 +17,7 @@
 pub use settings::{Disabled, Fault, ScheduledFault, Settings};
 
 use checks::{CrashCount, PendingEnd};
+use faults::Split;
 use messages::Delivery;
 use owners::{Ownership, StoredJob, is_active};
 
@@ -60,6 +61,7 @@
     crash_counts: collections::BTreeMap<task::TaskId, CrashCount>,
     roster: collections::BTreeMap<model::WorkerId, model::Registration>,
     vacating: collections::BTreeMap<model::WorkerId, record::Vacating>,
+    split: Option<Split>,
     stored_model: record::ModelSnapshot,
     last_renewal: time::Timestamp,
     /// How long leases may last once the last owner has ended, as it has stored it.
@@ -110,6 +112,7 @@
             crash_counts: collections::BTreeMap::new(),
             roster: collections::BTreeMap::new(),
             vacating: collections::BTreeMap::new(),
+            split: None,
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
             outstanding: None,
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -32,6 +32,8 @@
     pub is_killed: bool,
     /// Whether the owner has released the cell.
     pub is_released: bool,
+    /// Whether the owner was ever partitioned from everything else.
+    pub was_split: bool,
     /// The time at which other daemons notice that the process has terminated or released the cell.
     pub ended_at: Option<time::Timestamp>,
     pub paused_until: time::Timestamp,
@@ -109,6 +111,7 @@
             is_ended: false,
             is_killed: false,
             is_released: false,
+            was_split: false,
             ended_at: None,
             paused_until: time::Timestamp::default(),
             renewed_at: self.now,
@@ -130,7 +133,8 @@
         let Some(n) = self.ownerships.iter().position(is_owner) else {
             return;
         };
-        while self.is_store_up() && !self.ownerships[n].is_ended {
+        let is_up = self.is_store_up_for(n);
+        while is_up && !self.ownerships[n].is_ended {
             let Some(commit) = self.ownerships[n].owner.next_commit(now) else {
                 break;
             };
@@ -141,7 +145,7 @@
         ownership.is_released = true;
         ownership.ended_at = Some(now);
         let outstanding = ownership.owner.outstanding(now);
-        if self.is_store_up() {
+        if is_up {
             self.outstanding = Some(outstanding);
         }
     }
@@ -195,7 +199,7 @@
     /// Applies a commit to the store if its owner still owns the cell.
     pub(super) fn apply_commit(&mut self, n: usize, commit: &owner::Commit) {
         let newest = self.ownerships.iter().map(|ownership| ownership.token).max();
-        let is_up = self.is_store_up();
+        let is_up = self.is_store_up_for(n);
         let ownership = &mut self.ownerships[n];
         ownership.is_committing = false;
         if !is_up {
@@ -231,7 +235,7 @@
     pub(super) fn advance_owners(&mut self) {
         for n in 0..self.ownerships.len() {
             let now = self.now;
-            let is_up = self.is_store_up();
+            let is_up = self.is_store_up_for(n);
             if !is_active(&self.ownerships[n], now) {
                 continue;
             }
@@ -260,11 +264,13 @@
             if self.is_due(TICK_INTERVAL) {
                 let moment = self.moment();
                 let ownership = &mut self.ownerships[n];
-                let is_valid = now.since(ownership.renewed_at) < LEASE_DURATION || !is_up;
+                // Followers on the other side of a split reach the store.
+                let is_outage = !is_up && !ownership.was_split;
+                let is_valid = now.since(ownership.renewed_at) < LEASE_DURATION || is_outage;
                 let may_start = is_valid && !ownership.is_stale;
                 let until = if may_start { now + LEASE_DURATION } else { now };
                 ownership.owner.allow_starts(until);
-                ownership.owner.set_store_down(!is_up);
+                ownership.owner.set_store_down(is_outage);
                 ownership.owner.tick(&moment);
             }
             self.apply_decisions(n);
--- a/gl-emulate/src/simulation/settings.rs
+++ b/gl-emulate/src/simulation/settings.rs
@@ -27,6 +27,9 @@
     UnlistWorker(usize, time::Span),
     /// A worker is draining and terminates after the given time.
     DrainWorker(usize, time::Span),
+    /// The owner and every third worker are partitioned from the store, the other workers and later
+    /// owners for the given time, and reach each other.
+    SplitOwner(time::Span),
     /// A worker that did not exist before starts.
     StartWorker(usize),
 }
@@ -43,6 +46,7 @@
             Self::KillOwner | Self::ReleaseOwner | Self::StartWorker(_) => time::Span::ZERO,
             Self::DelayOrders(span, _) => time::Span(span.0 + MAX_ORDER_DELAY.0),
             Self::PauseOwner(span)
+            | Self::SplitOwner(span)
             | Self::StoreOutage(span)
             | Self::Worker(_, span, _)
             | Self::CrashWorker(_, span)
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -17,7 +17,9 @@
         if delivery.held_by.is_some_and(|by| by != self.workers[n].incarnation) {
             return;
         }
-        let is_reachable = !self.workers[n].fault.is_partitioned && !self.workers[n].is_down;
+        let is_connected = self.is_connected(delivery.owner, n);
+        let is_reachable =
+            is_connected && !self.workers[n].fault.is_partitioned && !self.workers[n].is_down;
         let now = self.now;
         let token = if self.settings.disabled.fencing {
             u64::MAX
@@ -96,7 +98,8 @@
         sent: time::Timestamp,
         until: time::Timestamp,
     ) {
-        if self.workers[n].fault.is_partitioned || self.workers[n].is_down {
+        let is_reachable = self.is_connected(owner, n) && !self.workers[n].fault.is_partitioned;
+        if !is_reachable || self.workers[n].is_down {
             let left = until.since(self.now) + ORDER_TIMEOUT;
             self.send(owner, n, left, Message::PollReply(sent, None, false));
             return;
--- a/gl-emulate/tests/simulation/handover.rs
+++ b/gl-emulate/tests/simulation/handover.rs
@@ -119,3 +119,29 @@
         assert!(report.violations.is_empty(), "seed {seed}: {report}");
     }
 }
+
+/// Returns a split that outlasts all leases, with a worker that drains meanwhile and later owners
+/// that hand over.
+fn split(seed: u64) -> Vec<simulation::ScheduledFault> {
+    let mut rng = rngs::SmallRng::seed_from_u64(seed);
+    let long = time::Span::seconds(14);
+    let n = rng.random_range(0..WORKERS);
+    let mut faults = vec![
+        fault(rng.random_range(8_000..10_000), simulation::Fault::SplitOwner(long)),
+        fault(rng.random_range(8_000..14_000), simulation::Fault::DrainWorker(n, long)),
+    ];
+    for _ in 0..rng.random_range(0..4) {
+        faults.push(fault(rng.random_range(13_100..22_000), simulation::Fault::ReleaseOwner));
+    }
+    faults
+}
+
+/// Guards against second runs on workers that only an earlier owner reaches: it is not fenced off
+/// there and extends their leases up to the horizon.
+#[test]
+fn split_from_an_owner_with_workers_of_its_own_violates_no_guarantee() {
+    for seed in 0..RUNS {
+        let report = run(seed, None, split(seed));
+        assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    }
+}
