refactor(geraniumlatchd): move followers and outstanding leases to modules of their own

What the owner knows of its followers, and how long leases of earlier owners may last, have a file each; nothing else changes.

--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -9,7 +9,7 @@
 use gl_peer::rpc;
 use gl_platform::cell as platform;
 
-use super::{event, node, ownership, rows};
+use super::{event, node, outstanding, ownership, rows};
 use crate::clock;
 
 /// Time for which a renewal is valid. Long enough for the replies of a slow store, and short enough
@@ -43,16 +43,16 @@
 
 /// Decoded rows of the cell.
 #[derive(Clone, Debug, Default, PartialEq)]
-struct CellRows {
-    owner: Option<Versioned<record::Owner>>,
-    lease: Option<Versioned<record::Lease>>,
+pub(super) struct CellRows {
+    pub owner: Option<Versioned<record::Owner>>,
+    pub lease: Option<Versioned<record::Lease>>,
 }
 
 /// A decoded row and its version.
 #[derive(Clone, Debug, PartialEq)]
-struct Versioned<T> {
-    value: T,
-    version: u64,
+pub(super) struct Versioned<T> {
+    pub value: T,
+    pub version: u64,
 }
 
 /// State that a daemon keeps between two reads of the cell's rows.
@@ -92,25 +92,6 @@
     }
 }
 
-/// Returns the time since which the process that claimed the cell with `token` is known not to own it
-/// any more.
-fn former_since(node: &node::Node, token: u64) -> Option<time::Timestamp> {
-    match node.role() {
-        node::Role::Follower(followed) if followed.token == token => followed.former_since.get(),
-        _ => None,
-    }
-}
-
-/// Returns whether the owner with `token` has confirmed a heartbeat of this daemon.
-fn has_followed(node: &node::Node, token: u64) -> bool {
-    match node.role() {
-        node::Role::Follower(followed) => {
-            followed.token == token && followed.confirmed_at.get() > time::Timestamp::default()
-        }
-        _ => false,
-    }
-}
-
 /// A claim whose outcome is unknown: it may have been committed, or may still be while the owner's
 /// row is unchanged.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -175,7 +156,7 @@
             terminated: cell
                 .owner
                 .as_ref()
-                .is_some_and(|owner| former_since(node, owner.version).is_some()),
+                .is_some_and(|owner| outstanding::former_since(node, owner.version).is_some()),
         });
         self.lease_watch.claim_reason(observation, TAKEOVER_TIMEOUT, sent, now)
     }
@@ -185,7 +166,7 @@
         let settings = &node.settings;
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
         let sent = clock::steady();
-        let outstanding = self.outstanding_lease(node, cell, sent);
+        let outstanding = outstanding::at_claim(node, cell, &self.lease_watch, sent);
         let txn = match claim_transaction(cell, &owner, &settings.owner, outstanding) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
@@ -209,30 +190,6 @@
         node.has_open_claim.set(is_lost);
     }
 
-    /// Returns the longest time for which leases of workers that earlier owners have extended may last
-    /// at `now`, if it is known.
-    fn outstanding_lease(
-        &self,
-        node: &node::Node,
-        cell: &CellRows,
-        now: time::Timestamp,
-    ) -> Option<time::Span> {
-        let lease = &cell.lease.as_ref()?.value;
-        let token = cell.owner.as_ref()?.version;
-        let ended_at = former_since(node, token).or(lease.released.then_some(now));
-        let last = election::LastOwner {
-            ended: ended_at
-                .zip(lease.outstanding)
-                .map(|(at, outstanding)| election::Ended { at, outstanding }),
-            unrenewed_since: self
-                .lease_watch
-                .unchanged_since()
-                .filter(|_| has_followed(node, token)),
-            outage_reported: node.outage_reported.get(),
-        };
-        election::outstanding(&last, lease.horizon, node.settings.owner.clock_drift, now)
-    }
-
     /// Resolves a claim whose reply was lost, once the owner's row has changed: the row shows
     /// whether the claim was committed.
     fn resolve_claim(&mut self, node: &rc::Rc<node::Node>, owner: &Versioned<record::Owner>) {
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -9,10 +9,12 @@
 mod api;
 mod commit;
 mod event;
+mod followers;
 mod lease;
 pub mod log_writer;
 mod mesh;
 mod node;
+mod outstanding;
 mod ownership;
 pub mod placement_pause;
 pub mod poll_pause;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -9,7 +9,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    commit, event, lease, node, placement_pause, poll_pause, rows, worker_client, worker_list,
+    commit, event, followers, lease, node, placement_pause, poll_pause, rows, worker_client,
+    worker_list,
 };
 use crate::clock;
 
@@ -26,15 +27,6 @@
 /// Time for which new runs are permitted while no daemon can reach the store. The permission is
 /// renewed with each tick, so that it ends if the process is suspended.
 const OUTAGE_PERMISSION: time::Span = SUSPENSION_THRESHOLD;
-/// Time for which a follower without heartbeats still counts as a daemon that may claim the cell.
-const FOLLOWER_RETENTION: time::Span = time::Span::seconds(20);
-
-/// Last heartbeat received from a follower.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Heartbeat {
-    at: time::Timestamp,
-    is_store_up: bool,
-}
 
 /// State of the cell's owner, shared by the tasks that run while this daemon owns the cell.
 pub struct Ownership {
@@ -45,10 +37,10 @@
     is_ended: cell::Cell<bool>,
     starts_allowed: cell::Cell<bool>,
     lease_until: cell::Cell<time::Timestamp>,
-    started_at: time::Timestamp,
+    pub(super) started_at: time::Timestamp,
     /// See [`owner::Takeover::outstanding`].
     pub(super) outstanding: Option<time::Span>,
-    followers: cell::RefCell<collections::BTreeMap<String, Heartbeat>>,
+    pub(super) followers: cell::RefCell<collections::BTreeMap<String, followers::Heartbeat>>,
     worker_clients:
         cell::RefCell<collections::BTreeMap<worker::WorkerId, rc::Rc<worker_client::WorkerClient>>>,
     /// Version of the store up to which changes of the work table have been read.
@@ -220,30 +212,6 @@
         self.owner.borrow_mut().lease_renewed(sent);
     }
 
-    /// Records the store's clock in the reply to a read that was sent at `sent`.
-    pub(super) fn store_clock_read(&self, read: &platform::Rows, sent: time::Timestamp) {
-        if let Some(store_clock) = read.clock {
-            let reading = owner::StoreClock { clock: store_clock, sent, at: clock::steady() };
-            self.owner.borrow_mut().store_clock_read(reading);
-        }
-    }
-
-    /// Returns the longest time for which the leases that earlier owners have extended may last at
-    /// `now`, if that was known at the claim.
-    pub(super) fn inherited_lease(&self, now: time::Timestamp) -> Option<time::Span> {
-        self.outstanding.map(|left| (self.started_at + left).since(now))
-    }
-
-    /// Returns the longest time for which leases of workers may last at `now` if this owner extends
-    /// none any more.
-    pub(super) fn outstanding_lease(&self, now: time::Timestamp) -> time::Span {
-        if self.is_loaded.get() {
-            return self.owner.borrow().outstanding(now);
-        }
-        let settings = &self.node.settings.owner;
-        self.inherited_lease(now).unwrap_or(settings.horizon).max(settings.lease)
-    }
-
     /// Applies changed rows of the work table: jobs first, then cancellations.
     fn apply_work(&self, work: &[platform::Row]) {
         let moment = node::Node::moment();
@@ -287,12 +255,6 @@
         self.is_loaded.get().then(|| self.owner.borrow().pending(queue))
     }
 
-    /// Records a follower's heartbeat.
-    pub fn heartbeat_received(&self, daemon: String, is_store_up: bool) {
-        let heartbeat = Heartbeat { at: clock::steady(), is_store_up };
-        self.followers.borrow_mut().insert(daemon, heartbeat);
-    }
-
     /// Runs the time-driven decisions.
     fn tick(self: &rc::Rc<Self>) {
         let moment = node::Node::moment();
@@ -353,25 +315,6 @@
         }
     }
 
-    /// Returns whether a follower can reach the store, so that it can own the cell instead.
-    fn is_store_up_for_follower(&self, now: time::Timestamp) -> bool {
-        let followers = self.followers.borrow();
-        followers.values().any(|heartbeat| {
-            heartbeat.is_store_up && now.since(heartbeat.at) < election::HEARTBEAT_VALIDITY
-        })
-    }
-
-    /// Returns whether there are followers and none of them can reach the store. A follower without
-    /// a recent heartbeat may be able to reach it, and the result is then false.
-    fn is_store_down_for_followers(&self, now: time::Timestamp) -> bool {
-        let mut followers = self.followers.borrow_mut();
-        followers.retain(|_, heartbeat| now.since(heartbeat.at) < FOLLOWER_RETENTION);
-        let is_store_down = |heartbeat: &Heartbeat| {
-            now.since(heartbeat.at) < election::HEARTBEAT_VALIDITY && !heartbeat.is_store_up
-        };
-        !followers.is_empty() && followers.values().all(is_store_down)
-    }
-
     /// Carries out the actions that follow from the newest inputs, and wakes the placement.
     pub fn process_decisions(self: &rc::Rc<Self>) {
         self.execute_actions();
