refactor(gl-jobs): name the delay of unreachable workers for what it decides

Found when reading the change again: the delay after a takeover decides both on the report and on the stored ends of leases, and three fields on the roster were described alike.

--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -85,8 +85,7 @@
     pub is_down: bool,
     /// Whether the worker is draining.
     pub draining: bool,
-    /// The number of lease expiries, also of those without any run in progress: an end that was listed
-    /// before counts as lost.
+    /// The number of lease expiries, also while nothing ran: ends that were listed count as lost.
     pub lease_expiries: u64,
     was_expired: bool,
     ended: Vec<worker::Ended>,
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery.rs
@@ -77,13 +77,14 @@
         &self,
         now: time::Timestamp,
     ) -> impl Iterator<Item = (&worker::WorkerId, time::Timestamp)> {
-        let is_overdue = now.since(self.since) >= REPORT_DELAY;
+        let is_overdue = now.since(self.since) >= UNREACHABLE_AFTER;
         self.pending.iter().filter(move |_| is_overdue).map(|(id, pending)| (id, pending.until))
     }
 }
 
-/// The time after which the wait for workers is reported. Workers that can be reached reply sooner.
-const REPORT_DELAY: time::Span = time::Span::millis(500);
+/// The time after which the wait for workers is reported, and after which the end of the leases of those
+/// that failed to reply is stored. Workers that can be reached reply sooner.
+const UNREACHABLE_AFTER: time::Span = time::Span::millis(500);
 /// The maximum number of workers that such a report names.
 const REPORTED_WORKERS: usize = 8;
 
@@ -228,7 +229,7 @@
         owner.recovery = None;
         owner.has_hidden_crashes |= owner.workers.values().any(super::Worker::was_replaced);
         owner.note(Note::Recovered { missing, took });
-    } else if took >= REPORT_DELAY && !recovery.is_reported {
+    } else if took >= UNREACHABLE_AFTER && !recovery.is_reported {
         recovery.is_reported = true;
         let workers = recovery.pending.keys().take(REPORTED_WORKERS).cloned().collect();
         let last = recovery.pending.values().map(|pending| pending.until).max();
--- a/gl-jobs/src/owner/workers.rs
+++ b/gl-jobs/src/owner/workers.rs
@@ -14,10 +14,10 @@
     pub registration: worker::Registration,
     /// Whether the newest list has an entry for the worker.
     pub is_listed: bool,
-    /// Whether the worker is stored in the roster and may get tasks, as a later owner polls it for
-    /// its runs.
+    /// Whether the worker may get tasks: the roster has a row of it, and no [`record::Vacating`] says
+    /// that it gets none.
     pub is_enrolled: bool,
-    /// Whether the roster has a row of the worker.
+    /// Whether the roster has a row of the worker, so that a later owner waits for its reply.
     pub in_roster: bool,
     /// What is stored, or being stored, of a worker of the roster that gets no new tasks.
     pub vacating: Option<record::Vacating>,
