feat: log requests that get 404 and failed reads of the routing

New: the events no-queue and routing-unread, with the version and the age of the routing, and the level routing-age-ms. Nothing is decided differently.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -180,6 +180,12 @@
         self.node.routing.borrow().clone()
     }
 
+    fn no_queue(&self, host: &str, path: &str) {
+        let version = self.node.routing.borrow().as_ref().map(|routing| routing.version);
+        let age_ms = self.node.routing_age(clock::steady()).map(time::Span::as_millis);
+        event::emit(&event::Event::NoQueue { host, path, version, age_ms });
+    }
+
     fn is_ready(&self) -> bool {
         !self.node.is_draining.get() && self.node.routing.borrow().is_some()
     }
@@ -192,6 +198,9 @@
         if let Some(log) = &self.node.log {
             self.node.metrics.lines_dropped(log.dropped());
         }
+        if let Some(age) = self.node.routing_age(clock::steady()) {
+            self.node.metrics.routing_age(age);
+        }
         self.node.metrics.render()
     }
 
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -30,6 +30,11 @@
         #[serde(rename = "was")]
         previous: Option<u64>,
     },
+    /// The routing could not be read from the store. Logged for the first failure in a row, and then
+    /// each time their number has doubled.
+    RoutingUnread { failures: u32, took_ms: u64, age_ms: Option<u64>, detail: String },
+    /// A request has an address that no queue has. `age_ms` is the age of the routing.
+    NoQueue { host: &'a str, path: &'a str, version: Option<u64>, age_ms: Option<u64> },
     /// A dependency became unreachable.
     DependencyLost { dependency: &'static str, detail: String },
     /// A dependency can be reached again.
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -85,6 +85,8 @@
     pub log: Option<log_writer::Log>,
     /// The newest routing.
     pub routing: cell::RefCell<Option<rc::Rc<queue::Routing>>>,
+    /// Time at which the routing was the newest at the store; `None` before the first read.
+    pub routing_at: cell::Cell<Option<time::Timestamp>>,
     /// Jobs that wait to be stored.
     pub submissions: submission::Queue,
     /// Whether this daemon has sent a claim whose outcome is not known.
@@ -118,6 +120,7 @@
             metrics,
             log,
             routing: cell::RefCell::new(None),
+            routing_at: cell::Cell::new(None),
             submissions: submission::Queue::default(),
             has_open_claim: cell::Cell::new(false),
             claim_after: cell::Cell::default(),
@@ -155,6 +158,11 @@
         }
     }
 
+    /// Returns the time since which the routing may be out of date, or `None` if it was never read.
+    pub fn routing_age(&self, now: time::Timestamp) -> Option<time::Span> {
+        self.routing_at.get().map(|at| now.since(at))
+    }
+
     /// Returns the health of the store.
     pub fn store_health(&self) -> StoreHealth {
         self.store_health.get()
--- a/geraniumlatchd/src/jobs/routing.rs
+++ b/geraniumlatchd/src/jobs/routing.rs
@@ -3,6 +3,7 @@
 use std::rc;
 
 use gl_model::time;
+use gl_platform::cell as platform;
 
 use super::{event, node};
 use crate::clock;
@@ -16,32 +17,57 @@
 
 /// Follows the routing for the life of the process.
 pub async fn run(node: rc::Rc<node::Node>) {
+    let mut failures = 0;
     loop {
+        let sent = clock::steady();
         let published = node.platform.directory.routing().await;
         node.record_store_result(&published, clock::steady());
-        let Ok(published) = published else {
-            ntex::time::sleep(RETRY_PAUSE).await;
-            continue;
-        };
-        apply(&node, published.routing);
-        follow(&node, published.version).await;
+        match published {
+            Ok(published) => {
+                failures = 0;
+                apply(&node, published.routing, sent);
+                let error = follow(&node, published.version).await;
+                log_failure(&node, &error, 1);
+            }
+            Err(error) => {
+                failures += 1;
+                log_failure(&node, &Failure { sent, error }, failures);
+            }
+        }
         ntex::time::sleep(RETRY_PAUSE).await;
     }
 }
 
-/// Long-polls for changes until a call fails.
-async fn follow(node: &node::Node, mut version: u64) {
+/// A call that failed.
+struct Failure {
+    sent: time::Timestamp,
+    error: platform::StoreError,
+}
+
+/// Long-polls for changes until a call fails, and returns the failure.
+async fn follow(node: &node::Node, mut version: u64) -> Failure {
     loop {
+        let sent = clock::steady();
         let changed = node.platform.directory.routing_changed(version, LONG_POLL_WAIT).await;
-        node.record_store_result(&changed, clock::steady());
-        let Ok(changed) = changed else { return };
-        apply(node, changed.routing);
-        version = changed.version;
+        let now = clock::steady();
+        node.record_store_result(&changed, now);
+        match changed {
+            Ok(changed) => {
+                // Without a change, the store has waited before it replied.
+                let wait =
+                    if changed.routing.is_none() { LONG_POLL_WAIT } else { time::Span::ZERO };
+                apply(node, changed.routing, now.min(sent + wait));
+                version = changed.version;
+            }
+            Err(error) => return Failure { sent, error },
+        }
     }
 }
 
-/// Puts a routing in force, unless the same or a newer version is in force already.
-fn apply(node: &node::Node, routing: Option<gl_jobs::queue::Routing>) {
+/// Puts a routing in force, unless the same or a newer version is in force already. It was the
+/// newest at the store at time `at`.
+fn apply(node: &node::Node, routing: Option<gl_jobs::queue::Routing>, at: time::Timestamp) {
+    node.routing_at.set(Some(at));
     let Some(routing) = routing else { return };
     let previous = node.routing.borrow().as_ref().map(|known| known.version);
     if previous.is_some_and(|previous| previous >= routing.version) {
@@ -52,3 +78,17 @@
     node.metrics.routing_version(version);
     event::emit(&event::Event::Routing { version, queues, previous });
 }
+
+/// Logs a failed call, the `failures`th in a row.
+fn log_failure(node: &node::Node, failure: &Failure, failures: u32) {
+    if !failures.is_power_of_two() {
+        return;
+    }
+    let now = clock::steady();
+    event::emit(&event::Event::RoutingUnread {
+        failures,
+        took_ms: now.since(failure.sent).as_millis(),
+        age_ms: node.routing_age(now).map(time::Span::as_millis),
+        detail: failure.error.to_string(),
+    });
+}
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -29,6 +29,9 @@
     /// Returns the newest routing, or `None` before the first one was read.
     fn routing(&self) -> Option<std::rc::Rc<queue::Routing>>;
 
+    /// Records that no queue of the routing has the address of a request.
+    fn no_queue(&self, host: &str, path: &str);
+
     /// Returns whether the daemon can serve clients.
     fn is_ready(&self) -> bool;
 
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -122,6 +122,11 @@
         self.level("routing-version", version);
     }
 
+    /// Records the time since which the routing table may be out of date.
+    pub fn routing_age(&self, age: time::Span) {
+        self.level("routing-age-ms", age.as_millis());
+    }
+
     /// Records the total number of dropped log lines.
     pub fn lines_dropped(&self, total: u64) {
         self.level("log-lines-dropped", total);
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -296,3 +296,22 @@
     let stored = ["progress", "roster", "work"].map(str::to_owned);
     assert!(read.is_superset(&stored.into()), "read at the same time: {read:?}");
 }
+
+/// Guards against requests that get 404 without a trace of the routing that they were looked up in.
+#[ntex::test]
+async fn request_without_a_queue_is_logged_with_the_age_of_the_routing() {
+    let hosted = Hosted::start(1).await;
+    let status = client::request_status(hosted.address(0), "GET", "/no-such/", "").await;
+    assert_eq!(status, Some(404));
+    let is_logged = |line: &serde_json::Value| {
+        line["event"] == "no-queue"
+            && line["path"] == "/no-such/"
+            && line["version"] == 3
+            && line["age_ms"].is_u64()
+    };
+    let until = time::Instant::now() + TIMEOUT;
+    while !hosted.daemons[0].log_lines().iter().any(is_logged) {
+        assert!(time::Instant::now() < until, "{:?}", hosted.daemons[0].log_lines());
+        ntex::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
