fix: do not deny that a queue exists by a routing that is out of date

A daemon that could not read the store answered 404 from the routing that it had, without limit of age: callers took it that their queue does not exist, although it may have been added meanwhile. Known queues are served as before. The process test of a daemon whose store is down failed before (Some(404) in place of 503).

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -180,10 +180,18 @@
         self.node.routing.borrow().clone()
     }
 
-    fn no_queue(&self, host: &str, path: &str) {
+    fn confirm_no_queue(&self, host: &str, path: &str) -> Result<(), api::Error> {
+        let now = clock::steady();
         let version = self.node.routing.borrow().as_ref().map(|routing| routing.version);
-        let age_ms = self.node.routing_age(clock::steady()).map(time::Span::as_millis);
-        event::emit(&event::Event::NoQueue { host, path, version, age_ms });
+        let age_ms = self.node.routing_age(now).map(time::Span::as_millis);
+        let apply_time = self.node.settings.config_apply;
+        let certain = queue::can_deny(self.node.routing_at.get(), apply_time, now);
+        event::emit(&event::Event::NoQueue { host, path, version, age_ms, certain });
+        if certain {
+            return Ok(());
+        }
+        let reason = "the queue may have been added since this daemon last read the routing";
+        Err(api::Error::NotRun { reason, retry_after: STORE_RETRY_AFTER })
     }
 
     fn is_ready(&self) -> bool {
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -33,8 +33,15 @@
     /// The routing could not be read from the store. Logged for the first failure in a row, and then
     /// each time their number has doubled.
     RoutingUnread { failures: u32, took_ms: u64, age_ms: Option<u64>, detail: String },
-    /// A request has an address that no queue has. `age_ms` is the age of the routing.
-    NoQueue { host: &'a str, path: &'a str, version: Option<u64>, age_ms: Option<u64> },
+    /// A request has an address that no queue of the routing has. Callers are told that there is
+    /// none only if that is certain by the age of the routing.
+    NoQueue {
+        host: &'a str,
+        path: &'a str,
+        version: Option<u64>,
+        age_ms: Option<u64>,
+        certain: bool,
+    },
     /// A dependency became unreachable.
     DependencyLost { dependency: &'static str, detail: String },
     /// A dependency can be reached again.
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -19,6 +19,8 @@
     pub mesh: std::net::SocketAddr,
     /// Time between the signal to stop and the forced end of the process.
     pub grace: time::Span,
+    /// Time within which a change of the routing is in force everywhere.
+    pub config_apply: time::Span,
     /// Delay before it claims a cell that has no owner.
     pub claim_delay: time::Span,
     /// Settings of the owner's decision logic.
--- a/geraniumlatchd/src/jobs/routing.rs
+++ b/geraniumlatchd/src/jobs/routing.rs
@@ -24,10 +24,10 @@
         node.record_store_result(&published, clock::steady());
         match published {
             Ok(published) => {
-                failures = 0;
                 apply(&node, published.routing, sent);
-                let error = follow(&node, published.version).await;
-                log_failure(&node, &error, 1);
+                let failure = follow(&node, published.version).await;
+                failures = 1;
+                log_failure(&node, &failure, failures);
             }
             Err(error) => {
                 failures += 1;
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -143,6 +143,7 @@
         daemon: settings.daemon.clone(),
         mesh: settings.mesh,
         grace: settings.grace,
+        config_apply: settings.config_apply,
         claim_delay: gl_jobs::election::claim_delay(settings.cores),
         owner: owner_settings(settings),
     };
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -29,8 +29,12 @@
     /// Returns the newest routing, or `None` before the first one was read.
     fn routing(&self) -> Option<std::rc::Rc<queue::Routing>>;
 
-    /// Records that no queue of the routing has the address of a request.
-    fn no_queue(&self, host: &str, path: &str);
+    /// Confirms that no queue has the address of a request, after none was found in the routing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the routing is so old that the queue may have been added meanwhile.
+    fn confirm_no_queue(&self, host: &str, path: &str) -> Result<(), Error>;
 
     /// Returns whether the daemon can serve clients.
     fn is_ready(&self) -> bool;
--- a/gl-jobs/src/queue.rs
+++ b/gl-jobs/src/queue.rs
@@ -34,6 +34,17 @@
     pub body_limit: usize,
 }
 
+/// Returns whether a daemon can tell at `now` that a queue does not exist, if it last knew the routing
+/// to be the newest at `read_at`. A change of the routing is in force everywhere after `apply_time`, so
+/// an older routing may lack a queue that callers rely on.
+pub fn can_deny(
+    read_at: Option<time::Timestamp>,
+    apply_time: time::Span,
+    now: time::Timestamp,
+) -> bool {
+    read_at.is_some_and(|read_at| now.since(read_at) < apply_time)
+}
+
 impl Routing {
     /// Returns the queue of a request: of the queues of its host, the one with the longest matching
     /// prefix.
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -17,4 +17,5 @@
 mod placement;
 mod recovery;
 mod roster;
+mod routing;
 mod throttle;
--- a/gl-standin/src/fleet/daemon.rs
+++ b/gl-standin/src/fleet/daemon.rs
@@ -34,7 +34,7 @@
         "PortRange": [pair, pair + 1],
         "Bounds": {
             "GraceS": 6, "HoldMaxMs": MAX_LEASE_MS, "StopTimeoutMs": 900, "DrainMs": 2_000,
-            "status_s": 120
+            "ConfigApplyMs": 2_000, "status_s": 120
         },
         "platform": {"Address": store_address.to_string()}
     }))
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -315,3 +315,20 @@
         ntex::time::sleep(time::Duration::from_millis(50)).await;
     }
 }
+
+/// Guards against a daemon that cannot read the routing and tells callers that a queue does not exist,
+/// though it may have been added meanwhile.
+#[ntex::test]
+async fn daemon_with_stale_routing_does_not_deny_that_a_queue_exists() {
+    let hosted = Hosted::start(1).await;
+    for (is_down, expected) in [(false, 404), (true, 503), (false, 404)] {
+        hosted.set_store_down(is_down).await;
+        let until = time::Instant::now() + TIMEOUT;
+        let mut status = None;
+        while status != Some(expected) {
+            assert!(time::Instant::now() < until, "{status:?} in place of {expected}");
+            ntex::time::sleep(time::Duration::from_millis(50)).await;
+            status = client::request_status(hosted.address(0), "GET", "/new/", "").await;
+        }
+    }
+}
