refactor(gl-jobs): give the owner's tables, views and decisions modules of their own

Cause: 27 files in one flat folder, 8 of them in a circle around placement.rs, which the tables and the recovery took small queries from. Change: owner/state holds the tables and the queries on them, owner/view what is followed from outside, and placement, colocation and recovery have a folder each. Moving tasks off draining workers stays with placement, as it searches workers. orders, completion, commit and crashes stay at the top: each of them serves several of the folders.

--- a/gl-jobs/src/owner/colocation.rs
+++ b/gl-jobs/src/owner/colocation/mod.rs
@@ -1,14 +1,21 @@
 //! Rules for tasks on the same worker: best-effort tasks next to long-running ones, and
 //! long-running tasks next to each other.
 
-use super::search::Request;
-use super::{Owner, Worker, interference, workers};
+pub(in crate::owner) mod interference;
+pub(in crate::owner) mod throttle;
+
+use crate::owner::search::Request;
+use crate::owner::{Owner, Worker, workers};
 
 /// Returns the score of a worker for a best-effort task, or `None` if the task may not start there:
 /// enough processors must be idle, the tail latencies of the long-running tasks must be below their
 /// targets by a margin, and the task must be unlikely to interfere with them. None of this is
 /// required of a task that has waited for long.
-pub(super) fn best_effort_score(owner: &Owner, request: &Request<'_>, w: &Worker) -> Option<f64> {
+pub(in crate::owner) fn best_effort_score(
+    owner: &Owner,
+    request: &Request<'_>,
+    w: &Worker,
+) -> Option<f64> {
     let settings = &owner.settings;
     let ignores_load = request.conditions.ignores_load;
     let idle = idle_cores(owner, w);
@@ -63,7 +70,7 @@
 /// Returns the bonus for placing a long-running task near others of its image. Tasks of one image
 /// are sensitive to the same best-effort images, so keeping them together leaves other workers free
 /// for the best-effort tasks that would interfere with them.
-pub(super) fn image_affinity(request: &Request<'_>, w: &Worker) -> f64 {
+pub(in crate::owner) fn image_affinity(request: &Request<'_>, w: &Worker) -> f64 {
     if w.long_running_cores == 0 {
         return EMPTY_BONUS;
     }
--- a/gl-jobs/src/owner/throttle.rs
+++ b/gl-jobs/src/owner/colocation/throttle.rs
@@ -3,7 +3,7 @@
 
 use gl_model::time;
 
-use super::{Action, Note, Owner, Run, StopReason, interference, runs, search, workers};
+use crate::owner::{Action, Note, Owner, Run, StopReason, interference, runs, search, workers};
 use crate::{task, worker};
 
 /// The CPU limits that are used, in percent.
--- a/gl-jobs/src/owner/crashes.rs
+++ b/gl-jobs/src/owner/crashes.rs
@@ -9,7 +9,7 @@
 
 use gl_model::time;
 
-use super::{Note, Owner, Run, placement, runs};
+use super::{Note, Owner, Run, runs, state};
 use crate::{job, record, task};
 
 /// The time after which the tasks that may have crashed a worker are reviewed again, if no other
@@ -98,7 +98,7 @@
 
     /// Returns whether a gang has a member that must not be started again.
     pub(super) fn has_spent_member(&self, phase: task::PhaseId) -> bool {
-        let state = placement::state_of(self, phase);
+        let state = state::state_of(self, phase);
         state.is_some_and(|state| state.suspects.values().any(|s| !self.is_startable(s)))
     }
 
@@ -110,13 +110,13 @@
     }
 
     pub(super) fn is_waiting(&self, task: task::TaskId) -> bool {
-        let state = placement::state_of(self, task.phase);
+        let state = state::state_of(self, task.phase);
         self.is_open(task) && state.is_some_and(|state| state.waiting.contains(&task.index))
     }
 
     fn is_open(&self, task: task::TaskId) -> bool {
         let is_unfinished = |e: &super::JobEntry| e.final_state.is_none();
-        let state = placement::state_of(self, task.phase);
+        let state = state::state_of(self, task.phase);
         self.jobs.get(&task.phase.job).is_some_and(is_unfinished)
             && state.is_some_and(|state| !state.done.contains(task.index))
     }
@@ -126,7 +126,7 @@
     }
 
     pub(super) fn suspect(&self, task: task::TaskId) -> Option<&record::Suspect> {
-        placement::state_of(self, task.phase)?.suspects.get(&task.index)
+        state::state_of(self, task.phase)?.suspects.get(&task.index)
     }
 
     /// Changes the record of a task, and removes it if nothing is left of it.
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -7,31 +7,16 @@
 //! the same worker, [`timeouts`] ends runs that cannot exist any longer.
 
 mod action;
-mod adoption;
-mod advice;
 mod colocation;
 mod commit;
 mod completion;
 mod crashes;
-mod drain;
-mod gang;
-mod headroom;
-mod interference;
-mod jobs;
 mod orders;
 mod placement;
-mod polls;
 mod recovery;
-mod roster;
-mod runs;
-mod search;
 mod settings;
-mod store_clock;
-mod throttle;
-mod timeouts;
-mod trials;
-mod unplaced;
-mod workers;
+mod state;
+mod view;
 
 use std::collections;
 
@@ -48,6 +33,12 @@
 pub use store_clock::StoreClock;
 pub use workers::Worker;
 
+use colocation::{interference, throttle};
+use placement::{advice, drain, gang, headroom, search, trials};
+use recovery::{store_clock, timeouts};
+use state::{jobs, runs, workers};
+use view::roster;
+
 use crate::{job, record, task, worker};
 
 /// The owner of a cell.
--- a/gl-jobs/src/owner/advice.rs
+++ b/gl-jobs/src/owner/placement/advice.rs
@@ -3,12 +3,16 @@
 
 use gl_model::time;
 
-use super::{Action, Owner, Worker, jobs, placement};
+use crate::owner::{Action, Owner, Worker, jobs, state};
 use crate::{task, worker};
 
 /// Returns whether the phase may be placed: its queue needs no advice, or valid advice is
 /// available. Requests advice otherwise.
-pub(super) fn has_advice(owner: &mut Owner, phase: task::PhaseId, now: time::Timestamp) -> bool {
+pub(in crate::owner) fn has_advice(
+    owner: &mut Owner,
+    phase: task::PhaseId,
+    now: time::Timestamp,
+) -> bool {
     let settings = owner.settings;
     let Some(entry) = owner.jobs.get(&phase.job) else {
         return false;
@@ -16,7 +20,7 @@
     if entry.job.advice.is_none() {
         return true;
     }
-    let Some(state) = placement::state_of(owner, phase) else {
+    let Some(state) = state::state_of(owner, phase) else {
         return false;
     };
     match state.advice {
@@ -72,7 +76,7 @@
 
 impl Owner {
     /// Records the advice on a phase. `grants` is `None` if the advice service did not reply; the
-    /// request is then repeated after [`super::Settings::advice_retry`].
+    /// request is then repeated after [`crate::owner::Settings::advice_retry`].
     pub fn advice_received(
         &mut self,
         phase: task::PhaseId,
--- a/gl-jobs/src/owner/drain.rs
+++ b/gl-jobs/src/owner/placement/drain.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use super::{Owner, StopReason, runs, search};
+use crate::owner::{Owner, StopReason, runs, search};
 use crate::task;
 
 /// Stops the runs on draining workers that should move now.
@@ -44,7 +44,7 @@
 
 impl Owner {
     /// Returns whether the phase's limit on interrupted tasks permits one more.
-    pub(super) fn may_interrupt(&self, task: task::TaskId) -> bool {
+    pub(in crate::owner) fn may_interrupt(&self, task: task::TaskId) -> bool {
         let Some(entry) = self.jobs.get(&task.phase.job) else {
             return true;
         };
--- a/gl-jobs/src/owner/gang.rs
+++ b/gl-jobs/src/owner/placement/gang.rs
@@ -4,7 +4,7 @@
 
 use gl_model::time;
 
-use super::{Owner, StopReason, placement, search};
+use crate::owner::{Owner, StopReason, search, state};
 use crate::{task, worker};
 
 /// The index under which the failures and checkpoints of a gang are kept.
@@ -12,7 +12,7 @@
 
 /// Returns workers for all members of a gang, or `None` if any member is not waiting or cannot be
 /// placed.
-pub(super) fn place_all(
+pub(in crate::owner) fn place_all(
     owner: &mut Owner,
     phase: task::PhaseId,
     now: time::Timestamp,
@@ -33,7 +33,7 @@
         let Some(worker) = candidates.find(owner, phase, now) else {
             break;
         };
-        placement::reserve(owner, phase, index, &worker, now);
+        state::reserve(owner, phase, index, &worker, now);
         placements.insert(index, worker);
     }
     let is_complete = {
@@ -41,14 +41,14 @@
         entry.spec(phase.phase)?.count as usize == placements.len()
     };
     for index in placements.keys() {
-        placement::release(owner, phase, *index);
+        state::release(owner, phase, *index);
     }
     is_complete.then_some(placements)
 }
 
 impl Owner {
     /// Stops the remaining members of a gang that has lost a member.
-    pub(super) fn stop_gang(&mut self, phase: task::PhaseId, now: time::Timestamp) {
+    pub(in crate::owner) fn stop_gang(&mut self, phase: task::PhaseId, now: time::Timestamp) {
         let first = task::TaskId { phase, index: 0 };
         let last = task::TaskId { phase, index: u32::MAX };
         let members: Vec<_> = self.runs.range(first..=last).map(|(task, _)| *task).collect();
--- a/gl-jobs/src/owner/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -6,7 +6,7 @@
 
 use gl_model::time;
 
-use super::{Owner, placement};
+use crate::owner::{Owner, state};
 use crate::task;
 
 /// The share of a service's workers that stay free of long-running tasks while others have capacity
@@ -24,7 +24,7 @@
 
 /// The recent demand of the short tasks of a service.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct Demand {
+pub(in crate::owner) struct Demand {
     service: String,
     /// The peak of the processors in use or waited for, in thousandths of a core.
     peak: f64,
@@ -33,7 +33,7 @@
 
 /// The workers of a service that are free of long-running tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Room {
+pub(in crate::owner) enum Room {
     /// There are enough free workers.
     Ample,
     /// Free workers are taken only if no others have capacity.
@@ -43,7 +43,7 @@
 }
 
 /// Updates the recorded demand of all services, once per interval.
-pub(super) fn update(owner: &mut Owner, now: time::Timestamp) {
+pub(in crate::owner) fn update(owner: &mut Owner, now: time::Timestamp) {
     if now.since(owner.demand_at) < INTERVAL {
         return;
     }
@@ -94,14 +94,14 @@
 /// ever.
 fn waiting(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<(&str, u64)> {
     let entry = owner.jobs.get(&phase.job)?;
-    let state = placement::state_of(owner, phase)?;
+    let state = state::state_of(owner, phase)?;
     let spec = entry.spec(phase.phase)?;
     let is_counted = !spec.long_running && !spec.best_effort && now <= state.deadline;
     is_counted.then(|| (entry.job.service.as_str(), spec.size.cores * state.waiting.len() as u64))
 }
 
 /// Returns whether the workers of a service that are free of long-running tasks suffice.
-pub(super) fn room(owner: &Owner, service: &str) -> Room {
+pub(in crate::owner) fn room(owner: &Owner, service: &str) -> Room {
     let of_service = owner.workers.values().filter(|w| w.registration.service == service);
     let (mut total, mut free, mut cores) = (0_usize, 0_usize, 0_u64);
     for worker in of_service {
--- a/gl-jobs/src/owner/placement.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -1,12 +1,16 @@
 //! Placement: decides which waiting tasks start, and on which workers.
 
+pub(in crate::owner) mod advice;
+pub(in crate::owner) mod drain;
+pub(in crate::owner) mod gang;
+pub(in crate::owner) mod headroom;
+pub(in crate::owner) mod search;
+pub(in crate::owner) mod trials;
+pub(in crate::owner) mod unplaced;
+
 use gl_model::time;
 
-use super::adoption::{RunOrder, make_run};
-use super::{
-    JobEntry, Note, Owner, PhaseState, Stage, advice, crashes, gang, headroom, search, settings,
-    trials, unplaced,
-};
+use crate::owner::{JobEntry, Note, Owner, PhaseState, Stage, crashes, runs, settings, state};
 use crate::{job, task, worker};
 
 /// A waiting phase with its sort key; phases are served in ascending order.
@@ -122,7 +126,8 @@
         return;
     }
     let spec = spec.clone();
-    let has_suspects = state_of(owner, phase).is_some_and(|state| !state.suspects.is_empty());
+    let has_suspects =
+        state::state_of(owner, phase).is_some_and(|state| !state.suspects.is_empty());
     if next_waiting(owner, phase).is_none() && !has_suspects {
         return close_if_started(owner, phase);
     }
@@ -151,8 +156,8 @@
 }
 
 /// Removes a phase from the open ones if none of its tasks waits.
-pub(super) fn close_if_started(owner: &mut Owner, phase: task::PhaseId) {
-    if state_of(owner, phase).is_none_or(|state| state.waiting.is_empty()) {
+pub(in crate::owner) fn close_if_started(owner: &mut Owner, phase: task::PhaseId) {
+    if state::state_of(owner, phase).is_none_or(|state| state.waiting.is_empty()) {
         owner.open_phases.remove(&phase);
     }
 }
@@ -163,16 +168,12 @@
         let task = task::TaskId { phase, index: **index };
         !owner.is_withheld(task) && !is_unseen(owner, task)
     };
-    state_of(owner, phase)?.waiting.iter().find(may_start).copied()
-}
-
-pub(super) fn state_of(owner: &Owner, phase: task::PhaseId) -> Option<&PhaseState> {
-    owner.jobs.get(&phase.job)?.phases.get(&(phase.occurrence, phase.phase))
+    state::state_of(owner, phase)?.waiting.iter().find(may_start).copied()
 }
 
 /// Returns whether the task may be running on a worker that has not replied, and has one run at a
 /// time.
-pub(super) fn is_unseen(owner: &Owner, task: task::TaskId) -> bool {
+pub(in crate::owner) fn is_unseen(owner: &Owner, task: task::TaskId) -> bool {
     if !owner.is_recovering() {
         return false;
     }
@@ -184,7 +185,7 @@
 /// Returns whether any waiting task of the phase may be running on a worker that has not replied.
 fn has_unseen(owner: &Owner, phase: task::PhaseId) -> bool {
     let is_unseen = |index: &u32| is_unseen(owner, task::TaskId { phase, index: *index });
-    state_of(owner, phase).is_some_and(|state| state.waiting.iter().any(is_unseen))
+    state::state_of(owner, phase).is_some_and(|state| state.waiting.iter().any(is_unseen))
 }
 
 fn start_gang(owner: &mut Owner, phase: task::PhaseId, now: time::Timestamp) {
@@ -200,7 +201,7 @@
 }
 
 /// Orders a run on a worker.
-pub(super) fn start(
+pub(in crate::owner) fn start(
     owner: &mut Owner,
     phase: task::PhaseId,
     index: u32,
@@ -236,8 +237,8 @@
     let waited = now.since(state.since);
     let image = description.image.as_deref().map(|name| owner.interference.intern(name));
     let order =
-        RunOrder { worker: worker.clone(), attempt, deadline, stage: Stage::Starting, image };
-    let mut run = make_run(&description, order, now);
+        runs::RunOrder { worker: worker.clone(), attempt, deadline, stage: Stage::Starting, image };
+    let mut run = runs::make_run(&description, order, now);
     run.checkpoint.clone_from(&checkpoint);
     owner.add_run(task, run);
     let estimate = description.estimate;
@@ -245,35 +246,3 @@
     let order = worker::StartOrder { task, attempt, spec, checkpoint, deadline, ticket };
     owner.send_start(worker.clone(), order);
 }
-
-/// Reserves capacity for a run that may be ordered later in the same pass.
-pub(super) fn reserve(
-    owner: &mut Owner,
-    phase: task::PhaseId,
-    index: u32,
-    worker: &worker::WorkerId,
-    now: time::Timestamp,
-) {
-    let spec = owner.jobs.get(&phase.job).and_then(|e| e.spec(phase.phase)).cloned();
-    let Some(spec) = spec else { return };
-    let order = RunOrder {
-        worker: worker.clone(),
-        attempt: 0,
-        deadline: time::Timestamp::default(),
-        stage: Stage::Starting,
-        image: spec.image.as_deref().map(|name| owner.interference.intern(name)),
-    };
-    let run = make_run(&spec, order, now);
-    owner.add_run(task::TaskId { phase, index }, run);
-}
-
-/// Releases the capacity that [`reserve()`] took.
-pub(super) fn release(owner: &mut Owner, phase: task::PhaseId, index: u32) {
-    let task = task::TaskId { phase, index };
-    let Some(run) = owner.runs.remove(&task) else {
-        return;
-    };
-    if let Some(worker) = owner.workers.get_mut(&run.worker) {
-        worker.remove(task, &run);
-    }
-}
--- a/gl-jobs/src/owner/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -2,20 +2,24 @@
 
 use gl_model::time;
 
-use super::{
-    JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, placement,
+use crate::owner::{
+    JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, state,
 };
 use crate::{job, task, worker};
 
 /// Returns whether any worker has capacity for one more task of the phase.
-pub(super) fn can_place(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> bool {
+pub(in crate::owner) fn can_place(
+    owner: &Owner,
+    phase: task::PhaseId,
+    now: time::Timestamp,
+) -> bool {
     Candidates::default().find(owner, phase, now).is_some()
 }
 
 /// The workers for the tasks of one phase. The next task of the phase finds the same scores but for
 /// the worker that got the one before it, so only that worker is assessed again.
 #[derive(Default)]
-pub(super) struct Candidates {
+pub(in crate::owner) struct Candidates {
     /// The conditions to which the scores apply; `None` before the first search.
     conditions: Option<Conditions>,
     /// The score of each worker, in the order of the table; `None` if the worker is not suitable.
@@ -28,7 +32,7 @@
 
 /// What the scores of a phase depend on, apart from the state of the assessed worker.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct Conditions {
+pub(in crate::owner) struct Conditions {
     /// The rack on which other tasks of the phase run, if they should share one.
     pub rack: Option<String>,
     pub image: Option<interference::ImageId>,
@@ -57,7 +61,7 @@
     ) -> Option<worker::WorkerId> {
         let entry = owner.jobs.get(&phase.job)?;
         let spec = entry.spec(phase.phase)?;
-        let state = placement::state_of(owner, phase)?;
+        let state = state::state_of(owner, phase)?;
         let conditions =
             Conditions { is_trial: self.is_trial, ..conditions(owner, entry, phase, now)? };
         let request = Request { phase, entry, spec, state, conditions: &conditions };
@@ -84,7 +88,7 @@
     now: time::Timestamp,
 ) -> Option<Conditions> {
     let spec = entry.spec(phase.phase)?;
-    let state = placement::state_of(owner, phase)?;
+    let state = state::state_of(owner, phase)?;
     Some(Conditions {
         rack: sibling_rack(owner, phase, spec),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
@@ -95,7 +99,7 @@
 }
 
 /// Returns whether a task of the phase may start on a worker that is held for it.
-pub(super) fn is_possible_on(
+pub(in crate::owner) fn is_possible_on(
     owner: &Owner,
     phase: task::PhaseId,
     id: &worker::WorkerId,
@@ -104,7 +108,7 @@
     let is_possible = || {
         let entry = owner.jobs.get(&phase.job)?;
         let spec = entry.spec(phase.phase)?;
-        let state = placement::state_of(owner, phase)?;
+        let state = state::state_of(owner, phase)?;
         let conditions = conditions(owner, entry, phase, now)?;
         let request = Request { phase, entry, spec, state, conditions: &conditions };
         Some(is_possible(owner, &request, owner.workers.get(id)?, now))
@@ -140,7 +144,7 @@
 }
 
 /// A task for which a worker is sought.
-pub(super) struct Request<'a> {
+pub(in crate::owner) struct Request<'a> {
     pub phase: task::PhaseId,
     pub entry: &'a JobEntry,
     pub spec: &'a job::Phase,
--- a/gl-jobs/src/owner/trials.rs
+++ b/gl-jobs/src/owner/placement/trials.rs
@@ -1,9 +1,9 @@
 //! Trials: starts of tasks that may crash their worker, each on a worker that gets no other task
-//! meanwhile. See [`crashes`](super::crashes).
+//! meanwhile. See [`crashes`](crate::owner::crashes).
 
 use gl_model::time;
 
-use super::{Action, Owner, Run, placement, runs, search};
+use crate::owner::{Action, Owner, Run, placement, runs, search, state};
 use crate::{record, task, worker};
 
 /// The number of trials that may run at the same time in a service with few workers.
@@ -11,7 +11,7 @@
 
 /// The trial of a task on a worker that gets no other task meanwhile.
 #[derive(Clone, Debug)]
-pub(super) struct Trial {
+pub(in crate::owner) struct Trial {
     attempt: u64,
     worker: worker::WorkerId,
     has_started: bool,
@@ -19,13 +19,13 @@
 
 /// A start order that is sent once the start is stored.
 #[derive(Clone, Debug)]
-pub(super) struct Unsent {
+pub(in crate::owner) struct Unsent {
     worker: worker::WorkerId,
     order: worker::StartOrder,
 }
 
 /// Continues the trials.
-pub(super) fn run(owner: &mut Owner, now: time::Timestamp) {
+pub(in crate::owner) fn run(owner: &mut Owner, now: time::Timestamp) {
     for (task, trial) in owner.trials.clone() {
         if trial.has_started {
             owner.observe(task, &trial, now);
@@ -61,8 +61,8 @@
 }
 
 /// Seeks workers for the trials of a phase's tasks.
-pub(super) fn plan(owner: &mut Owner, phase: task::PhaseId, now: time::Timestamp) {
-    let Some(state) = placement::state_of(owner, phase) else {
+pub(in crate::owner) fn plan(owner: &mut Owner, phase: task::PhaseId, now: time::Timestamp) {
+    let Some(state) = state::state_of(owner, phase) else {
         return;
     };
     let tasks = state.suspects.keys().map(|index| task::TaskId { phase, index: *index });
@@ -101,7 +101,7 @@
 
 impl Owner {
     /// Sends the start orders that waited for the row.
-    pub(super) fn send_stored(&mut self, row: &super::CommitRow) {
+    pub(in crate::owner) fn send_stored(&mut self, row: &crate::owner::CommitRow) {
         let runs = &self.runs;
         let is_current = |task: &task::TaskId, unsent: &Unsent| {
             runs.get(task).is_some_and(|run| {
@@ -124,7 +124,11 @@
     }
 
     /// Sends a start order, or keeps it until the start is stored.
-    pub(super) fn send_start(&mut self, worker: worker::WorkerId, order: worker::StartOrder) {
+    pub(in crate::owner) fn send_start(
+        &mut self,
+        worker: worker::WorkerId,
+        order: worker::StartOrder,
+    ) {
         let task = order.task;
         let target = self.workers.get(&worker).map(|w| &w.registration);
         let Some(target) = target.filter(|_| self.has_to_be_stored(task)) else {
--- a/gl-jobs/src/owner/unplaced.rs
+++ b/gl-jobs/src/owner/placement/unplaced.rs
@@ -2,12 +2,12 @@
 
 use gl_model::{size, time};
 
-use super::Owner;
 use crate::job;
+use crate::owner::Owner;
 
 /// Tasks that could not be placed in this pass. Tasks of the same kind that need at least as much
 /// cannot be placed either, and are skipped.
-pub(super) struct Unplaced {
+pub(in crate::owner) struct Unplaced {
     tasks: Vec<Requirements>,
     rooms: Vec<Room>,
 }
--- a/gl-jobs/src/owner/adoption.rs
+++ b/gl-jobs/src/owner/recovery/adoption.rs
@@ -2,13 +2,13 @@
 
 use gl_model::time;
 
-use super::{Owner, Run, Stage, StopReason, interference, runs};
-use crate::{job, task, worker};
+use crate::owner::{Owner, Stage, StopReason, runs};
+use crate::worker;
 
 impl Owner {
     /// Adopts a run that an earlier owner started. Returns `false` if no stored job has the task,
     /// or if another run of it is recorded.
-    pub(super) fn adopt(
+    pub(in crate::owner) fn adopt(
         &mut self,
         id: &worker::WorkerId,
         running: &worker::Running,
@@ -35,14 +35,14 @@
         if state.waiting.is_empty() {
             self.open_phases.remove(&task.phase);
         }
-        let order = RunOrder {
+        let order = runs::RunOrder {
             worker: id.clone(),
             attempt: running.attempt,
             deadline: time::Timestamp::default(),
             stage: Stage::Running(now),
             image: spec.image.as_deref().map(|name| self.interference.intern(name)),
         };
-        let mut run = make_run(&spec, order, now);
+        let mut run = runs::make_run(&spec, order, now);
         run.checkpoint.clone_from(&running.checkpoint);
         run.progress = running.progress;
         run.load = running.load;
@@ -55,51 +55,4 @@
         }
         true
     }
-
-    pub(super) fn add_run(&mut self, task: task::TaskId, run: Run) {
-        if let Some(worker) = self.workers.get_mut(&run.worker) {
-            worker.add(task, &run);
-        }
-        self.runs.insert(task, run);
-    }
-}
-
-/// The properties of a run that do not follow from its phase.
-pub(super) struct RunOrder {
-    pub worker: worker::WorkerId,
-    pub attempt: u64,
-    pub deadline: time::Timestamp,
-    pub stage: Stage,
-    pub image: Option<interference::ImageId>,
-}
-
-pub(super) fn make_run(spec: &job::Phase, order: RunOrder, now: time::Timestamp) -> Run {
-    let kind = if spec.long_running {
-        runs::Kind::LongRunning
-    } else if spec.best_effort {
-        runs::Kind::BestEffort
-    } else {
-        runs::Kind::Batch
-    };
-    Run {
-        worker: order.worker,
-        attempt: order.attempt,
-        deadline: order.deadline,
-        reserved: spec.reserved(),
-        cores: spec.size.cores,
-        kind,
-        image: order.image,
-        stage: order.stage,
-        since: now,
-        progress: 0.0,
-        progressed_at: now,
-        reported_at: time::Timestamp::default(),
-        load: 0.0,
-        cpu_limit: runs::NO_LIMIT,
-        wanted_limit: runs::NO_LIMIT,
-        was_throttled: false,
-        tail_target: spec.tail_target.map(|tail| tail.as_seconds() * runs::MILLIS_PER_SECOND),
-        checkpoint: String::new(),
-        checkpointing: spec.checkpointing,
-    }
 }
--- a/gl-jobs/src/owner/recovery.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -1,11 +1,15 @@
 //! Recovery after a change of owner: restores the stored jobs, and waits until all runs that
 //! earlier owners may have started are known.
 
+pub(in crate::owner) mod adoption;
+pub(in crate::owner) mod store_clock;
+pub(in crate::owner) mod timeouts;
+
 use std::collections;
 
 use gl_model::time;
 
-use super::{Moment, Note, Owner};
+use crate::owner::{Moment, Note, Owner};
 use crate::{job, record, task, worker};
 
 /// A job as it was read from the store.
@@ -67,13 +71,13 @@
 
 impl Recovery {
     /// Returns whether the task may be running on a worker that has not replied.
-    pub(super) fn blocks(&self, task: task::TaskId) -> bool {
+    pub(in crate::owner) fn blocks(&self, task: task::TaskId) -> bool {
         let may_run = |p: &Pending| p.tasks.as_ref().is_none_or(|tasks| tasks.contains(&task));
         !self.reported.contains(&task) && self.pending.values().any(may_run)
     }
 
     /// Returns the workers that have not replied for some time, with the end of their leases.
-    pub(super) fn unreachable(
+    pub(in crate::owner) fn unreachable(
         &self,
         now: time::Timestamp,
     ) -> impl Iterator<Item = (&worker::WorkerId, time::Timestamp)> {
@@ -115,7 +119,7 @@
     }
 
     /// Returns what may be running on an enrolled worker at the time of the takeover.
-    fn pending_at(&self, worker: &super::Worker, now: time::Timestamp) -> Pending {
+    fn pending_at(&self, worker: &crate::owner::Worker, now: time::Timestamp) -> Pending {
         let drift = self.settings.clock_drift;
         let leases =
             self.inherited_lease + self.inherited_lease.scaled(drift) + self.settings.clock_margin;
@@ -141,7 +145,7 @@
         }
         let settings = self.settings;
         let worker = self.workers.entry(entry.id.clone()).or_insert_with(|| {
-            let mut worker = super::Worker::new(entry.clone(), &settings, now);
+            let mut worker = crate::owner::Worker::new(entry.clone(), &settings, now);
             worker.is_listed = false;
             worker
         });
@@ -163,7 +167,7 @@
     }
 
     fn restore(&mut self, row: StoredJob, moment: &Moment) {
-        let mut entry = super::JobEntry::new(row.job, moment);
+        let mut entry = crate::owner::JobEntry::new(row.job, moment);
         entry.is_inherited = row.is_inherited;
         entry.restore(row.progress.unwrap_or_default());
         if entry.final_state.is_none() && row.is_cancelled {
@@ -197,17 +201,17 @@
     }
 
     /// Returns whether the task may be running on a worker that has not replied to this owner.
-    pub(super) fn may_run_unseen(&self, task: task::TaskId) -> bool {
+    pub(in crate::owner) fn may_run_unseen(&self, task: task::TaskId) -> bool {
         self.recovery.as_ref().is_some_and(|recovery| recovery.blocks(task))
     }
 
-    pub(super) fn mark_replied(&mut self, id: &worker::WorkerId) {
+    pub(in crate::owner) fn mark_replied(&mut self, id: &worker::WorkerId) {
         if let Some(recovery) = &mut self.recovery {
             recovery.pending.remove(id);
         }
     }
 
-    pub(super) fn mark_reported(&mut self, task: task::TaskId) {
+    pub(in crate::owner) fn mark_reported(&mut self, task: task::TaskId) {
         if let Some(recovery) = &mut self.recovery {
             recovery.reported.insert(task);
         }
@@ -227,7 +231,7 @@
     if left == 0 {
         let missing = recovery.missing;
         owner.recovery = None;
-        owner.has_hidden_crashes |= owner.workers.values().any(super::Worker::was_replaced);
+        owner.has_hidden_crashes |= owner.workers.values().any(crate::owner::Worker::was_replaced);
         owner.note(Note::Recovered { missing, took });
     } else if took >= UNREACHABLE_AFTER && !recovery.is_reported {
         recovery.is_reported = true;
--- a/gl-jobs/src/owner/timeouts.rs
+++ b/gl-jobs/src/owner/recovery/timeouts.rs
@@ -3,7 +3,7 @@
 
 use gl_model::time;
 
-use super::{Action, Cause, Note, Owner, Run, Stage, StopReason, runs};
+use crate::owner::{Action, Cause, Note, Owner, Run, Stage, StopReason, runs};
 use crate::{task, worker};
 
 /// Handles everything that has become due.
@@ -17,8 +17,9 @@
 /// Ends the runs of workers whose lease must have expired.
 fn expire_leases(owner: &mut Owner, now: time::Timestamp) {
     let settings = owner.settings;
-    let is_expired =
-        |w: &&super::Worker| !w.runs.is_empty() && w.expiry(&settings).is_some_and(|at| now >= at);
+    let is_expired = |w: &&crate::owner::Worker| {
+        !w.runs.is_empty() && w.expiry(&settings).is_some_and(|at| now >= at)
+    };
     let expired = owner.workers.values().filter(is_expired);
     let lost: Vec<_> = expired.flat_map(|w| w.runs.iter().copied()).collect();
     for task in lost {
@@ -87,8 +88,9 @@
 /// Removes workers that are no longer listed and have no runs.
 fn remove_unlisted(owner: &mut Owner, now: time::Timestamp) {
     let keep = owner.settings.worker_retention;
-    let is_removable =
-        |w: &super::Worker| !w.is_listed && w.runs.is_empty() && now.since(w.unlisted_at) > keep;
+    let is_removable = |w: &crate::owner::Worker| {
+        !w.is_listed && w.runs.is_empty() && now.since(w.unlisted_at) > keep
+    };
     let removable: Vec<_> = owner
         .workers
         .values()
--- a/gl-jobs/src/owner/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -4,7 +4,7 @@
 
 use gl_model::time;
 
-use super::Moment;
+use crate::owner::Moment;
 use crate::{bitset, job, record, task};
 
 /// A job and its progress.
@@ -72,7 +72,7 @@
 }
 
 impl JobEntry {
-    pub(super) fn new(job: job::Job, moment: &Moment) -> Self {
+    pub(in crate::owner) fn new(job: job::Job, moment: &Moment) -> Self {
         let age = moment.wall.since(job.submitted);
         Self {
             objective: job.objective(),
@@ -99,12 +99,16 @@
         self.critical_paths.get(phase as usize).copied().unwrap_or_default()
     }
 
-    pub(super) fn all_opened(&self) -> bool {
+    pub(in crate::owner) fn all_opened(&self) -> bool {
         self.next_occurrence >= self.job.occurrences()
     }
 
     /// Creates the phases of all occurrences that are due, and returns those that can start.
-    pub(super) fn open_due(&mut self, id: task::JobId, moment: &Moment) -> Vec<task::PhaseId> {
+    pub(in crate::owner) fn open_due(
+        &mut self,
+        id: task::JobId,
+        moment: &Moment,
+    ) -> Vec<task::PhaseId> {
         let mut opened = Vec::new();
         while !self.all_opened() {
             let occurrence = self.next_occurrence;
@@ -130,7 +134,7 @@
     }
 
     /// Opens the phases of an occurrence whose dependencies are all done, and returns them.
-    pub(super) fn open_ready(
+    pub(in crate::owner) fn open_ready(
         &mut self,
         id: task::JobId,
         occurrence: u32,
@@ -167,7 +171,7 @@
             && self.phases.keys().all(|(occurrence, phase)| self.is_phase_done(*occurrence, *phase))
     }
 
-    pub(super) fn progress(&self) -> record::Progress {
+    pub(in crate::owner) fn progress(&self) -> record::Progress {
         let has_progress = |state: &&PhaseState| {
             state.done.count() > 0
                 || !state.failures.is_empty()
@@ -187,7 +191,7 @@
     }
 
     /// Restores stored progress. This has to happen before any phase is opened.
-    pub(super) fn restore(&mut self, progress: record::Progress) {
+    pub(in crate::owner) fn restore(&mut self, progress: record::Progress) {
         self.final_state = progress.final_state;
         self.stored_state = progress.final_state;
         for phase in progress.phases {
--- a/gl-jobs/src/owner/runs.rs
+++ b/gl-jobs/src/owner/state/runs.rs
@@ -2,8 +2,8 @@
 
 use gl_model::{size, time};
 
-use super::{StopReason, interference};
-use crate::worker;
+use crate::owner::{Owner, StopReason, interference};
+use crate::{job, task, worker};
 
 /// The CPU limit of a run that is not throttled, in percent.
 pub const NO_LIMIT: u32 = 100;
@@ -127,3 +127,54 @@
         matches!(self.stage, Stage::Stopping(_))
     }
 }
+
+impl Owner {
+    /// Adds a run, which reserves its capacity.
+    pub(in crate::owner) fn add_run(&mut self, task: task::TaskId, run: Run) {
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.add(task, &run);
+        }
+        self.runs.insert(task, run);
+    }
+}
+
+/// The properties of a run that do not follow from its phase.
+pub(in crate::owner) struct RunOrder {
+    pub worker: worker::WorkerId,
+    pub attempt: u64,
+    pub deadline: time::Timestamp,
+    pub stage: Stage,
+    pub image: Option<interference::ImageId>,
+}
+
+/// Creates a run from its phase and the properties that do not follow from it.
+pub(in crate::owner) fn make_run(spec: &job::Phase, order: RunOrder, now: time::Timestamp) -> Run {
+    let kind = if spec.long_running {
+        Kind::LongRunning
+    } else if spec.best_effort {
+        Kind::BestEffort
+    } else {
+        Kind::Batch
+    };
+    Run {
+        worker: order.worker,
+        attempt: order.attempt,
+        deadline: order.deadline,
+        reserved: spec.reserved(),
+        cores: spec.size.cores,
+        kind,
+        image: order.image,
+        stage: order.stage,
+        since: now,
+        progress: 0.0,
+        progressed_at: now,
+        reported_at: time::Timestamp::default(),
+        load: 0.0,
+        cpu_limit: NO_LIMIT,
+        wanted_limit: NO_LIMIT,
+        was_throttled: false,
+        tail_target: spec.tail_target.map(|tail| tail.as_seconds() * MILLIS_PER_SECOND),
+        checkpoint: String::new(),
+        checkpointing: spec.checkpointing,
+    }
+}
--- a/gl-jobs/src/owner/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -4,7 +4,7 @@
 
 use gl_model::{size, time};
 
-use super::{Settings, interference, runs};
+use crate::owner::{Settings, interference, runs};
 use crate::{record, task, worker};
 
 /// A worker of the cell.
@@ -144,7 +144,7 @@
 }
 
 impl Worker {
-    pub(super) fn new(
+    pub(in crate::owner) fn new(
         registration: worker::Registration,
         settings: &Settings,
         now: time::Timestamp,
@@ -215,18 +215,18 @@
     /// Returns whether the worker may have restarted since its last reply. A new incarnation counts
     /// its ends from 1, so an acknowledgement meant for the earlier one would discard ends that
     /// were not processed.
-    pub(super) fn may_have_restarted(&self) -> bool {
+    pub(in crate::owner) fn may_have_restarted(&self) -> bool {
         self.is_unresponsive || self.incarnation != Some(self.registration.incarnation)
     }
 
     /// Returns whether the worker has restarted since an earlier owner enrolled it.
-    pub(super) fn was_replaced(&self) -> bool {
+    pub(in crate::owner) fn was_replaced(&self) -> bool {
         self.enrolled_as.is_some_and(|enrolled| enrolled < self.registration.incarnation)
     }
 
     /// Returns the time, by the owner's clock, at which all leases of the worker have certainly
     /// expired.
-    pub(super) fn expiry(&self, settings: &Settings) -> Option<time::Timestamp> {
+    pub(in crate::owner) fn expiry(&self, settings: &Settings) -> Option<time::Timestamp> {
         let reading = self.clock?;
         let until = self.granted_until.max(self.inherited_until);
         let left = until.since(reading.clock);
@@ -246,7 +246,7 @@
             && now.since(self.polled_at) <= settings.reply_timeout
     }
 
-    pub(super) fn add(&mut self, task: task::TaskId, run: &runs::Run) {
+    pub(in crate::owner) fn add(&mut self, task: task::TaskId, run: &runs::Run) {
         if !self.runs.insert(task) {
             return;
         }
@@ -264,7 +264,7 @@
         }
     }
 
-    pub(super) fn remove(&mut self, task: task::TaskId, run: &runs::Run) {
+    pub(in crate::owner) fn remove(&mut self, task: task::TaskId, run: &runs::Run) {
         if !self.runs.remove(&task) {
             return;
         }
--- /dev/null
+++ b/gl-jobs/src/owner/view/mod.rs
@@ -0,0 +1,5 @@
+//! What the owner follows from outside the cell: the list of workers, the stored roster, and the
+//! replies of workers.
+
+pub(in crate::owner) mod polls;
+pub(in crate::owner) mod roster;
--- a/gl-jobs/src/owner/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -4,7 +4,7 @@
 
 use gl_model::time;
 
-use super::{Action, Cause, Note, Owner, Stage, StopReason, Worker, throttle, workers};
+use crate::owner::{Action, Cause, Note, Owner, Stage, StopReason, Worker, throttle, workers};
 use crate::{task, worker};
 
 impl Owner {
@@ -97,7 +97,7 @@
     }
 
     /// Removes a worker without runs from the table.
-    pub(super) fn remove_worker(&mut self, id: &worker::WorkerId) {
+    pub(in crate::owner) fn remove_worker(&mut self, id: &worker::WorkerId) {
         let worker = self.workers.remove(id);
         self.update_unstored(id);
         if worker.is_some_and(|worker| worker.in_roster) {
@@ -162,7 +162,7 @@
         };
         let is_unsettled = |t: &task::TaskId| {
             let run = self.runs.get(t);
-            run.is_some_and(|r| r.is_stopping() || r.wanted_limit < super::runs::NO_LIMIT)
+            run.is_some_and(|r| r.is_stopping() || r.wanted_limit < crate::owner::runs::NO_LIMIT)
         };
         let has_interference =
             worker.tail_ratio > self.settings.ratio_high && worker.best_effort_cores > 0;
--- a/gl-jobs/src/owner/roster.rs
+++ b/gl-jobs/src/owner/view/roster.rs
@@ -5,7 +5,7 @@
 
 use gl_model::time;
 
-use super::{Owner, Worker};
+use crate::owner::{Owner, Worker};
 use crate::{record, worker};
 
 /// A change of what the roster says of a worker.
