feat: start no tasks in failure domains that operators have emptied

The owner does not use the workers of an emptied domain, limits the validity of start orders to the time at which a request that its view lacks could be in force, and sends none under a view that is too old. The settings switch it on.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -209,6 +209,10 @@
         if let Some(age) = self.node.routing_age(clock::steady()) {
             self.node.metrics.routing_age(age);
         }
+        if let Some(ownership) = self.node.ownership() {
+            let owner = ownership.owner();
+            self.node.metrics.emptied(owner.emptied().len(), owner.emptied_runs());
+        }
         self.node.metrics.render()
     }
 
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -110,6 +110,12 @@
     Recovering { missing: usize, workers: Vec<Text<worker::WorkerId>>, left_ms: u64 },
     /// All runs that earlier owners may have started have been accounted for.
     Recovered { missing: usize, took_ms: u64 },
+    /// Operators have emptied a failure domain, in which `runs` tasks continue.
+    #[serde(rename = "domain-emptied")]
+    Emptied { domain: &'a str, workers: usize, runs: usize },
+    /// Tasks may be started in a failure domain again.
+    #[serde(rename = "domain-restored")]
+    Restored { domain: &'a str, workers: usize, runs: usize },
     /// A commit was not stored at once.
     CommitRetried { number: u64, detail: String },
     /// A row cannot be decoded.
@@ -164,6 +170,12 @@
             Note::Recovered { missing, took } => {
                 Self::Recovered { missing: *missing, took_ms: took.as_millis() }
             }
+            Note::Emptied { domain, workers, runs } => {
+                Self::Emptied { domain, workers: *workers, runs: *runs }
+            }
+            Note::Restored { domain, workers, runs } => {
+                Self::Restored { domain, workers: *workers, runs: *runs }
+            }
             Note::Implicated { task, attempt, worker, crashes } => Self::Implicated {
                 task: Text(*task),
                 attempt: *attempt,
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, rc, sync};
 
-use gl_jobs::{owner, queue};
+use gl_jobs::{domain, owner, queue};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
@@ -87,6 +87,8 @@
     pub log: Option<log_writer::Log>,
     /// The newest routing.
     pub routing: cell::RefCell<Option<rc::Rc<queue::Routing>>>,
+    /// The failure domains that operators have emptied, read together with the routing.
+    pub emptied: cell::RefCell<domain::Emptied>,
     /// Time at which the routing was the newest at the store; `None` before the first read.
     pub routing_at: cell::Cell<Option<time::Timestamp>>,
     /// Jobs that wait to be stored.
@@ -122,6 +124,7 @@
             metrics,
             log,
             routing: cell::RefCell::new(None),
+            emptied: cell::RefCell::default(),
             routing_at: cell::Cell::new(None),
             submissions: submission::Queue::default(),
             has_open_claim: cell::Cell::new(false),
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -258,6 +258,9 @@
     /// Runs the time-driven decisions.
     fn tick(self: &rc::Rc<Self>) {
         let moment = node::Node::moment();
+        if let Some(at) = self.node.routing_at.get() {
+            self.owner.borrow_mut().emptied_read(&self.node.emptied.borrow(), at);
+        }
         self.update_starts(moment.now);
         self.owner.borrow_mut().tick(&moment);
         self.update_worker_clients();
--- a/geraniumlatchd/src/jobs/routing.rs
+++ b/geraniumlatchd/src/jobs/routing.rs
@@ -1,4 +1,5 @@
-//! Follows the published routing and keeps its newest version in force.
+//! Follows what operators publish, the routing and the emptied failure domains, and keeps the newest
+//! version in force. Both are in one table, so that one long poll follows them.
 
 use std::rc;
 
@@ -20,10 +21,11 @@
     let mut failures = 0;
     loop {
         let sent = clock::steady();
-        let published = node.platform.directory.routing().await;
+        let published = node.platform.directory.published().await;
         node.record_store_result(&published, clock::steady());
         match published {
             Ok(published) => {
+                node.emptied.replace(published.emptied);
                 apply(&node, published.routing, sent);
                 let failure = follow(&node, published.version).await;
                 failures = 1;
@@ -48,14 +50,14 @@
 async fn follow(node: &node::Node, mut version: u64) -> Failure {
     loop {
         let sent = clock::steady();
-        let changed = node.platform.directory.routing_changed(version, LONG_POLL_WAIT).await;
+        let changed = node.platform.directory.published_changes(version, LONG_POLL_WAIT).await;
         let now = clock::steady();
         node.record_store_result(&changed, now);
         match changed {
             Ok(changed) => {
                 // Without a change, the store has waited before it replied.
-                let wait =
-                    if changed.routing.is_none() { LONG_POLL_WAIT } else { time::Span::ZERO };
+                let wait = if changed.is_unchanged { LONG_POLL_WAIT } else { time::Span::ZERO };
+                node.emptied.borrow_mut().apply(&changed.emptied);
                 apply(node, changed.routing, now.min(sent + wait));
                 version = changed.version;
             }
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -157,6 +157,7 @@
         horizon: settings.max_lease,
         stop_time: settings.stop_timeout,
         drain_time: settings.drain,
+        empty_time: settings.empty_time,
         retention: settings.retention + settings.retention,
         ..defaults
     }
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -144,6 +144,24 @@
         /// The number of runs that were lost.
         runs: usize,
     },
+    /// Operators have emptied a failure domain: no task is started there.
+    Emptied {
+        /// The failure domain.
+        domain: String,
+        /// The number of its workers.
+        workers: usize,
+        /// The number of runs that continue there.
+        runs: usize,
+    },
+    /// Tasks may be started in a failure domain again.
+    Restored {
+        /// The failure domain.
+        domain: String,
+        /// The number of its workers.
+        workers: usize,
+        /// The number of runs that are left there.
+        runs: usize,
+    },
     /// The recovery takes long, because workers that may run tasks of earlier owners' jobs have not
     /// replied.
     Recovering {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -37,7 +37,7 @@
 use placement::{advice, drain, gang, headroom, search, trials};
 use recovery::{store_clock, timeouts};
 use state::{jobs, runs, workers};
-use view::roster;
+use view::{domains, roster};
 
 use crate::{job, record, task, worker};
 
@@ -97,6 +97,8 @@
     starts_until: time::Timestamp,
     /// The time at which the newest list of workers was requested.
     list_read_at: time::Timestamp,
+    /// The failure domains that operators have emptied.
+    emptied: domains::View,
     /// Whether no daemon can reach the store, so that no worker can change its entry either.
     is_store_down: bool,
     actions: Vec<Action>,
@@ -113,6 +115,7 @@
             horizon: now + settings.horizon,
             starts_until: now + settings.start_window,
             list_read_at: now,
+            emptied: domains::View::default(),
             is_store_down: false,
             settings,
             token,
@@ -185,21 +188,24 @@
         self.store_clock = Some(reading);
     }
 
-    /// Sets whether no daemon can reach the store. Workers cannot announce then that they drain, so
-    /// the newest list of workers stays valid.
+    /// Sets whether no daemon can reach the store. Workers cannot announce then that they drain, and
+    /// operators cannot empty a failure domain, so what was read last stays valid.
     pub const fn set_store_down(&mut self, is_store_down: bool) {
         self.is_store_down = is_store_down;
     }
 
     /// Returns the time for which a start order may be valid so that no worker carries it out later
-    /// than [`Settings::drain_time`] after it announced that it drains. The newest list shows all
-    /// announcements made before it was requested.
+    /// than [`Settings::drain_time`] after it announced that it drains, or later than
+    /// [`Settings::empty_time`] after operators requested to empty its failure domain. The newest
+    /// list and view show all that was written before they were requested.
     fn start_validity(&self, now: time::Timestamp) -> time::Span {
         if self.is_store_down {
             return self.settings.start_window;
         }
         let list_validity = (self.list_read_at + self.settings.drain_time).since(now);
-        self.settings.start_window.min(list_validity)
+        let window = self.settings.start_window.min(list_validity);
+        let empty_time = self.settings.empty_time;
+        empty_time.map_or(window, |time| window.min(self.emptied.order_validity(time, now)))
     }
 
     /// Adds a stored job. A job that is already present is left unchanged.
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -65,8 +65,8 @@
         }
     }
 
-    /// Returns whether a start order may still be sent: the owner may start runs, and the order can
-    /// reach the worker before its deadline. A late order would only be refused, and the worker
+    /// Returns whether a start order may still be sent: the owner may start runs, the worker's failure
+    /// domain was not emptied, and the order can reach the worker before its deadline. A late order would only be refused, and the worker
     /// would get no others for a while.
     pub fn may_send(
         &self,
@@ -74,13 +74,14 @@
         order: &worker::StartOrder,
         now: time::Timestamp,
     ) -> bool {
-        let clock = self.workers.get(worker).and_then(|worker| worker.clock_at(now));
+        let target = self.workers.get(worker).filter(|worker| !worker.is_domain_emptied);
+        let clock = target.and_then(|worker| worker.clock_at(now));
         let is_in_time = |clock| clock + self.settings.transit_time < order.deadline;
         self.may_start(now) && clock.is_some_and(is_in_time)
     }
 
     /// Handles a start order that was not sent, because the permission to start runs or the order
-    /// has expired, or the worker is gone.
+    /// has expired, its failure domain was emptied, or the worker is gone.
     pub fn start_unsent(
         &mut self,
         worker: &worker::WorkerId,
--- a/gl-jobs/src/owner/placement/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -6,7 +6,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Owner, state};
+use crate::owner::{Owner, Worker, state};
 use crate::task;
 
 /// The share of a service's workers that stay free of long-running tasks while others have capacity
@@ -102,7 +102,8 @@
 
 /// Returns whether the workers of a service that are free of long-running tasks suffice.
 pub(in crate::owner) fn room(owner: &Owner, service: &str) -> Room {
-    let of_service = owner.workers.values().filter(|w| w.registration.service == service);
+    let is_usable = |w: &&Worker| w.registration.service == service && !w.is_domain_emptied;
+    let of_service = owner.workers.values().filter(is_usable);
     let (mut total, mut free, mut cores) = (0_usize, 0_usize, 0_u64);
     for worker in of_service {
         total += 1;
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -149,6 +149,7 @@
             worker.is_listed = false;
             worker
         });
+        worker.is_domain_emptied = self.emptied.is_emptied(&worker.registration.domain);
         worker.is_enrolled = worker.registration.address == entry.address;
         worker.in_roster = true;
         worker.was_enrolled = true;
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -71,6 +71,9 @@
     pub stop_time: time::Span,
     /// The minimum time for which a worker continues to run after it was marked as draining.
     pub drain_time: time::Span,
+    /// The time after which a request to empty a failure domain has to be in force; `None` if the
+    /// deployment has no such requests.
+    pub empty_time: Option<time::Span>,
     /// The maximum number of workers in one request for advice.
     pub advice_workers: usize,
     /// The time after which a best-effort phase that cannot be placed is placed without regard to
@@ -159,6 +162,7 @@
             retention: time::Span::seconds(180),
             stop_time: time::Span::millis(900),
             drain_time: time::Span::millis(2_000),
+            empty_time: None,
             advice_workers: 30,
             starvation_time: time::Span::millis(2_000),
             patience: time::Span::seconds(3),
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -24,6 +24,8 @@
     /// Whether the store has, or may have, a time at which its leases have expired. They must not be
     /// extended until that is replaced.
     pub has_stored_end: bool,
+    /// Whether operators have emptied its failure domain.
+    pub is_domain_emptied: bool,
     /// The time since which the list has no entry for the worker, if it has none.
     pub unlisted_at: time::Timestamp,
     /// The time at which its entry was first marked as draining.
@@ -156,6 +158,7 @@
             in_roster: false,
             vacating: None,
             has_stored_end: false,
+            is_domain_emptied: false,
             unlisted_at: now,
             draining_since: None,
             incarnation: None,
@@ -239,6 +242,7 @@
             && self.is_enrolled
             && self.draining_since.is_none()
             && !self.registration.draining
+            && !self.is_domain_emptied
             && self.incarnation == Some(self.registration.incarnation)
             && self.unknown_runs == 0
             && self.clock.is_some()
--- a/gl-jobs/src/owner/view/mod.rs
+++ b/gl-jobs/src/owner/view/mod.rs
@@ -1,5 +1,6 @@
-//! What the owner follows from outside the cell: the list of workers, the stored roster, and the
-//! replies of workers.
+//! What the owner follows from outside the cell: the list of workers, the emptied failure
+//! domains, the stored roster, and the replies of workers.
 
+pub(in crate::owner) mod domains;
 pub(in crate::owner) mod polls;
 pub(in crate::owner) mod roster;
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -68,6 +68,7 @@
         let has_restarted = entry.incarnation > worker.registration.incarnation;
         worker.is_enrolled &= worker.registration.address == entry.address;
         worker.registration = entry.clone();
+        worker.is_domain_emptied = self.emptied.is_emptied(&entry.domain);
         worker.is_listed = true;
         if entry.draining {
             worker.draining_since = worker.draining_since.or(Some(now));
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -8,6 +8,7 @@
 mod commits;
 mod cost;
 mod crashes;
+mod domains;
 mod election;
 mod identity;
 mod interference;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -86,6 +86,8 @@
             owner::Note::Stopping { .. } => self.event("stop"),
             owner::Note::Implicated { .. } => self.event("implicated"),
             owner::Note::GivenUp { .. } => self.event("given-up"),
+            owner::Note::Emptied { .. } => self.event("domain-emptied"),
+            owner::Note::Restored { .. } => self.event("domain-restored"),
             owner::Note::Ordered { .. }
             | owner::Note::Recovering { .. }
             | owner::Note::Recovered { .. } => {}
@@ -127,6 +129,12 @@
         self.level("routing-age-ms", age.as_millis());
     }
 
+    /// Records the number of emptied failure domains, and of the runs that continue in them.
+    pub fn emptied(&self, domains: usize, runs: usize) {
+        self.level("emptied-domains", domains as u64);
+        self.level("emptied-runs", runs as u64);
+    }
+
     /// Records the total number of dropped log lines.
     pub fn lines_dropped(&self, total: u64) {
         self.level("log-lines-dropped", total);
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -2,7 +2,7 @@
 //! transactions within a partition, the directory of workers and routing, orders to workers, and
 //! placement advice. `gl_fleet` implements them for the users' platform.
 
-use gl_jobs::{owner, queue, task, worker};
+use gl_jobs::{domain, owner, queue, task, worker};
 use gl_model::time;
 
 /// The key of a row.
@@ -161,7 +161,7 @@
     ) -> Result<Rows, StoreError>;
 }
 
-/// The directory in which operators publish the routing and workers register.
+/// The directory in which operators publish the routing and their requests, and workers register.
 #[async_trait::async_trait(?Send)]
 pub trait Directory {
     /// Returns the current registrations of the workers.
@@ -178,23 +178,24 @@
     /// If the read was refused, its reply was lost, or the changes have been removed by compaction.
     async fn workers_changed(&self, after: u64) -> Result<WorkerUpdate, StoreError>;
 
-    /// Returns the newest routing.
+    /// Returns what the operators have published.
     ///
     /// # Errors
     ///
     /// If the read was refused or its reply was lost.
-    async fn routing(&self) -> Result<RoutingSnapshot, StoreError>;
+    async fn published(&self) -> Result<Published, StoreError>;
 
-    /// Waits at most `wait` for a change of the routing after version `after`.
+    /// Waits at most `wait` for a change of what the operators have published after version
+    /// `after`.
     ///
     /// # Errors
     ///
     /// If the read was refused, its reply was lost, or the changes have been removed by compaction.
-    async fn routing_changed(
+    async fn published_changes(
         &self,
         after: u64,
         wait: time::Span,
-    ) -> Result<RoutingUpdate, StoreError>;
+    ) -> Result<PublishedChanges, StoreError>;
 }
 
 /// The registrations of the workers and the version of the store at which they were read.
@@ -215,20 +216,26 @@
     pub version: u64,
 }
 
-/// The routing and the version of the store at which it was read.
+/// What the operators have published, and the version of the store at which it was read.
 #[derive(Clone, Debug, PartialEq)]
-pub struct RoutingSnapshot {
+pub struct Published {
     /// The routing, or `None` if the operators have not written one yet.
     pub routing: Option<queue::Routing>,
+    /// The emptied failure domains.
+    pub emptied: domain::Emptied,
     /// The version.
     pub version: u64,
 }
 
-/// The result of waiting for a change of the routing.
+/// The result of waiting for a change of what the operators have published.
 #[derive(Clone, Debug, PartialEq)]
-pub struct RoutingUpdate {
+pub struct PublishedChanges {
     /// The newest routing, if it has changed.
     pub routing: Option<queue::Routing>,
+    /// The changes of the emptied failure domains, in order.
+    pub emptied: Vec<domain::Change>,
+    /// Whether nothing at all had changed, so that the store waited before it replied.
+    pub is_unchanged: bool,
     /// The version up to which changes have been read.
     pub version: u64,
 }
