trial: ration the interference that best-effort tasks may risk by their slack

Cause: in bursts long-running tasks lose most, and best-effort jobs have slack. Change: in services of which most processors are reserved, the limit on interference grows from a fifth to the whole as a job's slack is used up, and is lower for late jobs.

--- a/gl-jobs/src/owner/colocation/mod.rs
+++ b/gl-jobs/src/owner/colocation/mod.rs
@@ -2,6 +2,7 @@
 //! long-running tasks next to each other.
 
 pub(in crate::owner) mod interference;
+pub(in crate::owner) mod risk;
 pub(in crate::owner) mod throttle;
 
 use crate::owner::search::Request;
@@ -24,7 +25,8 @@
         return None;
     }
     let interference = expected_interference(owner, request, w);
-    if !ignores_load && interference > settings.interference_limit {
+    let limit = settings.interference_limit * request.conditions.risk_share;
+    if !ignores_load && interference > limit {
         return None;
     }
     let total = (w.registration.size.cores as f64).max(1.0);
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -89,6 +89,8 @@
     store_clock: Option<StoreClock>,
     /// The recent demand of short tasks, one entry for each service that has any.
     demands: Vec<headroom::Demand>,
+    /// The services of which most processors are reserved.
+    crowded: Vec<String>,
     /// The time at which the demand was last recorded.
     demand_at: time::Timestamp,
     /// The latest time to which leases of workers may be extended.
@@ -144,6 +146,7 @@
             inherited_lease: settings.horizon,
             store_clock: None,
             demands: Vec::new(),
+            crowded: Vec::new(),
             demand_at: time::Timestamp::default(),
             actions: Vec::new(),
         }
--- a/gl-jobs/src/owner/placement/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -6,6 +6,7 @@
 
 use gl_model::time;
 
+use crate::owner::colocation::risk;
 use crate::owner::{Owner, Worker, state};
 use crate::task;
 
@@ -48,6 +49,9 @@
         return;
     }
     owner.demand_at = now;
+    if owner.settings.rations_risk {
+        owner.crowded = risk::crowded_services(owner);
+    }
     for demand in &mut owner.demands {
         let halvings = now.since(demand.at).as_seconds() / PEAK_HALF_LIFE.as_seconds();
         demand.peak *= 0.5_f64.powf(halvings);
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -10,6 +10,7 @@
 
 use gl_model::time;
 
+use crate::owner::colocation::risk;
 use crate::owner::{JobEntry, Note, Owner, PhaseState, Stage, crashes, runs, settings, state};
 use crate::{job, task, worker};
 
@@ -122,7 +123,8 @@
         owner.open_phases.remove(&phase);
         return;
     };
-    if skip.covers(job, spec) {
+    let risk_share = risk::share(owner, phase, now);
+    if skip.covers(job, spec, risk_share) {
         return;
     }
     let spec = spec.clone();
@@ -144,7 +146,7 @@
     while let Some(index) = next_waiting(owner, phase) {
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
-                skip.add(&entry.job, &spec);
+                skip.add(&entry.job, &spec, risk_share);
             }
             return;
         };
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -2,6 +2,7 @@
 
 use gl_model::time;
 
+use crate::owner::colocation::risk;
 use crate::owner::{
     JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, state,
 };
@@ -39,6 +40,8 @@
     /// Whether the task starts on any worker with free capacity, without regard to idle processors
     /// and interference.
     pub ignores_load: bool,
+    /// The share of the limit on interference that the task may risk.
+    pub risk_share: f64,
     /// For a long-running task, how many workers are left without any.
     pub room: headroom::Room,
     /// Whether the task may crash the worker.
@@ -89,10 +92,12 @@
 ) -> Option<Conditions> {
     let spec = entry.spec(phase.phase)?;
     let state = state::state_of(owner, phase)?;
+    let is_rationed = risk::is_rationed(owner, entry, spec);
     Some(Conditions {
         rack: sibling_rack(owner, phase, spec),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
-        ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
+        ignores_load: spec.best_effort && is_starved(owner, phase, state, is_rationed, now),
+        risk_share: risk::share(owner, phase, now),
         room: room_for(owner, entry, spec, state),
         is_trial: false,
     })
@@ -157,14 +162,16 @@
     owner: &Owner,
     phase: task::PhaseId,
     state: &PhaseState,
+    is_rationed: bool,
     now: time::Timestamp,
 ) -> bool {
+    let settings = &owner.settings;
+    let limit = if is_rationed { settings.crowded_starvation } else { settings.starvation_time };
     let first = task::PhaseId { job: phase.job, occurrence: 0, phase: 0 };
     let last = task::PhaseId { job: phase.job, occurrence: u32::MAX, phase: u32::MAX };
     let from = task::TaskId { phase: first, index: 0 };
     let to = task::TaskId { phase: last, index: u32::MAX };
-    now.since(state.since) > owner.settings.starvation_time
-        && owner.runs.range(from..=to).next().is_none()
+    now.since(state.since) > limit && owner.runs.range(from..=to).next().is_none()
 }
 
 /// Returns the rack on which other tasks of the phase run, if the tasks should share a rack.
--- a/gl-jobs/src/owner/placement/unplaced.rs
+++ b/gl-jobs/src/owner/placement/unplaced.rs
@@ -39,17 +39,20 @@
     /// The image of a best-effort task, which decides where the task would interfere.
     image: Option<String>,
     size: size::Size,
+    /// The interference that the task may risk, if it is a best-effort task.
+    risk_share: f64,
 }
 
 impl Requirements {
-    fn new(job: &job::Job, spec: &job::Phase) -> Self {
+    fn new(job: &job::Job, spec: &job::Phase, risk_share: f64) -> Self {
         let service = job.service.clone();
         let image = spec.image.clone().filter(|_| spec.best_effort);
-        Self { service, best_effort: spec.best_effort, image, size: spec.size }
+        Self { service, best_effort: spec.best_effort, image, size: spec.size, risk_share }
     }
 
-    fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
+    fn covers(&self, job: &job::Job, spec: &job::Phase, risk_share: f64) -> bool {
         self.best_effort == spec.best_effort
+            && risk_share <= self.risk_share
             && (!spec.best_effort || self.image == spec.image)
             && self.service == job.service
             && self.size.fits_in(&spec.size)
@@ -61,24 +64,24 @@
         Self { tasks: Vec::new(), rooms: rooms(owner, now) }
     }
 
-    pub fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
+    pub fn covers(&self, job: &job::Job, spec: &job::Phase, risk_share: f64) -> bool {
         let room = self.rooms.iter().find(|room| room.service == job.service);
         let has_room = room.is_some_and(|room| spec.reserved().fits_in(&room.largest));
         // A request for advice does not need room, and the answer takes a while.
         if !has_room && job.advice.is_none() {
             return true;
         }
-        self.tasks.iter().any(|task| task.covers(job, spec))
+        self.tasks.iter().any(|task| task.covers(job, spec, risk_share))
     }
 
-    pub fn add(&mut self, job: &job::Job, spec: &job::Phase) {
+    pub fn add(&mut self, job: &job::Job, spec: &job::Phase, risk_share: f64) {
         let is_plain = spec.label.is_none()
             && spec.per_worker.is_none()
             && !spec.gang
             && !spec.long_running
             && job.advice.is_none();
         if is_plain {
-            self.tasks.push(Requirements::new(job, spec));
+            self.tasks.push(Requirements::new(job, spec, risk_share));
         }
     }
 }
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -80,6 +80,12 @@
     /// interference and idle processors. It is shorter than the time within which waiting work has
     /// to start while there is free capacity.
     pub starvation_time: time::Span,
+    /// The same in a crowded service, if [`Self::rations_risk`] is set: there is no free capacity
+    /// there in which the task has to start.
+    pub crowded_starvation: time::Span,
+    /// Whether in a crowded service the interference that a best-effort task may risk depends on what
+    /// its caller loses if the task waits.
+    pub rations_risk: bool,
     /// The time after which a long-running phase with a task that has ended is placed before short
     /// tasks. Half of the time within which such a task has to run again if there is capacity.
     pub patience: time::Span,
@@ -165,6 +171,8 @@
             empty_time: None,
             advice_workers: 30,
             starvation_time: time::Span::millis(2_000),
+            crowded_starvation: time::Span::seconds(10),
+            rations_risk: false,
             patience: time::Span::seconds(3),
             advice_retry: time::Span::seconds(2),
             failure_limit: 2.4,
