feat(gl-jobs): predict the tail ratio that a best-effort task would cause

Cause: the interference model learns from windows over the target only, so that pairs of images are learned by harm, and it averages over the swinging load of long-running tasks. Change: a second model learns from each change of a tail ratio between two windows, and predicts from the present ratio; best-effort tasks start where the prediction stays below the limit, and prefer places where it is low. A setting switches it on. The rationing of risk by slack is switched off.

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -159,7 +159,7 @@
         drain_time: settings.drain,
         empty_time: settings.empty_time,
         retention: settings.retention + settings.retention,
-        rations_risk: true,
+        predicts_tail: true,
         ..defaults
     }
 }
--- a/gl-jobs/src/owner/colocation/interference.rs
+++ b/gl-jobs/src/owner/colocation/interference.rs
@@ -19,6 +19,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ImageId(usize);
 
+impl ImageId {
+    /// Returns the index.
+    pub(in crate::owner) const fn index(self) -> usize {
+        self.0
+    }
+}
+
 /// The tail ratio at or above which a window counts as one with interference.
 const INTERFERENCE_RATIO: f64 = 1.0;
 /// The share of a worker's processors at or above which a best-effort image has its full effect.
--- a/gl-jobs/src/owner/colocation/mod.rs
+++ b/gl-jobs/src/owner/colocation/mod.rs
@@ -2,6 +2,7 @@
 //! long-running tasks next to each other.
 
 pub(in crate::owner) mod interference;
+pub(in crate::owner) mod pressure;
 pub(in crate::owner) mod risk;
 pub(in crate::owner) mod throttle;
 
@@ -29,8 +30,17 @@
     if !ignores_load && interference > limit {
         return None;
     }
+    let predicted = match request.conditions.image {
+        Some(image) if settings.predicts_tail => {
+            pressure::predicted_ratio(owner, w, image, request.spec.size.cores)
+        }
+        _ => 0.0,
+    };
+    if !ignores_load && predicted > settings.ratio_high {
+        return None;
+    }
     let total = (w.registration.size.cores as f64).max(1.0);
-    Some(idle / total - interference * INTERFERENCE_WEIGHT)
+    Some(idle / total - interference * INTERFERENCE_WEIGHT - predicted * PREDICTED_WEIGHT)
 }
 
 /// Returns the highest probability that the best-effort tasks, with the requested one added,
@@ -69,6 +79,9 @@
 /// The weight of the probability of interference, relative to the share of idle processors.
 const INTERFERENCE_WEIGHT: f64 = 4.0;
 
+/// The weight of the predicted tail ratio, relative to the share of idle processors.
+const PREDICTED_WEIGHT: f64 = 1.0;
+
 /// Returns the bonus for placing a long-running task near others of its image. Tasks of one image
 /// are sensitive to the same best-effort images, so keeping them together leaves other workers free
 /// for the best-effort tasks that would interfere with them.
--- a/gl-jobs/src/owner/colocation/throttle.rs
+++ b/gl-jobs/src/owner/colocation/throttle.rs
@@ -3,7 +3,9 @@
 
 use gl_model::time;
 
-use crate::owner::{Action, Note, Owner, Run, StopReason, interference, runs, search, workers};
+use crate::owner::{
+    Action, Note, Owner, Run, StopReason, interference, pressure, runs, search, workers,
+};
 use crate::{task, worker};
 
 /// The CPU limits that are used, in percent.
@@ -29,6 +31,12 @@
     };
     update_cpu_use(owner, id, &measured);
     update_model(owner, id, &measured, now);
+    if owner.settings.predicts_tail {
+        let level =
+            |tail: &ImageTail| pressure::Level { image: tail.image, ratio: tail.tail_ratio };
+        let levels = measured.long_running.iter().map(level).collect();
+        pressure::observe(owner, id, levels, &measured.cpu_uses, now);
+    }
     let settings = owner.settings;
     let Some(worker) = owner.workers.get_mut(id) else {
         return;
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -33,7 +33,7 @@
 pub use store_clock::StoreClock;
 pub use workers::Worker;
 
-use colocation::{interference, throttle};
+use colocation::{interference, pressure, throttle};
 use placement::{advice, drain, gang, headroom, search, trials};
 use recovery::{store_clock, timeouts};
 use state::{jobs, runs, workers};
@@ -78,6 +78,8 @@
     /// Workers that are still stored in the roster and have to be removed from it.
     removed_workers: collections::BTreeSet<worker::WorkerId>,
     interference: InterferenceModel,
+    /// The effects of best-effort images on the tail latency of long-running ones.
+    pressure: pressure::PressureModel,
     /// The time at which the learned model was last included in a commit.
     model_stored_at: time::Timestamp,
     /// Workers whose [`record::Vacating`] has to be stored.
@@ -140,6 +142,7 @@
             unstored: collections::BTreeSet::new(),
             removed_workers: collections::BTreeSet::new(),
             interference: InterferenceModel::default(),
+            pressure: pressure::PressureModel::default(),
             model_stored_at: now,
             unstored_vacating: collections::BTreeSet::new(),
             recovery: None,
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -86,6 +86,9 @@
     /// Whether in a crowded service the interference that a best-effort task may risk depends on what
     /// its caller loses if the task waits.
     pub rations_risk: bool,
+    /// Whether a best-effort task starts only where the predicted tail ratio of the long-running
+    /// tasks stays below `ratio_high`.
+    pub predicts_tail: bool,
     /// The time after which a long-running phase with a task that has ended is placed before short
     /// tasks. Half of the time within which such a task has to run again if there is capacity.
     pub patience: time::Span,
@@ -173,6 +176,7 @@
             starvation_time: time::Span::millis(2_000),
             crowded_starvation: time::Span::seconds(10),
             rations_risk: false,
+            predicts_tail: false,
             patience: time::Span::seconds(3),
             advice_retry: time::Span::seconds(2),
             failure_limit: 2.4,
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -4,6 +4,7 @@
 
 use gl_model::{size, time};
 
+use crate::owner::colocation::pressure;
 use crate::owner::{Settings, interference, runs};
 use crate::{record, task, worker};
 
@@ -76,6 +77,8 @@
     pub throttled_at: time::Timestamp,
     /// The time at which the interference model was last updated from its reports.
     pub observed_at: time::Timestamp,
+    /// The last window of measurements from which the effects of best-effort images were learned.
+    pub window: pressure::Window,
     /// The images of its long-running tasks, with the processors that they reserve.
     pub long_running_images: Vec<ImageCores>,
     /// The images of its best-effort tasks, with the maximum number of processors that they use.
@@ -183,6 +186,7 @@
             probed_at: time::Timestamp::default(),
             throttled_at: time::Timestamp::default(),
             observed_at: time::Timestamp::default(),
+            window: pressure::Window::default(),
             long_running_images: Vec::new(),
             best_effort_images: Vec::new(),
             tail_ratio: 0.0,
