feat(gl-jobs): limit the start orders in flight by an adaptive window

Cause: with 12,300 starts to order, the owner decided on all of them in two passes. A process of half a core needs seconds to send so many, so every order missed its validity or its time-out and was ordered again, 10,000 to 35,000 at a time (14,845 lost replies, 243,637 never ran, nothing ran).

Change: placement orders starts, in the same order of phases, until the window is full, and continues as replies come.

--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod completion;
 mod crashes;
 mod orders;
+mod pacing;
 mod placement;
 mod recovery;
 mod settings;
@@ -27,6 +28,9 @@
 pub use commit::{Commit, Row as CommitRow};
 pub use interference::{CpuUse, ImageId, InterferenceModel};
 pub use jobs::{Advice, JobEntry, PhaseState};
+pub use pacing::window::{
+    Outcome as OrderOutcome, Settings as WindowSettings, Window as OrderWindow,
+};
 pub use recovery::{StoredJob, Takeover};
 pub use runs::{Kind, Run, Stage, Stopping};
 pub use settings::{PhaseOrder, Settings};
@@ -34,6 +38,7 @@
 pub use workers::Worker;
 
 use colocation::{interference, throttle};
+use pacing::in_flight;
 use placement::{advice, drain, gang, headroom, search, trials};
 use recovery::{store_clock, timeouts};
 use state::{jobs, runs, workers};
@@ -57,6 +62,10 @@
     trials: collections::BTreeMap<task::TaskId, trials::Trial>,
     /// Start orders that wait until the start is stored.
     unsent: collections::BTreeMap<task::TaskId, trials::Unsent>,
+    /// Start orders that were not answered.
+    in_flight: in_flight::StartsInFlight,
+    /// The time of the last decision that depends on the time.
+    decided_at: time::Timestamp,
     /// Whether runs have ended with their workers since the suspects were last reviewed.
     has_lost_runs: bool,
     /// The worker that last lost a run that may have crashed it.
@@ -117,6 +126,8 @@
             list_read_at: now,
             emptied: domains::View::default(),
             is_store_down: false,
+            in_flight: in_flight::StartsInFlight::new(OrderWindow::new(settings.order_window)),
+            decided_at: now,
             settings,
             token,
             last_attempt: token * ATTEMPTS_PER_TOKEN,
@@ -282,6 +293,8 @@
 
     /// Runs all systems that depend on the time.
     pub fn tick(&mut self, moment: &Moment) {
+        self.decided_at = moment.now;
+        in_flight::run(self, moment.now);
         timeouts::run(self, moment.now);
         recovery::run(self, moment.now);
         roster::run(self, moment.now);
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use super::{Action, Cause, Note, Owner, Stage, StopReason, runs};
+use super::{Action, Cause, Note, OrderOutcome, Owner, Stage, StopReason, runs};
 use crate::{task, worker};
 
 impl Owner {
@@ -41,6 +41,11 @@
         reply: worker::OrderReply,
         now: time::Timestamp,
     ) {
+        let outcome = match reply {
+            worker::OrderReply::Lost => OrderOutcome::Failed,
+            worker::OrderReply::Done | worker::OrderReply::Refused(_) => OrderOutcome::Answered,
+        };
+        self.in_flight.remove(task, attempt, outcome, now);
         let Some(run) = self.run_on(worker, task, attempt) else {
             return;
         };
@@ -89,6 +94,7 @@
         attempt: u64,
         now: time::Timestamp,
     ) {
+        self.in_flight.remove(task, attempt, OrderOutcome::Failed, now);
         let Some(run) = self.run_on(worker, task, attempt) else {
             return;
         };
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -41,11 +41,13 @@
     Overdue,
 }
 
-/// Starts the waiting tasks that can be placed, in the order of their ranks.
+/// Starts the waiting tasks that can be placed, in the order of their ranks, until the window for
+/// start orders is full. A gang is ordered as a whole, and may exceed the window.
 pub fn run(owner: &mut Owner, now: time::Timestamp) {
     if !owner.may_start(now) || owner.start_validity(now) < owner.settings.order_time {
         return;
     }
+    owner.decided_at = now;
     headroom::update(owner, now);
     crashes::run(owner, now);
     trials::run(owner, now);
@@ -53,6 +55,9 @@
     ranks.sort_unstable();
     let mut skip = unplaced::Unplaced::new(owner, now);
     for rank in ranks {
+        if !owner.admits_start() {
+            return;
+        }
         start_phase(owner, rank.phase, &mut skip, now);
     }
 }
@@ -142,6 +147,9 @@
     }
     let mut candidates = search::Candidates::default();
     while let Some(index) = next_waiting(owner, phase) {
+        if !owner.admits_start() {
+            return;
+        }
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
                 skip.add(&entry.job, &spec);
--- a/gl-jobs/src/owner/placement/trials.rs
+++ b/gl-jobs/src/owner/placement/trials.rs
@@ -119,8 +119,10 @@
             task.phase.job == row.job && suspect.is_some_and(|s| s.trials.iter().any(is_trial))
         };
         let stored = self.unsent.extract_if(.., is_stored).map(|(_, unsent)| unsent);
-        let orders = stored.map(|Unsent { worker, order }| Action::Start { worker, order });
-        self.actions.extend(orders);
+        for Unsent { worker, order } in stored {
+            self.in_flight.add(order.task, order.attempt, self.decided_at);
+            self.actions.push(Action::Start { worker, order });
+        }
     }
 
     /// Sends a start order, or keeps it until the start is stored.
@@ -132,6 +134,7 @@
         let task = order.task;
         let target = self.workers.get(&worker).map(|w| &w.registration);
         let Some(target) = target.filter(|_| self.has_to_be_stored(task)) else {
+            self.in_flight.add(task, order.attempt, self.decided_at);
             self.actions.push(Action::Start { worker, order });
             return;
         };
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -2,6 +2,8 @@
 
 use gl_model::time;
 
+use crate::owner::WindowSettings;
+
 /// The order in which phases of one class are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PhaseOrder {
@@ -38,6 +40,9 @@
     pub order_time: time::Span,
     /// The time that an order takes to a worker at most, unless the network is disturbed.
     pub transit_time: time::Span,
+    /// The window for start orders in flight. Its target is less than half of the time-out of an
+    /// order, and about a quarter of `start_window`.
+    pub order_window: WindowSettings,
     /// The time for which a worker may hold a poll while no run ends. One third of the time within
     /// which long-running tasks have to be protected from interference.
     pub poll_wait: time::Span,
@@ -150,6 +155,7 @@
             start_window: time::Span::millis(1_500),
             order_time: time::Span::millis(300),
             transit_time: time::Span::millis(50),
+            order_window: WindowSettings::default(),
             poll_wait: time::Span::millis(1_000),
             short_wait: time::Span::millis(250),
             stop_retry: time::Span::millis(500),
