feat: spread polls of many workers over time, and carry actions out in chunks

Cause: a new owner of 2,940 workers polled all of them at once and carried out thousands of actions without a pause, so that polls missed their time-outs, the renewal of the cell's lease was late, and the owner stepped down.

Change: first polls, polls of workers that did not reply, and polls in addition to a long poll pass a gate with an adaptive window, in the order of the ends of the workers' leases; workers reply to them at once. Orders do not pass the gate. Actions are carried out 32 at a time, stop and CPU-limit orders first, and other tasks run in between. If timers fire more than 10 ms late, workers without anything that needs attention hold polls for up to 2 s (a third of the lease at most); reply_timeout and stall_timeout grow in proportion and stay long for 4 s afterwards. Metrics show starts in flight, their limit, and the polls that wait.

Not measured in a cell of 3,000 workers.

--- /dev/null
+++ b/geraniumlatchd/src/jobs/execution.rs
@@ -0,0 +1,111 @@
+//! Carries out the actions that the owner's decision logic returns.
+
+use std::rc;
+
+use gl_jobs::{owner, worker};
+use gl_platform::cell as platform;
+
+use super::{event, ownership::Ownership, worker_client};
+
+/// Number of actions that are carried out before other tasks run. The requests of one chunk take a
+/// few milliseconds on a small VM, so that the renewal of the cell's lease is late by no more.
+const CHUNK: usize = 32;
+
+/// Carries out the pending actions in chunks, and lets other tasks run between them.
+async fn serve_actions(ownership: rc::Rc<Ownership>) {
+    while !ownership.is_ended() && ownership.execute_chunk() {
+        tokio::task::yield_now().await;
+    }
+    ownership.pending_actions.borrow_mut().is_served = false;
+}
+
+impl Ownership {
+    /// Carries out the actions that the decision logic has returned: the first chunk at once.
+    pub(super) fn execute_actions(self: &rc::Rc<Self>) {
+        if self.is_ended() {
+            return;
+        }
+        let actions = self.owner.borrow_mut().take_actions();
+        let is_served = {
+            let mut pending = self.pending_actions.borrow_mut();
+            actions.into_iter().for_each(|action| pending.push(action));
+            pending.is_served
+        };
+        if !is_served && self.execute_chunk() {
+            self.pending_actions.borrow_mut().is_served = true;
+            ntex::rt::spawn(serve_actions(rc::Rc::clone(self)));
+        }
+        if self.owner.borrow().has_commit() {
+            self.commit_wake.notify_one();
+        }
+    }
+
+    /// Carries out one chunk of the pending actions, and returns whether there are more.
+    fn execute_chunk(self: &rc::Rc<Self>) -> bool {
+        for _ in 0..CHUNK {
+            let next = self.pending_actions.borrow_mut().pop();
+            let Some(action) = next else { break };
+            self.execute(action);
+        }
+        !self.pending_actions.borrow().is_empty()
+    }
+
+    /// Creates clients of new workers, and ends those of workers that no longer belong to the cell.
+    pub(super) fn update_worker_clients(self: &rc::Rc<Self>) {
+        let owner = self.owner.borrow();
+        let mut worker_clients = self.worker_clients.borrow_mut();
+        worker_clients.retain(|id, client| {
+            let is_kept = owner.worker(id).is_some();
+            client.is_needed.set(is_kept);
+            is_kept
+        });
+        for worker in owner.workers() {
+            let id = &worker.registration.id;
+            if !worker_clients.contains_key(id) {
+                let client = rc::Rc::new(worker_client::WorkerClient::new(id.clone()));
+                worker_clients.insert(id.clone(), rc::Rc::clone(&client));
+                ntex::rt::spawn(worker_client::poll_while_needed(rc::Rc::clone(self), client));
+            }
+        }
+    }
+
+    fn execute(self: &rc::Rc<Self>, action: owner::Action) {
+        let client_of =
+            |id: &worker::WorkerId| self.worker_clients.borrow().get(id).map(rc::Rc::clone);
+        match action {
+            owner::Action::Note(note) => {
+                self.node.metrics.note(&note);
+                event::emit(&event::Event::from(&note));
+            }
+            owner::Action::RequestAdvice { phase, workers } => {
+                ntex::rt::spawn(worker_client::request_advice(rc::Rc::clone(self), phase, workers));
+            }
+            owner::Action::Start { worker, order } => {
+                if let Some(client) = client_of(&worker) {
+                    ntex::rt::spawn(worker_client::start(rc::Rc::clone(self), client, order));
+                }
+            }
+            owner::Action::Stop { worker, task, attempt } => {
+                if let Some(client) = client_of(&worker) {
+                    ntex::rt::spawn(worker_client::stop(
+                        rc::Rc::clone(self),
+                        client,
+                        task,
+                        attempt,
+                    ));
+                }
+            }
+            owner::Action::Throttle { worker, task, attempt, percent } => {
+                if let Some(client) = client_of(&worker) {
+                    let limit = platform::CpuLimit { task, attempt, percent };
+                    ntex::rt::spawn(worker_client::throttle(rc::Rc::clone(self), client, limit));
+                }
+            }
+            owner::Action::Poll { worker } => {
+                if let Some(client) = client_of(&worker) {
+                    ntex::rt::spawn(worker_client::poll_now(rc::Rc::clone(self), client));
+                }
+            }
+        }
+    }
+}
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -6,9 +6,11 @@
 //! `gl_jobs`, which does no input or output; the modules here read the clock, call the platform
 //! and carry the decisions out. Everything runs on one thread.
 
+pub mod action_queue;
 mod api;
 mod commit;
 mod event;
+mod execution;
 mod followers;
 mod lease;
 pub mod log_writer;
@@ -17,6 +19,7 @@
 mod outstanding;
 mod ownership;
 pub mod placement_pause;
+pub mod poll_gate;
 pub mod poll_pause;
 mod recovery;
 mod routing;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -9,8 +9,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    commit, event, followers, lease, node, placement_pause, poll_pause, rows, worker_client,
-    worker_list,
+    action_queue, commit, event, followers, lease, node, placement_pause, poll_gate, poll_pause,
+    rows, worker_client, worker_list,
 };
 use crate::clock;
 
@@ -41,7 +41,7 @@
     /// See [`owner::Takeover::outstanding`].
     pub(super) outstanding: Option<time::Span>,
     pub(super) followers: cell::RefCell<collections::BTreeMap<String, followers::Heartbeat>>,
-    worker_clients:
+    pub(super) worker_clients:
         cell::RefCell<collections::BTreeMap<worker::WorkerId, rc::Rc<worker_client::WorkerClient>>>,
     /// Version of the store up to which changes of the work table have been read.
     pub(super) feed_version: cell::Cell<u64>,
@@ -57,6 +57,10 @@
     timer_delay: cell::Cell<time::Span>,
     /// Wakes the placement of waiting tasks.
     placement_wake: Notify,
+    /// Actions that are not carried out yet.
+    pub(super) pending_actions: cell::RefCell<action_queue::ActionQueue>,
+    /// Limits the polls that may be many at a time.
+    pub(super) poll_gate: rc::Rc<poll_gate::PollGate>,
     /// Wakes the commit loop.
     pub commit_wake: Notify,
     /// Wakes the tasks that wait for a commit.
@@ -99,6 +103,8 @@
         last_tick: cell::Cell::new(now),
         timer_delay: cell::Cell::new(time::Span::ZERO),
         placement_wake: Notify::new(),
+        pending_actions: cell::RefCell::default(),
+        poll_gate: poll_gate::PollGate::new(node.settings.owner.order_window),
         commit_wake: Notify::new(),
         committed: Notify::new(),
     });
@@ -201,6 +207,8 @@
         self.node.metrics.step_down();
         event::emit(&event::Event::SteppedDown { token: self.token, cause });
         self.worker_clients.borrow_mut().clear();
+        self.pending_actions.take();
+        self.poll_gate.close();
         self.commit_wake.notify_one();
         self.placement_wake.notify_one();
         self.node.set_role(node::Role::OwnerUnknown);
@@ -271,6 +279,10 @@
     fn timer_fired(&self, took: time::Span) {
         let delay = poll_pause::smooth(self.timer_delay.get(), TICK_INTERVAL, took);
         self.timer_delay.set(delay);
+        let mut owner = self.owner.borrow_mut();
+        owner.extend_polls(poll_pause::extra_wait(delay), clock::steady());
+        let polls = self.poll_gate.waiting();
+        self.node.metrics.orders(owner.starts_in_flight(), owner.start_limit(), polls);
     }
 
     /// Returns the shortest interval between two polls of a worker.
@@ -323,76 +335,4 @@
         self.execute_actions();
         self.placement_wake.notify_one();
     }
-
-    fn execute_actions(self: &rc::Rc<Self>) {
-        if self.is_ended() {
-            return;
-        }
-        let actions = self.owner.borrow_mut().take_actions();
-        for action in actions {
-            self.execute(action);
-        }
-        if self.owner.borrow().has_commit() {
-            self.commit_wake.notify_one();
-        }
-    }
-
-    /// Creates clients of new workers, and ends those of workers that no longer belong to the cell.
-    fn update_worker_clients(self: &rc::Rc<Self>) {
-        let owner = self.owner.borrow();
-        let mut worker_clients = self.worker_clients.borrow_mut();
-        worker_clients.retain(|id, client| {
-            let is_kept = owner.worker(id).is_some();
-            client.is_needed.set(is_kept);
-            is_kept
-        });
-        for worker in owner.workers() {
-            let id = &worker.registration.id;
-            if !worker_clients.contains_key(id) {
-                let client = rc::Rc::new(worker_client::WorkerClient::new(id.clone()));
-                worker_clients.insert(id.clone(), rc::Rc::clone(&client));
-                ntex::rt::spawn(worker_client::poll_while_needed(rc::Rc::clone(self), client));
-            }
-        }
-    }
-
-    fn execute(self: &rc::Rc<Self>, action: owner::Action) {
-        let client_of =
-            |id: &worker::WorkerId| self.worker_clients.borrow().get(id).map(rc::Rc::clone);
-        match action {
-            owner::Action::Note(note) => {
-                self.node.metrics.note(&note);
-                event::emit(&event::Event::from(&note));
-            }
-            owner::Action::RequestAdvice { phase, workers } => {
-                ntex::rt::spawn(worker_client::request_advice(rc::Rc::clone(self), phase, workers));
-            }
-            owner::Action::Start { worker, order } => {
-                if let Some(client) = client_of(&worker) {
-                    ntex::rt::spawn(worker_client::start(rc::Rc::clone(self), client, order));
-                }
-            }
-            owner::Action::Stop { worker, task, attempt } => {
-                if let Some(client) = client_of(&worker) {
-                    ntex::rt::spawn(worker_client::stop(
-                        rc::Rc::clone(self),
-                        client,
-                        task,
-                        attempt,
-                    ));
-                }
-            }
-            owner::Action::Throttle { worker, task, attempt, percent } => {
-                if let Some(client) = client_of(&worker) {
-                    let limit = platform::CpuLimit { task, attempt, percent };
-                    ntex::rt::spawn(worker_client::throttle(rc::Rc::clone(self), client, limit));
-                }
-            }
-            owner::Action::Poll { worker } => {
-                if let Some(client) = client_of(&worker) {
-                    ntex::rt::spawn(worker_client::poll_now(rc::Rc::clone(self), client));
-                }
-            }
-        }
-    }
 }
--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -8,7 +8,7 @@
 use gl_platform::cell as platform;
 use tokio::sync;
 
-use super::ownership;
+use super::{ownership, poll_gate};
 use crate::clock;
 
 /// Maximum number of start orders to one worker in flight; each needs a connection of its own.
@@ -89,25 +89,56 @@
     client.is_polling_now.set(false);
 }
 
+/// Waits until the poll may be sent, if it may be one of many: of a worker that has not replied, or in
+/// addition to the long poll.
+///
+/// # Errors
+///
+/// If no poll may be sent any more.
+async fn enter_gate(
+    ownership: &ownership::Ownership,
+    client: &WorkerClient,
+    wait: Option<time::Span>,
+) -> Result<Option<poll_gate::Permit>, poll_gate::Closed> {
+    let due = {
+        let owner = ownership.owner();
+        let is_gated = wait.is_some() || owner.is_poll_deferrable(&client.id);
+        is_gated.then(|| owner.poll_due(&client.id, clock::steady()))
+    };
+    match due {
+        Some(due) => ownership.poll_gate.enter(due).await.map(Some),
+        None => Ok(None),
+    }
+}
+
 /// Polls once; returns `false` if there is no usable reply.
 async fn poll(
     ownership: &rc::Rc<ownership::Ownership>,
     client: &rc::Rc<WorkerClient>,
     wait: Option<time::Span>,
 ) -> bool {
+    let Ok(permit) = enter_gate(ownership, client, wait).await else {
+        return false;
+    };
     let sent = clock::steady();
-    let Some(target) = client.target(ownership) else {
+    let Some(target) = client.target(ownership).filter(|_| !ownership.is_ended()) else {
         return false;
     };
     let Some(mut request) = ownership.owner().poll_request(&client.id, sent) else {
         return false;
     };
-    request.wait = wait.unwrap_or(request.wait);
+    request.wait = match &permit {
+        Some(_) => time::Span::ZERO,
+        None => wait.unwrap_or(request.wait),
+    };
     let polled = ownership.node().platform.workers.poll(&target, &request).await;
     if ownership.is_ended() {
         return false;
     }
     let now = clock::steady();
+    if let Some(permit) = permit {
+        permit.record(now.since(sent), polled.is_ok(), now);
+    }
     ownership.node().metrics.poll(polled.is_ok());
     match polled {
         Ok(reply) => {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -38,7 +38,7 @@
 pub use workers::Worker;
 
 use colocation::{interference, throttle};
-use pacing::in_flight;
+use pacing::{in_flight, poll_times};
 use placement::{advice, drain, gang, headroom, search, trials};
 use recovery::{store_clock, timeouts};
 use state::{jobs, runs, workers};
@@ -64,6 +64,8 @@
     unsent: collections::BTreeMap<task::TaskId, trials::Unsent>,
     /// Start orders that were not answered.
     in_flight: in_flight::StartsInFlight,
+    /// How much longer than configured workers hold polls.
+    poll_times: poll_times::PollTimes,
     /// The time of the last decision that depends on the time.
     decided_at: time::Timestamp,
     /// Whether runs have ended with their workers since the suspects were last reviewed.
@@ -127,6 +129,7 @@
             emptied: domains::View::default(),
             is_store_down: false,
             in_flight: in_flight::StartsInFlight::new(OrderWindow::new(settings.order_window)),
+            poll_times: poll_times::PollTimes::new(settings),
             decided_at: now,
             settings,
             token,
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -46,6 +46,8 @@
     /// The time for which a worker may hold a poll while no run ends. One third of the time within
     /// which long-running tasks have to be protected from interference.
     pub poll_wait: time::Span,
+    /// The same while the process is short of processor time; the longest that workers accept.
+    pub max_poll_wait: time::Span,
     /// The same for a worker that needs attention: it has throttled or stopping runs, or
     /// best-effort tasks next to a long-running task with a tail ratio above `ratio_high`. A run
     /// whose start was not confirmed counts as stopping.
@@ -157,6 +159,7 @@
             transit_time: time::Span::millis(50),
             order_window: WindowSettings::default(),
             poll_wait: time::Span::millis(1_000),
+            max_poll_wait: time::Span::millis(2_000),
             short_wait: time::Span::millis(250),
             stop_retry: time::Span::millis(500),
             reply_timeout: time::Span::millis(2_500),
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -135,6 +135,7 @@
         let settings = self.settings;
         let token = self.token;
         let needs_attention = self.needs_attention(id);
+        let calm_wait = self.calm_wait(self.workers.get(id)?);
         let horizon = self.horizon;
         let worker = self.workers.get_mut(id)?;
         let is_draining = worker.draining_since.is_some();
@@ -151,7 +152,7 @@
         } else if needs_attention {
             settings.short_wait
         } else {
-            settings.poll_wait
+            calm_wait
         };
         let acknowledged = if worker.may_have_restarted() { 0 } else { worker.stored_end };
         Some(worker::PollRequest { token, acknowledged, lease, wait })
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod phases;
 mod placement;
+mod poll_times;
 mod recovery;
 mod roster;
 mod routing;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -135,6 +135,14 @@
         self.level("emptied-runs", runs as u64);
     }
 
+    /// Records the start orders that were not answered, the limit on them, and the polls that wait
+    /// for others.
+    pub fn orders(&self, in_flight: usize, limit: usize, polls: usize) {
+        self.level("starts-in-flight", in_flight as u64);
+        self.level("starts-limit", limit as u64);
+        self.level("polls-waiting", polls as u64);
+    }
+
     /// Records the total number of dropped log lines.
     pub fn lines_dropped(&self, total: u64) {
         self.level("log-lines-dropped", total);
