feat: divide the connections by a budget that follows from the file descriptors

Cause: polls, orders and requests for advice shared a pool of 2,000 connections in use, so that the long polls of more workers took the connections that orders need, while idle connections had no limit (8,082 of 8,192 descriptors were in use with 2,940 workers).

Change: the budget follows from Limits.MaxFds, or from the operating system's limit: 200 descriptors for files, 300 for store and mesh, then clients (1,800 at most, as before), advice, orders (a quarter of the rest, at least 684 where there are enough) and polls. Polls and orders have pools of their own. If there are fewer than three connections for each worker, idle ones are closed after 2 s in place of 60 s. With more workers than connections for polls, workers reply to polls at once and polls follow after poll_wait. Starts use at most three quarters of the connections for orders; stop and CPU-limit orders wait for a permit before their body is made. One log event when a limit is reached; metrics of polls and orders in flight. The lease row has the number of workers, and a daemon that cannot poll as many delays its claim.

Measured: tests only; the connections of a cell of 3,000 workers are not measured yet. On 4,100 descriptors clients and the first starts in flight (1,800 and 512) are as before.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -55,6 +55,8 @@
     ClaimFailed { cause: &'static str, detail: String },
     /// This daemon gave the cell up.
     SteppedDown { token: u64, cause: &'static str },
+    /// The connections to workers have reached their limit. Logged once until they fall below it.
+    ConnectionsShort { polls: usize, poll_limit: usize, orders: usize, order_limit: usize },
     /// New runs were permitted or forbidden.
     Starts { allowed: bool, lease_left_ms: u64, cause: &'static str },
     /// A job was stored.
--- a/geraniumlatchd/src/jobs/execution.rs
+++ b/geraniumlatchd/src/jobs/execution.rs
@@ -40,6 +40,26 @@
         }
     }
 
+    /// Reports the use of the connections to workers in the metrics, and in the log once it has
+    /// reached a limit.
+    pub(super) fn report_connections(&self) {
+        let owner = self.owner.borrow();
+        let waiting = self.poll_gate.waiting();
+        let polls = self.worker_clients.borrow().len().saturating_sub(waiting);
+        let (starts, urgent) = (owner.starts_in_flight(), self.connections.urgent_in_flight());
+        self.node.metrics.orders(starts, owner.start_limit(), urgent);
+        self.node.metrics.polls(polls, waiting);
+        if self.connections.has_reached_limit(polls, starts + urgent) {
+            let budget = self.connections.budget();
+            event::emit(&event::Event::ConnectionsShort {
+                polls,
+                poll_limit: budget.polls,
+                orders: starts + urgent,
+                order_limit: budget.orders,
+            });
+        }
+    }
+
     /// Carries out one chunk of the pending actions, and returns whether there are more.
     fn execute_chunk(self: &rc::Rc<Self>) -> bool {
         for _ in 0..CHUNK {
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -48,6 +48,13 @@
     pub lease: Option<Versioned<record::Lease>>,
 }
 
+impl CellRows {
+    /// Returns the number of workers, as the last owner stored it.
+    fn workers(&self) -> Option<usize> {
+        self.lease.as_ref()?.value.workers
+    }
+}
+
 /// A decoded row and its version.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Versioned<T> {
@@ -130,7 +137,8 @@
         self.claimable_since = cause.and(self.claimable_since.or(Some(now)));
         let is_backoff_over = now >= node.claim_after.get();
         let may_claim = is_backoff_over && !node.is_draining.get() && node.ownership().is_none();
-        let cause = cause.filter(|_| self.is_claim_delay_over(node, now));
+        let workers = cell.workers().unwrap_or_default();
+        let cause = cause.filter(|_| self.is_claim_delay_over(node, workers, now));
         if let Some(cause) = cause.filter(|_| may_claim) {
             self.claim(node, &cell, cause).await;
         }
@@ -138,8 +146,9 @@
 
     /// Returns whether the claim delay has passed, which lets daemons on larger machines claim
     /// first.
-    fn is_claim_delay_over(&self, node: &node::Node, now: time::Timestamp) -> bool {
-        self.claimable_since.is_some_and(|since| now.since(since) >= node.settings.claim_delay)
+    fn is_claim_delay_over(&self, node: &node::Node, workers: usize, now: time::Timestamp) -> bool {
+        let delay = election::claim_delay(node.settings.resources, workers);
+        self.claimable_since.is_some_and(|since| now.since(since) >= delay)
     }
 
     /// Returns the reason why the cell can be claimed, if it can.
@@ -247,7 +256,8 @@
     let write = |name, value| platform::Write { key: rows::cell_row(name), value };
     let horizon = settings.horizon;
     let outstanding = Some(outstanding.unwrap_or(horizon).max(settings.lease));
-    let lease = record::Lease { renewals: 0, released: false, horizon, outstanding };
+    let workers = cell.workers();
+    let lease = record::Lease { renewals: 0, released: false, horizon, outstanding, workers };
     Ok(platform::Transaction {
         checks: vec![
             check(rows::OWNER, version_of(cell.owner.as_ref().map(|row| row.version))),
@@ -365,7 +375,9 @@
 ) -> Result<platform::Outcome, platform::StoreError> {
     let horizon = node.settings.owner.horizon;
     let outstanding = Some(ownership.outstanding_lease(clock::steady()));
-    let row = record::encode("lease", &record::Lease { renewals, released, horizon, outstanding });
+    let workers = ownership.is_loaded.get().then(|| ownership.owner().workers().count());
+    let lease = record::Lease { renewals, released, horizon, outstanding, workers };
+    let row = record::encode("lease", &lease);
     let value = row.map_err(|e| platform::StoreError::Refused {
         operation: "renew the lease",
         detail: e.to_string(),
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 pub mod log_writer;
 mod mesh;
 mod node;
+pub mod ordering;
 mod outstanding;
 mod ownership;
 pub mod placement_pause;
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -2,7 +2,8 @@
 
 use std::{cell, rc, sync};
 
-use gl_jobs::{domain, owner, queue};
+use gl_fleet::budget;
+use gl_jobs::{domain, election, owner, queue};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
@@ -21,8 +22,10 @@
     pub grace: time::Span,
     /// Time within which a change of the routing is in force everywhere.
     pub config_apply: time::Span,
-    /// Delay before it claims a cell that has no owner.
-    pub claim_delay: time::Span,
+    /// Resources that decide how soon it claims a cell that has no owner.
+    pub resources: election::Resources,
+    /// Largest numbers of connections.
+    pub budget: budget::Budget,
     /// Settings of the owner's decision logic.
     pub owner: owner::Settings,
 }
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -9,8 +9,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    action_queue, commit, event, followers, lease, node, placement_pause, poll_gate, poll_pause,
-    rows, worker_client, worker_list,
+    action_queue, commit, event, followers, lease, node, ordering, placement_pause, poll_gate,
+    poll_pause, rows, worker_client, worker_list,
 };
 use crate::clock;
 
@@ -61,6 +61,8 @@
     pub(super) pending_actions: cell::RefCell<action_queue::ActionQueue>,
     /// Limits the polls that may be many at a time.
     pub(super) poll_gate: rc::Rc<poll_gate::PollGate>,
+    /// Use of the connections to workers.
+    pub(super) connections: ordering::Connections,
     /// Wakes the commit loop.
     pub commit_wake: Notify,
     /// Wakes the tasks that wait for a commit.
@@ -105,6 +107,7 @@
         placement_wake: Notify::new(),
         pending_actions: cell::RefCell::default(),
         poll_gate: poll_gate::PollGate::new(node.settings.owner.order_window),
+        connections: ordering::Connections::new(node.settings.budget),
         commit_wake: Notify::new(),
         committed: Notify::new(),
     });
@@ -281,15 +284,23 @@
         self.timer_delay.set(delay);
         let mut owner = self.owner.borrow_mut();
         owner.extend_polls(poll_pause::extra_wait(delay), clock::steady());
-        let polls = self.poll_gate.waiting();
-        self.node.metrics.orders(owner.starts_in_flight(), owner.start_limit(), polls);
+        drop(owner);
+        self.report_connections();
     }
 
     /// Returns the shortest interval between two polls of a worker.
     pub fn poll_interval(&self) -> time::Span {
+        if self.are_polls_short() {
+            return self.node.settings.owner.poll_wait;
+        }
         poll_pause::interval(self.timer_delay.get())
     }
 
+    /// Returns whether workers have to share the connections for polls.
+    pub fn are_polls_short(&self) -> bool {
+        self.connections.are_polls_short(self.worker_clients.borrow().len())
+    }
+
     /// Permits or forbids new runs. They are permitted while the lease is valid, and also while no
     /// follower can reach the store either, as then no daemon can claim the cell.
     ///
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -2,19 +2,18 @@
 
 use std::{cell, net, rc, sync};
 
-use gl_fleet::{ingress, settings};
+use gl_fleet::{budget, ingress, settings};
+use gl_jobs::election;
 use gl_peer::rpc;
 use ntex::{http, web};
 
-use super::{api, event, lease, log_writer, mesh, node, routing, shutdown, submission};
+use super::{api, event, lease, log_writer, mesh, node, ordering, routing, shutdown, submission};
 use crate::error;
 
 /// Time for which an idle client connection is kept open.
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
 /// Time that a client may take to send the head of a request.
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(5);
-/// Maximum number of client connections; half of the file descriptors that a small VM provides.
-const MAX_CONNECTIONS: usize = 1_800;
 
 thread_local! {
     static INGRESS: cell::RefCell<Option<ingress::Ingress>> = const { cell::RefCell::new(None) };
@@ -69,6 +68,7 @@
     let mesh = sync::Arc::new(sockets.mesh);
     let metrics = gl_meter::jobs::Metrics::new().map_err(setup_error("the metrics"))?;
     let metrics = sync::Arc::new(metrics);
+    let max_clients = connection_budget(&settings).clients;
     let config = http::HttpServiceConfig::new()
         .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE))
         .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 64);
@@ -77,7 +77,7 @@
         web::App::new().state(ingress).configure(ingress::configure)
     })
     .workers(1)
-    .maxconn(MAX_CONNECTIONS)
+    .maxconn(max_clients)
     .disable_signals()
     .config(ntex::SharedCfg::new("geraniumlatchd").add(config))
     .listen(sockets.clients)
@@ -126,7 +126,9 @@
     log: &log_writer::Log,
     metrics: &sync::Arc<gl_meter::jobs::Metrics>,
 ) -> node::Node {
+    let budget = connection_budget(settings);
     let options = gl_fleet::Options {
+        budget,
         store: settings.store,
         adviser: settings.adviser,
         daemon: settings.daemon.clone(),
@@ -144,15 +146,37 @@
         mesh: settings.mesh,
         grace: settings.grace,
         config_apply: settings.config_apply,
-        claim_delay: gl_jobs::election::claim_delay(settings.cores),
-        owner: owner_settings(settings),
+        resources: election::Resources { cores: settings.cores, polls: Some(budget.polls) },
+        budget,
+        owner: owner_settings(settings, budget),
     };
     node::Node::new(node_settings, platform, sync::Arc::clone(metrics), Some(log.clone()))
 }
 
-fn owner_settings(settings: &settings::Settings) -> gl_jobs::owner::Settings {
+/// Divides the file descriptors that the platform permits, or else those that the operating system
+/// permits.
+fn connection_budget(settings: &settings::Settings) -> budget::Budget {
+    let limit = || rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let limit = || limit().and_then(|limit| usize::try_from(limit).ok());
+    settings.descriptors.or_else(limit).map_or_else(budget::Budget::default, budget::Budget::new)
+}
+
+fn owner_settings(
+    settings: &settings::Settings,
+    budget: budget::Budget,
+) -> gl_jobs::owner::Settings {
     let defaults = gl_jobs::owner::Settings::default();
+    // The other connections for orders are left to stop and CPU-limit orders.
+    let starts = budget.orders - budget.orders / ordering::URGENT_SHARE;
+    let window = defaults.order_window;
+    let order_window = gl_jobs::owner::WindowSettings {
+        floor: window.floor.min(starts),
+        initial: window.initial.min(starts),
+        ceiling: window.ceiling.min(starts),
+        ..window
+    };
     gl_jobs::owner::Settings {
+        order_window,
         lease: defaults.lease.min(settings.max_lease),
         horizon: settings.max_lease,
         stop_time: settings.stop_timeout,
--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -55,7 +55,7 @@
 ) {
     while !ownership.is_ended() && client.is_needed.get() {
         let sent = clock::steady();
-        if !poll(&ownership, &client, None).await {
+        if !poll(&ownership, &client, false).await {
             ntex::time::sleep(POLL_RETRY_PAUSE).await;
         }
         wait_for_commit(&ownership, &client).await;
@@ -85,7 +85,7 @@
     if client.is_polling_now.replace(true) {
         return;
     }
-    poll(&ownership, &client, Some(time::Span::ZERO)).await;
+    poll(&ownership, &client, true).await;
     client.is_polling_now.set(false);
 }
 
@@ -98,11 +98,11 @@
 async fn enter_gate(
     ownership: &ownership::Ownership,
     client: &WorkerClient,
-    wait: Option<time::Span>,
+    is_extra: bool,
 ) -> Result<Option<poll_gate::Permit>, poll_gate::Closed> {
     let due = {
         let owner = ownership.owner();
-        let is_gated = wait.is_some() || owner.is_poll_deferrable(&client.id);
+        let is_gated = is_extra || owner.is_poll_deferrable(&client.id);
         is_gated.then(|| owner.poll_due(&client.id, clock::steady()))
     };
     match due {
@@ -111,13 +111,14 @@
     }
 }
 
-/// Polls once; returns `false` if there is no usable reply.
+/// Polls once; returns `false` if there is no usable reply. An extra poll is in addition to the long
+/// poll.
 async fn poll(
     ownership: &rc::Rc<ownership::Ownership>,
     client: &rc::Rc<WorkerClient>,
-    wait: Option<time::Span>,
+    is_extra: bool,
 ) -> bool {
-    let Ok(permit) = enter_gate(ownership, client, wait).await else {
+    let Ok(permit) = enter_gate(ownership, client, is_extra).await else {
         return false;
     };
     let sent = clock::steady();
@@ -127,10 +128,9 @@
     let Some(mut request) = ownership.owner().poll_request(&client.id, sent) else {
         return false;
     };
-    request.wait = match &permit {
-        Some(_) => time::Span::ZERO,
-        None => wait.unwrap_or(request.wait),
-    };
+    if permit.is_some() || ownership.are_polls_short() {
+        request.wait = time::Span::ZERO;
+    }
     let polled = ownership.node().platform.workers.poll(&target, &request).await;
     if ownership.is_ended() {
         return false;
@@ -192,6 +192,7 @@
     task: task::TaskId,
     attempt: u64,
 ) {
+    let _permit = ownership.connections.acquire_urgent().await;
     let Some(target) = client.target(&ownership).filter(|_| !ownership.is_ended()) else {
         return;
     };
@@ -210,6 +211,7 @@
     client: rc::Rc<WorkerClient>,
     limit: platform::CpuLimit,
 ) {
+    let _permit = ownership.connections.acquire_urgent().await;
     let Some(target) = client.target(&ownership).filter(|_| !ownership.is_ended()) else {
         return;
     };
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -171,9 +171,21 @@
 /// times the interval at which daemons check whether the cell has an owner.
 const CLAIM_DELAY: time::Span = time::Span::millis(1_000);
 
-/// Returns the delay before a daemon with this much processor time claims a cell without owner.
-pub fn claim_delay(cores: Option<f64>) -> time::Span {
-    if cores.is_some_and(|cores| cores < SUFFICIENT_CORES) { CLAIM_DELAY } else { time::Span::ZERO }
+/// The resources of a daemon's process.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    /// The processor time per second, in cores, if it is limited.
+    pub cores: Option<f64>,
+    /// The number of workers that it can poll at the same time, if it is limited.
+    pub polls: Option<usize>,
+}
+
+/// Returns the delay before a daemon with these resources claims a cell of this many workers that has
+/// no owner.
+pub fn claim_delay(resources: Resources, workers: usize) -> time::Span {
+    let is_slow = resources.cores.is_some_and(|cores| cores < SUFFICIENT_CORES);
+    let lacks_connections = resources.polls.is_some_and(|polls| polls < workers);
+    if is_slow || lacks_connections { CLAIM_DELAY } else { time::Span::ZERO }
 }
 
 /// The age up to which a follower's heartbeat counts as current; covers two heartbeats.
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -111,6 +111,9 @@
     /// The longest time that they may last once the owner extends none any more; `None` if an earlier
     /// version of the program wrote the row.
     pub outstanding: Option<time::Span>,
+    /// The number of workers of the cell; `None` if the owner has not read it or an earlier version
+    /// of the program wrote the row.
+    pub workers: Option<usize>,
 }
 
 /// The learned part of the interference model, stored for later owners.
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -66,9 +66,21 @@
 /// machines of 0.12 cores next to others of 0.5 cores.
 #[test]
 fn small_machine_delays_its_claim() {
-    assert_eq!(election::claim_delay(Some(0.5)), time::Span::ZERO);
-    assert_eq!(election::claim_delay(None), time::Span::ZERO);
-    assert!(election::claim_delay(Some(0.12)) > time::Span::millis(600), "two checks for an owner");
+    let delay = |cores| {
+        let resources = election::Resources { cores, ..election::Resources::default() };
+        election::claim_delay(resources, 490)
+    };
+    assert_eq!(delay(Some(0.5)), time::Span::ZERO);
+    assert_eq!(delay(None), time::Span::ZERO);
+    assert!(delay(Some(0.12)) > time::Span::millis(600), "two checks for an owner");
+}
+
+/// Guards against an owner that cannot open a connection to each worker, while another daemon could.
+#[test]
+fn daemon_with_few_descriptors_delays_its_claim_only_where_the_workers_need_more() {
+    let resources = election::Resources { polls: Some(1_052), ..election::Resources::default() };
+    assert_eq!(election::claim_delay(resources, 490), time::Span::ZERO);
+    assert!(election::claim_delay(resources, 3_000) > time::Span::millis(600));
 }
 
 /// A claim whose reply took long: meanwhile another daemon has claimed the cell and committed. If
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -135,12 +135,18 @@
         self.level("emptied-runs", runs as u64);
     }
 
-    /// Records the start orders that were not answered, the limit on them, and the polls that wait
-    /// for others.
-    pub fn orders(&self, in_flight: usize, limit: usize, polls: usize) {
-        self.level("starts-in-flight", in_flight as u64);
+    /// Records the start orders that were not answered, the limit on them, and the other orders that
+    /// were not answered.
+    pub fn orders(&self, starts: usize, limit: usize, urgent: usize) {
+        self.level("starts-in-flight", starts as u64);
         self.level("starts-limit", limit as u64);
-        self.level("polls-waiting", polls as u64);
+        self.level("urgent-orders-in-flight", urgent as u64);
+    }
+
+    /// Records the polls that were not answered, and those that wait for others.
+    pub fn polls(&self, in_flight: usize, waiting: usize) {
+        self.level("polls-in-flight", in_flight as u64);
+        self.level("polls-waiting", waiting as u64);
     }
 
     /// Records the total number of dropped log lines.
