--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod fleet;
 
+mod collapse;
 mod commits;
 mod cost;
 mod crashes;
