--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -6,17 +6,21 @@
 //! `gl_jobs`, which does no input or output; the modules here read the clock, call the platform
 //! and carry the decisions out. Everything runs on one thread.
 
+pub mod action_queue;
 mod api;
 mod commit;
 mod event;
+mod execution;
 mod followers;
 mod lease;
 pub mod log_writer;
 mod mesh;
 mod node;
+pub mod ordering;
 mod outstanding;
 mod ownership;
 pub mod placement_pause;
+pub mod poll_gate;
 pub mod poll_pause;
 mod recovery;
 mod routing;
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -2,6 +2,8 @@
 
 use gl_model::time;
 
+use crate::owner::WindowSettings;
+
 /// The order in which phases of one class are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PhaseOrder {
@@ -38,9 +40,14 @@
     pub order_time: time::Span,
     /// The time that an order takes to a worker at most, unless the network is disturbed.
     pub transit_time: time::Span,
+    /// The window for start orders in flight. Its target is less than half of the time-out of an
+    /// order, and about a quarter of `start_window`.
+    pub order_window: WindowSettings,
     /// The time for which a worker may hold a poll while no run ends. One third of the time within
     /// which long-running tasks have to be protected from interference.
     pub poll_wait: time::Span,
+    /// The same while the process is short of processor time; the longest that workers accept.
+    pub max_poll_wait: time::Span,
     /// The same for a worker that needs attention: it has throttled or stopping runs, or
     /// best-effort tasks next to a long-running task with a tail ratio above `ratio_high`. A run
     /// whose start was not confirmed counts as stopping.
@@ -159,7 +166,9 @@
             start_window: time::Span::millis(1_500),
             order_time: time::Span::millis(300),
             transit_time: time::Span::millis(50),
+            order_window: WindowSettings::default(),
             poll_wait: time::Span::millis(1_000),
+            max_poll_wait: time::Span::millis(2_000),
             short_wait: time::Span::millis(250),
             stop_retry: time::Span::millis(500),
             reply_timeout: time::Span::millis(2_500),
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod fleet;
 
+mod collapse;
 mod commits;
 mod cost;
 mod crashes;
@@ -16,7 +17,9 @@
 mod orders;
 mod phases;
 mod placement;
+mod poll_times;
 mod recovery;
 mod roster;
 mod routing;
 mod throttle;
+mod windows;
