fix: discard silent idle connections to workers, advice and platform after a lost reply

Cause: only the store's pooled connections were discarded after a lost response. Where many connections fall silent together, each further order, poll or request for advice could wait on another silent connection for its whole time-out.

Change: gl_platform::PooledClient records, by a filter on each connection, when data was last received and whether a request is unanswered. After a lost reply, the idle connections to that address are closed unless they received data in the second half of the time-out. Requests in progress, and connections to other addresses, are kept. A client that cannot be set up is an error that ends the process with a message; before, a client with default limits was used silently.

--- a/geraniumlatchd/src/control/mod.rs
+++ b/geraniumlatchd/src/control/mod.rs
@@ -118,7 +118,7 @@
     socket: net::TcpListener,
 ) -> Result<Handle, error::Error> {
     let (events, inbox) = mpsc::unbounded_channel();
-    let platform = proxy::server::platform_client(node).await;
+    let platform = proxy::server::platform_client(node).await?;
     let io = Io { node: sync::Arc::clone(node), platform, events: events.clone() };
     let snapshot = peers::snapshot(node);
     let started = mesh::Mesh::start(&node.me, socket, snapshot);
--- a/geraniumlatchd/src/error.rs
+++ b/geraniumlatchd/src/error.rs
@@ -1,6 +1,9 @@
 //! Errors that end the program.
 
-use std::net;
+use std::{net, process};
+
+/// The exit code of the process after an error while running.
+pub const EXIT_FAULT: u8 = 1;
 
 /// An error that ends the program.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -52,3 +55,10 @@
         detail: String,
     },
 }
+
+/// Reports an error and ends the process. For server threads, whose set-up has no result that could
+/// carry the error.
+pub fn exit<T>(error: Error) -> T {
+    eprintln!("{:?}", miette::Report::new(error));
+    process::exit(i32::from(EXIT_FAULT))
+}
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -98,7 +98,8 @@
     if let Some(ingress) = INGRESS.with_borrow(Clone::clone) {
         return ingress;
     }
-    let node = rc::Rc::new(create_node(settings, log, metrics).await);
+    let node = create_node(settings, log, metrics).await.unwrap_or_else(error::exit);
+    let node = rc::Rc::new(node);
     let ingress = ingress::Ingress { api: rc::Rc::new(api::Handler::new(rc::Rc::clone(&node))) };
     INGRESS.set(Some(ingress.clone()));
     start_tasks(&node, mesh);
@@ -125,14 +126,15 @@
     settings: &settings::Settings,
     log: &log_writer::Log,
     metrics: &sync::Arc<gl_meter::jobs::Metrics>,
-) -> node::Node {
+) -> Result<node::Node, error::Error> {
     let options = gl_fleet::Options {
         store: settings.store,
         adviser: settings.adviser,
         daemon: settings.daemon.clone(),
         ..gl_fleet::Options::default()
     };
-    let fleet = rc::Rc::new(gl_fleet::Platform::new(options).await);
+    let fleet = gl_fleet::Platform::new(options).await;
+    let fleet = rc::Rc::new(fleet.map_err(setup_error("the client of the platform"))?);
     let platform = node::Platform {
         store: rc::Rc::clone(&fleet) as rc::Rc<_>,
         directory: rc::Rc::clone(&fleet) as rc::Rc<_>,
@@ -147,7 +149,7 @@
         claim_delay: gl_jobs::election::claim_delay(settings.cores),
         owner: owner_settings(settings),
     };
-    node::Node::new(node_settings, platform, sync::Arc::clone(metrics), Some(log.clone()))
+    Ok(node::Node::new(node_settings, platform, sync::Arc::clone(metrics), Some(log.clone())))
 }
 
 fn owner_settings(settings: &settings::Settings) -> gl_jobs::owner::Settings {
--- a/geraniumlatchd/src/program.rs
+++ b/geraniumlatchd/src/program.rs
@@ -12,7 +12,6 @@
     Proxies calls, serves operators, and owns shards of the scheduling state.\n\
     SIGTERM stops it gracefully. SIGHUP is ignored.\n\
     Exit codes: 0 stopped on request, 1 error while running, 2 invalid settings or arguments.";
-const EXIT_FAULT: u8 = 1;
 const EXIT_SETTINGS: u8 = 2;
 
 /// The action that the command line requests.
@@ -36,7 +35,7 @@
                 error::Error::Usage { .. }
                 | error::Error::Settings(_)
                 | error::Error::Hosted(_) => EXIT_SETTINGS,
-                _ => EXIT_FAULT,
+                _ => error::EXIT_FAULT,
             };
             eprintln!("{:?}", miette::Report::new(error));
             process::ExitCode::from(code)
--- a/geraniumlatchd/src/proxy/server.rs
+++ b/geraniumlatchd/src/proxy/server.rs
@@ -5,7 +5,7 @@
 use gl_model::time;
 use ntex::{http, web};
 
-use crate::{node, operators, proxy};
+use crate::{error, node, operators, proxy};
 use proxy::{attempt, claims, handler};
 
 /// The number of server threads; the daemon runs on small VMs.
@@ -16,12 +16,20 @@
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
 
 /// Creates a client of the platform for one thread.
-pub async fn platform_client(node: &node::Node) -> gl_platform::Http {
+///
+/// # Errors
+///
+/// If the HTTP client cannot be set up.
+pub async fn platform_client(node: &node::Node) -> Result<gl_platform::Http, error::Error> {
     let settings = gl_platform::Settings {
         addresses: node.settings.platform.clone(),
         timeout: time::Span::millis(node.settings.limits.platform_ms),
     };
-    gl_platform::Http::new(settings).await
+    let client = gl_platform::Http::new(settings).await;
+    client.map_err(|e| error::Error::Setup {
+        part: "a client of the platform",
+        detail: e.to_string(),
+    })
 }
 
 /// Starts the server on `socket`.
@@ -40,7 +48,7 @@
         .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE));
     let shared = sync::Arc::clone(node);
     let server = web::HttpServer::new(async move || {
-        let platform = rc::Rc::new(platform_client(&shared).await);
+        let platform = rc::Rc::new(platform_client(&shared).await.unwrap_or_else(error::exit));
         let clients = attempt::Clients::new().await;
         let call_context = clients.ok().map(|clients| handler::Context {
             node: sync::Arc::clone(&shared),
--- a/gl-platform/src/http.rs
+++ b/gl-platform/src/http.rs
@@ -3,10 +3,10 @@
 use std::{net, rc};
 
 use gl_model::{time, txn, vm, worker};
-use ntex::client;
+use ntex::{client, http, util};
 use serde::de;
 
-use crate::{error::Error, unsent};
+use crate::{error::Error, pooled, unsent};
 
 /// The largest response body that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -34,7 +34,7 @@
 #[derive(Clone)]
 pub struct Http {
     settings: rc::Rc<Settings>,
-    client: client::Client,
+    pooled: pooled::PooledClient,
 }
 
 /// The query that selects one row or object.
@@ -56,14 +56,18 @@
     ///
     /// The client's default limit of a few connections is raised, because with it one unresponsive
     /// agent would delay the messages to all others.
-    pub async fn new(settings: Settings) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// If the HTTP library refuses its settings.
+    pub async fn new(settings: Settings) -> Result<Self, pooled::SetupError> {
         let connector = client::Connector::default().limit(MAX_CONNECTIONS);
-        let built = client::Client::builder().connector::<()>(connector);
-        let client = match built.build(ntex::SharedCfg::default()).await {
-            Ok(client) => client,
-            Err(_) => client::Client::new().await,
-        };
-        Self { settings: rc::Rc::new(settings), client }
+        let pooled = pooled::PooledClient::new(connector, ntex::SharedCfg::default()).await?;
+        Ok(Self { settings: rc::Rc::new(settings), pooled })
+    }
+
+    fn client(&self) -> &client::Client {
+        self.pooled.client()
     }
 
     /// Sends a request to each address in turn until one accepts a connection.
@@ -75,7 +79,7 @@
     ) -> Result<T, Error> {
         let mut last = None;
         for address in &self.settings.addresses {
-            match self.send(operation, build(*address), body.clone()).await {
+            match self.send(operation, *address, build(*address), body.clone()).await {
                 Err(error @ Error::Unreachable { .. }) => last = Some(error),
                 other => return other,
             }
@@ -87,9 +91,31 @@
     async fn send<T: de::DeserializeOwned>(
         &self,
         operation: &'static str,
+        address: net::SocketAddr,
         request: client::ClientRequest,
         body: Option<String>,
     ) -> Result<T, Error> {
+        let result = self.exchange(operation, request, body).await;
+        if matches!(result, Err(Error::Lost { .. })) {
+            // Connections that answered in the second half of the time-out are known to work.
+            let now = ntex::time::now();
+            let since = now.checked_sub(std::time::Duration::from(self.settings.timeout) / 2);
+            self.pooled.discard_idle(address, since.unwrap_or(now));
+        }
+        let (status, body) = result?;
+        if !status.is_success() {
+            return Err(Error::Refused { operation, status: status.as_u16() });
+        }
+        serde_json::from_slice(&body).map_err(|e| Error::Lost { operation, detail: e.to_string() })
+    }
+
+    /// Sends a request and reads the complete response.
+    async fn exchange(
+        &self,
+        operation: &'static str,
+        request: client::ClientRequest,
+        body: Option<String>,
+    ) -> Result<(http::StatusCode, util::Bytes), Error> {
         let millis = u32::try_from(self.settings.timeout.as_millis()).unwrap_or(u32::MAX);
         let request = request.timeout(ntex::time::Millis(millis));
         let sent = match body {
@@ -101,10 +127,7 @@
         let lost = |detail: String| Error::Lost { operation, detail };
         let body =
             response.body().limit(MAX_RESPONSE_BYTES).await.map_err(|e| lost(e.to_string()))?;
-        if !status.is_success() {
-            return Err(Error::Refused { operation, status: status.as_u16() });
-        }
-        serde_json::from_slice(&body).map_err(|e| lost(e.to_string()))
+        Ok((status, body))
     }
 }
 
@@ -137,13 +160,13 @@
 impl crate::Table for Http {
     async fn transact(&self, txn: &txn::Txn) -> Result<txn::Outcome, Error> {
         let body = encode("transact", txn)?;
-        let build = |address| self.client.post(format!("http://{address}/v1/table/transact"));
+        let build = |address| self.client().post(format!("http://{address}/v1/table/transact"));
         self.send_to_platform("transact", build, Some(body)).await
     }
 
     async fn read(&self, key: &str) -> Result<Option<txn::Row>, Error> {
         let path = with_query("read", "/v1/table/row", &ByKey { key })?;
-        let build = |address| self.client.get(format!("http://{address}{path}"));
+        let build = |address| self.client().get(format!("http://{address}{path}"));
         self.send_to_platform("read", build, None).await
     }
 
@@ -163,7 +186,7 @@
     async fn page(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<txn::Row>, Error> {
         let page = ByPrefix { prefix, after, limit };
         let path = with_query("scan", "/v1/table/scan", &page)?;
-        let build = |address| self.client.get(format!("http://{address}{path}"));
+        let build = |address| self.client().get(format!("http://{address}{path}"));
         self.send_to_platform("scan", build, None).await
     }
 }
@@ -179,13 +202,13 @@
     async fn put(&self, key: &str, body: String) -> Result<(), Error> {
         let path = with_query("put", "/v1/object", &ByKey { key })?;
         let body = encode("put", &Body { body })?;
-        let build = |address| self.client.put(format!("http://{address}{path}"));
+        let build = |address| self.client().put(format!("http://{address}{path}"));
         self.send_to_platform("put", build, Some(body)).await
     }
 
     async fn get(&self, key: &str) -> Result<Option<String>, Error> {
         let path = with_query("get", "/v1/object", &ByKey { key })?;
-        let build = |address| self.client.get(format!("http://{address}{path}"));
+        let build = |address| self.client().get(format!("http://{address}{path}"));
         let body: Option<Body> = self.send_to_platform("get", build, None).await?;
         Ok(body.map(|body| body.body))
     }
@@ -194,7 +217,7 @@
 #[async_trait::async_trait(?Send)]
 impl crate::Vms for Http {
     async fn list(&self) -> Result<vm::List, Error> {
-        let build = |address| self.client.get(format!("http://{address}/v1/vms"));
+        let build = |address| self.client().get(format!("http://{address}/v1/vms"));
         self.send_to_platform("list", build, None).await
     }
 }
@@ -207,7 +230,7 @@
         message: &worker::Sync,
     ) -> Result<worker::Report, Error> {
         let body = encode("sync", message)?;
-        let request = self.client.post(format!("http://{agent}/v1/sync"));
-        self.send("sync", request, Some(body)).await
+        let request = self.client().post(format!("http://{agent}/v1/sync"));
+        self.send("sync", agent, request, Some(body)).await
     }
 }
--- a/gl-platform/src/lib.rs
+++ b/gl-platform/src/lib.rs
@@ -13,10 +13,12 @@
 pub mod cell;
 mod error;
 mod http;
+mod pooled;
 mod unsent;
 
 pub use error::Error;
 pub use http::{Http, Settings};
+pub use pooled::{PooledClient, SetupError, build_client};
 pub use unsent::is_unsent;
 
 use std::net;
--- a/gl-platform/tests/platform/http_client.rs
+++ b/gl-platform/tests/platform/http_client.rs
@@ -123,7 +123,7 @@
     use gl_platform::Agents as _;
     const AGENTS: usize = 24;
     let address = barrier_server(AGENTS);
-    let http = gl_platform::Http::new(gl_platform::Settings::default()).await;
+    let http = gl_platform::Http::new(gl_platform::Settings::default()).await.unwrap();
     let message = gl_model::worker::Sync {
         epoch: gl_model::id::Epoch(1),
         seq: 1,
--- a/gl-platform/tests/platform/mod.rs
+++ b/gl-platform/tests/platform/mod.rs
@@ -1,1 +1,2 @@
 mod http_client;
+mod silent;
