fix: log configurations that cannot be decoded, and date views of the routing by the store's clock

Cause: a configuration that could not be decoded was ignored without a trace. A view counted as current at the time of sending plus the wait of the long poll, or at the receipt of the reply; if the store replied early and the process was suspended before it read the reply, the view looked up to 800 ms newer than it was.

Change: the directory reports the version and the error of an undecodable configuration, which is logged once per version; the previous one stays in force. gl_jobs::freshness bounds the time of a reply by the advance of the store's clock since an earlier reply; without that clock only the time of sending counts. When the possible drift has loosened the bound by half a wait, one read without wait renews it.

--- a/geraniumlatchd/src/jobs/routing.rs
+++ b/geraniumlatchd/src/jobs/routing.rs
@@ -3,6 +3,7 @@
 
 use std::rc;
 
+use gl_jobs::freshness;
 use gl_model::time;
 use gl_platform::cell as platform;
 
@@ -19,15 +20,21 @@
 /// Follows the routing for the life of the process.
 pub async fn run(node: rc::Rc<node::Node>) {
     let mut failures = 0;
+    let mut follower = Follower::default();
     loop {
         let sent = clock::steady();
         let published = node.platform.directory.published().await;
-        node.record_store_result(&published, clock::steady());
+        let now = clock::steady();
+        node.record_store_result(&published, now);
         match published {
             Ok(published) => {
+                let waited = time::Span::ZERO;
+                let reply = freshness::Reply { sent, clock: published.clock, waited };
+                let at = follower.current_at(&node, &reply, now);
+                follower.log_unreadable(published.unreadable.as_ref());
                 node.emptied.replace(published.emptied);
-                apply(&node, published.routing, sent);
-                let failure = follow(&node, published.version).await;
+                apply(&node, published.routing, at);
+                let failure = follower.follow(&node, published.version).await;
                 failures = 1;
                 log_failure(&node, &failure, failures);
             }
@@ -46,22 +53,56 @@
     error: platform::StoreError,
 }
 
-/// Long-polls for changes until a call fails, and returns the failure.
-async fn follow(node: &node::Node, mut version: u64) -> Failure {
-    loop {
-        let sent = clock::steady();
-        let changed = node.platform.directory.published_changes(version, LONG_POLL_WAIT).await;
-        let now = clock::steady();
-        node.record_store_result(&changed, now);
-        match changed {
-            Ok(changed) => {
-                // Without a change, the store has waited before it replied.
-                let wait = if changed.is_unchanged { LONG_POLL_WAIT } else { time::Span::ZERO };
-                node.emptied.borrow_mut().apply(&changed.emptied);
-                apply(node, changed.routing, now.min(sent + wait));
-                version = changed.version;
+/// What is kept between two reads of what operators publish.
+#[derive(Default)]
+struct Follower {
+    freshness: freshness::Freshness,
+    /// Version of the last row that could not be decoded.
+    unreadable: Option<u64>,
+}
+
+impl Follower {
+    /// Long-polls for changes until a call fails, and returns the failure.
+    async fn follow(&mut self, node: &node::Node, mut version: u64) -> Failure {
+        loop {
+            let sent = clock::steady();
+            let is_loose = self.freshness.is_loose();
+            let wait = if is_loose { time::Span::ZERO } else { LONG_POLL_WAIT };
+            let changed = node.platform.directory.published_changes(version, wait).await;
+            let now = clock::steady();
+            node.record_store_result(&changed, now);
+            match changed {
+                Ok(changed) => {
+                    // Without a change, the store has waited before it replied.
+                    let waited = if changed.is_unchanged { wait } else { time::Span::ZERO };
+                    let reply = freshness::Reply { sent, clock: changed.clock, waited };
+                    let at = self.current_at(node, &reply, now);
+                    self.log_unreadable(changed.unreadable.as_ref());
+                    node.emptied.borrow_mut().apply(&changed.emptied);
+                    apply(node, changed.routing, at);
+                    version = changed.version;
+                }
+                Err(error) => return Failure { sent, error },
             }
-            Err(error) => return Failure { sent, error },
+        }
+    }
+
+    fn current_at(
+        &mut self,
+        node: &node::Node,
+        reply: &freshness::Reply,
+        now: time::Timestamp,
+    ) -> time::Timestamp {
+        self.freshness.current_at(reply, node.settings.owner.clock_drift, now)
+    }
+
+    /// Logs a configuration that cannot be decoded, once for each version. The previous one stays in
+    /// force.
+    fn log_unreadable(&mut self, unreadable: Option<&platform::Unreadable>) {
+        let Some(platform::Unreadable { version, detail }) = unreadable else { return };
+        if self.unreadable.replace(*version) != Some(*version) {
+            let detail = format!("version {version}: {detail}");
+            event::emit(&event::Event::Unreadable { row: "config", detail });
         }
     }
 }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod domains;
 mod election;
+mod freshness;
 mod identity;
 mod interference;
 mod leases;
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -221,10 +221,23 @@
 pub struct Published {
     /// The routing, or `None` if the operators have not written one yet.
     pub routing: Option<queue::Routing>,
+    /// Set if the routing that the operators have written cannot be decoded.
+    pub unreadable: Option<Unreadable>,
     /// The emptied failure domains.
     pub emptied: domain::Emptied,
     /// The version.
     pub version: u64,
+    /// The store's steady clock at some time during the read, if the store tells it.
+    pub clock: Option<time::Timestamp>,
+}
+
+/// A row that cannot be decoded.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unreadable {
+    /// The version of the transaction that wrote the row.
+    pub version: u64,
+    /// The cause.
+    pub detail: String,
 }
 
 /// The result of waiting for a change of what the operators have published.
@@ -232,12 +245,16 @@
 pub struct PublishedChanges {
     /// The newest routing, if it has changed.
     pub routing: Option<queue::Routing>,
+    /// Set if the routing has changed and cannot be decoded.
+    pub unreadable: Option<Unreadable>,
     /// The changes of the emptied failure domains, in order.
     pub emptied: Vec<domain::Change>,
     /// Whether nothing at all had changed, so that the store waited before it replied.
     pub is_unchanged: bool,
     /// The version up to which changes have been read.
     pub version: u64,
+    /// The store's steady clock in its reply, if the store tells it.
+    pub clock: Option<time::Timestamp>,
 }
 
 /// The error returned by [`Workers::poll()`].
