feat: derive Retry-After from the outages of the store and the owner

Cause: Retry-After was 1 s or 2 s for all.

Change: gl_jobs::retry_after keeps the recent outages of the store, of the owner and of the queue of submissions. A refused client waits for a quarter of the longest outage to expect, or of the present one if that is longer, between 1 s and 10 s, and up to half of that again by a hash of the job.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -2,7 +2,7 @@
 
 use std::rc;
 
-use gl_jobs::{api, job, queue, record, task};
+use gl_jobs::{api, job, queue, record, retry_after, task};
 use gl_model::time;
 use gl_platform::cell as platform;
 
@@ -13,12 +13,6 @@
 const OWNER_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 /// Time to wait for the owner to store a job for this daemon: the owner's limit and the round trip.
 const OWNER_STORE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(900);
-/// Time after which a client should retry while the store is unavailable, as outages of the store
-/// last for seconds.
-const STORE_RETRY_AFTER: time::Span = time::Span::seconds(1);
-/// Time after which a client should retry a query for a count while the cell has no owner; about
-/// the duration of a takeover.
-const OWNER_RETRY_AFTER: time::Span = time::Span::seconds(2);
 /// Part of a client's time-out that is reserved for the transmission of the reply.
 const REPLY_RESERVE: time::Span = time::Span::millis(100);
 /// Pause between attempts.
@@ -191,7 +185,8 @@
             return Ok(());
         }
         let reason = "the queue may have been added since this daemon last read the routing";
-        Err(api::Error::NotRun { reason, retry_after: STORE_RETRY_AFTER })
+        let retry_after = self.node.outages.store_retry_after(retry_after::key_of(path), now);
+        Err(api::Error::NotRun { reason, retry_after })
     }
 
     fn is_ready(&self) -> bool {
@@ -202,6 +197,10 @@
         self.node.is_draining.get()
     }
 
+    fn start_retry_after(&self, path: &str) -> time::Span {
+        self.node.outages.store_retry_after(retry_after::key_of(path), clock::steady())
+    }
+
     fn metrics(&self) -> String {
         if let Some(log) = &self.node.log {
             self.node.metrics.lines_dropped(log.dropped());
@@ -229,8 +228,10 @@
         let _open = OpenRequest::new(&self.node);
         let started = clock::steady();
         let outcome = self.store(id, &job, deadline(limit)).await;
-        let took = clock::steady().since(started);
+        let now = clock::steady();
+        let took = now.since(started);
         let took_ms = took.as_millis();
+        self.node.outages.submitted(outcome, now);
         let queue = job.queue.as_str();
         self.node.metrics.submit(outcome.as_str(), took);
         match outcome {
@@ -241,10 +242,11 @@
                 event::emit(&event::Event::Accepted { job: id, queue, tasks, took_ms });
                 Ok(())
             }
-            submission::Outcome::Refused(cause) => {
-                let cause = cause.as_str();
+            submission::Outcome::Refused(refused) => {
+                let retry_after = self.node.outages.submit_retry_after(refused, id.0, now);
+                let cause = refused.as_str();
                 event::emit(&event::Event::Refused { job: event::Text(id), queue, cause, took_ms });
-                Err(api::Error::NotRun { reason: cause, retry_after: STORE_RETRY_AFTER })
+                Err(api::Error::NotRun { reason: cause, retry_after })
             }
             submission::Outcome::Unsettled(cause) => {
                 let cause = cause.as_str();
@@ -275,7 +277,8 @@
                 let took_ms = now.since(started).as_millis();
                 let cause = "neither the owner nor the store replied";
                 event::emit(&event::Event::StateUnknown { job: event::Text(id), cause, took_ms });
-                return Err(api::Error::NotRun { reason: cause, retry_after: STORE_RETRY_AFTER });
+                let retry_after = self.node.outages.store_retry_after(id.0, now);
+                return Err(api::Error::NotRun { reason: cause, retry_after });
             }
             ntex::time::sleep(RETRY_PAUSE).await;
         }
@@ -320,6 +323,8 @@
             node::Role::OwnerUnknown => None,
         };
         let reason = "no owner of the cell replied";
-        reply.ok_or(api::Error::NotRun { reason, retry_after: OWNER_RETRY_AFTER })
+        let key = retry_after::key_of(queue);
+        let retry_after = self.node.outages.owner_retry_after(key, clock::steady());
+        reply.ok_or(api::Error::NotRun { reason, retry_after })
     }
 }
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -317,15 +317,27 @@
         None => followed.connection.is_refused(),
     };
     if reply.is_some() && !is_former {
-        followed.confirmed_at.set(clock::steady());
+        let now = clock::steady();
+        followed.confirmed_at.set(now);
+        node.outages.owner_observed(true, now, now);
         return;
     }
+    observe_absence(node, followed, clock::steady());
     if is_former && followed.former_since.get().is_none() {
         followed.former_since.set(Some(clock::steady()));
     }
     node.owner_wake.notify_one();
 }
 
+/// Records that there is no owner, unless it has confirmed its ownership recently.
+fn observe_absence(node: &node::Node, followed: &node::FollowedOwner, now: time::Timestamp) {
+    let confirmed_at = followed.confirmed_at.get();
+    let is_known = confirmed_at > time::Timestamp::default();
+    if now.since(confirmed_at) >= CONFIRMATION_VALIDITY {
+        node.outages.owner_observed(false, if is_known { confirmed_at } else { now }, now);
+    }
+}
+
 /// Returns whether the store counts as reachable from this daemon: a recent call has succeeded, and
 /// fewer than `STORE_DOWN_FAILURES` calls have failed since.
 pub fn is_store_up(node: &node::Node, now: time::Timestamp) -> bool {
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -14,6 +14,7 @@
 pub mod log_writer;
 mod mesh;
 mod node;
+mod outages;
 mod outstanding;
 mod ownership;
 pub mod placement_pause;
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -8,7 +8,7 @@
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
 
-use super::{event, log_writer, mesh, ownership, submission};
+use super::{event, log_writer, mesh, outages, ownership, submission};
 use crate::clock;
 
 /// Settings of a daemon.
@@ -100,6 +100,8 @@
     pub claim_after: cell::Cell<time::Timestamp>,
     /// Time at which this daemon last reported to an owner that it could not reach the store.
     pub outage_reported: cell::Cell<time::Timestamp>,
+    /// Outages that this daemon has observed.
+    pub outages: outages::Outages,
     /// Wakes the loop that watches the cell's owner.
     pub owner_wake: Notify,
     /// Whether the daemon is shutting down.
@@ -130,6 +132,7 @@
             has_open_claim: cell::Cell::new(false),
             claim_after: cell::Cell::default(),
             outage_reported: cell::Cell::default(),
+            outages: outages::Outages::default(),
             owner_wake: Notify::new(),
             is_draining: cell::Cell::new(false),
             open_requests: cell::Cell::new(0),
@@ -150,6 +153,12 @@
 
     /// Changes the daemon's role in the cell.
     pub fn set_role(&self, role: Role) {
+        let now = clock::steady();
+        match role {
+            Role::Owner(_) => self.outages.owner_observed(true, now, now),
+            Role::OwnerUnknown => self.outages.owner_observed(false, now, now),
+            Role::Follower(_) => {}
+        }
         let old = self.role.replace(role);
         // The old role is dropped after the borrow has ended, as its destructor may read the role.
         drop(old);
@@ -188,6 +197,11 @@
             Err(platform::StoreError::Compacted { .. }) => "forgotten",
         };
         self.metrics.store_call(outcome);
+        let is_ok = matches!(result, Ok(_) | Err(platform::StoreError::Compacted { .. }));
+        // Before the first success, the time of the last one is not known.
+        let is_known = old.last_success > time::Timestamp::default();
+        let worked_at = if is_known { old.last_success } else { now };
+        self.outages.store_called(is_ok, worked_at, now);
         match result {
             Ok(_) | Err(platform::StoreError::Compacted { .. }) => {
                 if old.up_since.is_none() && old.last_success > time::Timestamp::default() {
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -42,6 +42,10 @@
     /// Returns whether the daemon is shutting down, so that clients should use another daemon.
     fn is_draining(&self) -> bool;
 
+    /// Returns the time after which a request to `path` should be repeated while this daemon has not
+    /// read the routing yet.
+    fn start_retry_after(&self, path: &str) -> time::Span;
+
     /// Returns the metrics in their text format.
     fn metrics(&self) -> String;
 
--- a/gl-jobs/src/lib.rs
+++ b/gl-jobs/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod owner;
 pub mod queue;
 pub mod record;
+pub mod retry_after;
 pub mod task;
 pub mod worker;
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -18,6 +18,7 @@
 mod phases;
 mod placement;
 mod recovery;
+mod retry_after;
 mod roster;
 mod routing;
 mod throttle;
