feat: agree on the time of day by the median over the daemons

Cause: occurrences were due by the owner's own time of day, and the age of a job was the owner's time of day less the accepting daemon's. A clock that jumps by seconds started occurrences early, or a second time at the next owner, and moved ages.

Change: heartbeats carry the time of day of followers; the owner keeps the offset to its steady clock as the median (gl_jobs::wall_clock) and returns it with the reply. A new owner keeps the agreement until half of the daemons have reported. A job that is announced has age zero, one of a new row is no older than the last read. A run or an end that a worker reports opens its occurrence, so that its tasks do not start again once it is due here.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -216,7 +216,7 @@
     }
 
     fn time_of_day(&self) -> time::Timestamp {
-        clock::now()
+        self.node.moment().wall
     }
 
     async fn submit(
--- a/geraniumlatchd/src/jobs/followers.rs
+++ b/geraniumlatchd/src/jobs/followers.rs
@@ -18,8 +18,17 @@
 
 impl ownership::Ownership {
     /// Records a follower's heartbeat.
-    pub fn heartbeat_received(&self, daemon: String, is_store_up: bool) {
-        let heartbeat = Heartbeat { at: clock::steady(), is_store_up };
+    pub fn heartbeat_received(
+        &self,
+        daemon: String,
+        is_store_up: bool,
+        wall: Option<time::Timestamp>,
+    ) {
+        let now = clock::steady();
+        if let Some(wall) = wall {
+            self.wall_clock.borrow_mut().heard(&daemon, wall, now);
+        }
+        let heartbeat = Heartbeat { at: now, is_store_up };
         self.followers.borrow_mut().insert(daemon, heartbeat);
     }
 
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -26,7 +26,7 @@
 const CONFIRMED_WATCH_INTERVAL: time::Span = time::Span::millis(2_000);
 /// Time for which an owner is treated as alive after it confirmed its ownership; covers two
 /// heartbeats.
-const CONFIRMATION_VALIDITY: time::Span = time::Span::millis(700);
+pub const CONFIRMATION_VALIDITY: time::Span = time::Span::millis(700);
 /// Interval at which the owner renews its lease: a quarter of the lease's duration.
 const RENEWAL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
 /// Pause after a failed renewal.
@@ -294,8 +294,12 @@
         }
         let daemon = node.settings.daemon.clone();
         let token = followed.token;
-        let request = super::mesh::Request::Heartbeat { daemon, store_up, token };
+        let (sent, wall) = (clock::steady(), clock::now());
+        let request = super::mesh::Request::Heartbeat { daemon, store_up, token, wall };
         let reply = followed.connection.request(request, HEARTBEAT_TIMEOUT).await;
+        if clock::steady().since(sent) < time::Span::from(HEARTBEAT_TIMEOUT) {
+            node.adopt_agreement(reply.as_ref(), sent);
+        }
         handle_heartbeat_reply(&node, &followed, reply.as_ref());
         drop(followed);
         ntex::time::sleep(HEARTBEAT_INTERVAL).await;
@@ -322,22 +326,13 @@
         node.outages.owner_observed(true, now, now);
         return;
     }
-    observe_absence(node, followed, clock::steady());
+    node.observe_absence(followed, clock::steady());
     if is_former && followed.former_since.get().is_none() {
         followed.former_since.set(Some(clock::steady()));
     }
     node.owner_wake.notify_one();
 }
 
-/// Records that there is no owner, unless it has confirmed its ownership recently.
-fn observe_absence(node: &node::Node, followed: &node::FollowedOwner, now: time::Timestamp) {
-    let confirmed_at = followed.confirmed_at.get();
-    let is_known = confirmed_at > time::Timestamp::default();
-    if now.since(confirmed_at) >= CONFIRMATION_VALIDITY {
-        node.outages.owner_observed(false, if is_known { confirmed_at } else { now }, now);
-    }
-}
-
 /// Returns whether the store counts as reachable from this daemon: a recent call has succeeded, and
 /// fewer than `STORE_DOWN_FAILURES` calls have failed since.
 pub fn is_store_up(node: &node::Node, now: time::Timestamp) -> bool {
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -20,6 +20,9 @@
         store_up: bool,
         /// The fencing token of the owner that the sender follows.
         token: u64,
+        /// The sender's time of day; zero if it does not tell it.
+        #[serde(default)]
+        wall: time::Timestamp,
     },
     /// Reports that a job has been stored.
     Accepted {
@@ -57,6 +60,13 @@
 pub enum Response {
     /// The report or heartbeat was received.
     Noted,
+    /// The heartbeat was received, and the daemons agree on this time of day.
+    Confirmed {
+        /// The time of day.
+        wall: time::Timestamp,
+        /// The number of daemons whose clocks it follows from.
+        readings: usize,
+    },
     /// The result of storing a job.
     Store(submission::Outcome),
     /// The job's state; `None` if the owner has no such job.
@@ -120,9 +130,15 @@
 
 fn handle_as_owner(ownership: &rc::Rc<ownership::Ownership>, request: Request) -> Response {
     match request {
-        Request::Heartbeat { daemon, store_up, .. } => {
-            ownership.heartbeat_received(daemon, store_up);
-            Response::Noted
+        Request::Heartbeat { daemon, store_up, wall, .. } => {
+            // A daemon of an earlier version sends no time of day, and knows no such response.
+            let has_wall = wall > time::Timestamp::default();
+            ownership.heartbeat_received(daemon, store_up, has_wall.then_some(wall));
+            let agreed = ownership.node().agreed.get().filter(|_| has_wall);
+            agreed.map_or(Response::Noted, |agreed| Response::Confirmed {
+                wall: agreed.wall(clock::steady()),
+                readings: agreed.readings,
+            })
         }
         Request::Accepted { id, job } => {
             ownership.add_job(id, *job);
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 
 mod api;
 mod commit;
+mod daemon_clocks;
 mod event;
 mod followers;
 mod lease;
@@ -25,5 +26,6 @@
 pub mod server;
 mod shutdown;
 mod submission;
+mod work_feed;
 mod worker_client;
 mod worker_list;
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, rc, sync};
 
-use gl_jobs::{domain, owner, queue};
+use gl_jobs::{domain, owner, queue, wall_clock};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
@@ -100,6 +100,8 @@
     pub claim_after: cell::Cell<time::Timestamp>,
     /// Time at which this daemon last reported to an owner that it could not reach the store.
     pub outage_reported: cell::Cell<time::Timestamp>,
+    /// Time of day on which the daemons agree, once it is known.
+    pub agreed: cell::Cell<Option<wall_clock::Agreed>>,
     /// Outages that this daemon has observed.
     pub outages: outages::Outages,
     /// Wakes the loop that watches the cell's owner.
@@ -132,6 +134,7 @@
             has_open_claim: cell::Cell::new(false),
             claim_after: cell::Cell::default(),
             outage_reported: cell::Cell::default(),
+            agreed: cell::Cell::default(),
             outages: outages::Outages::default(),
             owner_wake: Notify::new(),
             is_draining: cell::Cell::new(false),
@@ -141,11 +144,6 @@
         }
     }
 
-    /// Returns the present time by the steady clock and by the wall clock.
-    pub fn moment() -> owner::Moment {
-        owner::Moment { now: clock::steady(), wall: clock::now() }
-    }
-
     /// Returns the daemon's role in the cell.
     pub fn role(&self) -> Role {
         self.role.borrow().clone()
--- a/geraniumlatchd/src/jobs/outages.rs
+++ b/geraniumlatchd/src/jobs/outages.rs
@@ -5,7 +5,7 @@
 use gl_jobs::retry_after;
 use gl_model::time;
 
-use super::submission;
+use super::{lease, node, submission};
 
 /// Longest usual outage of the store.
 const STORE_OUTAGE: time::Span = time::Span::seconds(9);
@@ -96,3 +96,14 @@
         history.failed(worked_at, now);
     }
 }
+
+impl node::Node {
+    /// Records that there is no owner, unless `followed` has confirmed its ownership recently.
+    pub(super) fn observe_absence(&self, followed: &node::FollowedOwner, now: time::Timestamp) {
+        let confirmed_at = followed.confirmed_at.get();
+        let is_known = confirmed_at > time::Timestamp::default();
+        if now.since(confirmed_at) >= lease::CONFIRMATION_VALIDITY {
+            self.outages.owner_observed(false, if is_known { confirmed_at } else { now }, now);
+        }
+    }
+}
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -3,20 +3,17 @@
 
 use std::{cell, collections, rc};
 
-use gl_jobs::{election, job, owner, record, task, worker};
+use gl_jobs::{election, job, owner, task, wall_clock, worker};
 use gl_model::time;
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
 
 use super::{
-    commit, event, followers, lease, node, placement_pause, poll_pause, rows, worker_client,
+    commit, event, followers, lease, node, placement_pause, poll_pause, work_feed, worker_client,
     worker_list,
 };
 use crate::clock;
 
-/// Interval at which changes of the work table are read, as a daemon's message about a stored row
-/// may have been lost.
-const CHANGE_FEED_INTERVAL: std::time::Duration = std::time::Duration::from_millis(400);
 /// Interval of [`Ownership::tick()`], which runs the time-driven decisions.
 const TICK_INTERVAL: time::Span = time::Span::millis(50);
 /// Pause after a failed attempt to load the stored state.
@@ -40,18 +37,22 @@
     pub(super) started_at: time::Timestamp,
     /// See [`owner::Takeover::outstanding`].
     pub(super) outstanding: Option<time::Span>,
+    /// Times of day of all daemons.
+    pub(super) wall_clock: cell::RefCell<wall_clock::WallClock>,
     pub(super) followers: cell::RefCell<collections::BTreeMap<String, followers::Heartbeat>>,
     worker_clients:
         cell::RefCell<collections::BTreeMap<worker::WorkerId, rc::Rc<worker_client::WorkerClient>>>,
     /// Version of the store up to which changes of the work table have been read.
     pub(super) feed_version: cell::Cell<u64>,
+    /// Time at which that read was sent.
+    pub(super) feed_read: cell::Cell<time::Timestamp>,
     /// Version of the store up to which changes of the list of workers have been read; `None` if
     /// the whole list has to be read.
     pub(super) list_version: cell::Cell<Option<u64>>,
     /// Row version that the first commit checks.
     pub(super) fence_version: cell::Cell<u64>,
     /// Whether the process may have been suspended since it last read the work table.
-    is_stale: cell::Cell<bool>,
+    pub(super) is_stale: cell::Cell<bool>,
     last_tick: cell::Cell<time::Timestamp>,
     /// Smoothed time by which timers fire late; a measure of the shortage of processor time.
     timer_delay: cell::Cell<time::Span>,
@@ -90,9 +91,11 @@
         lease_until: cell::Cell::new(sent + lease::DURATION),
         started_at: now,
         outstanding,
+        wall_clock: cell::RefCell::new(wall_clock::WallClock::new(node.agreed.get(), now)),
         followers: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
         feed_version: cell::Cell::new(0),
+        feed_read: cell::Cell::default(),
         list_version: cell::Cell::new(None),
         fence_version: cell::Cell::new(0),
         is_stale: cell::Cell::new(false),
@@ -122,7 +125,7 @@
         }
     }
     ntex::rt::spawn(worker_list::run(rc::Rc::clone(&ownership)));
-    ntex::rt::spawn(follow_changes(rc::Rc::clone(&ownership)));
+    ntex::rt::spawn(work_feed::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(commit::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(run_placement(rc::Rc::clone(&ownership)));
     while !ownership.is_ended() {
@@ -145,28 +148,6 @@
     }
 }
 
-/// Reads changes of the work table at an interval.
-async fn follow_changes(ownership: rc::Rc<Ownership>) {
-    while !ownership.is_ended() {
-        ntex::time::sleep(CHANGE_FEED_INTERVAL).await;
-        let after = ownership.feed_version.get();
-        let store = &ownership.node.platform.store;
-        let sent = clock::steady();
-        let changes = store.changes(rows::WORK, after, time::Span::ZERO).await;
-        ownership.node.record_store_result(&changes, clock::steady());
-        let changes = match changes {
-            Err(platform::StoreError::Compacted { .. }) => ownership.read_work().await,
-            other => other,
-        };
-        let Ok(changes) = changes else { continue };
-        ownership.store_clock_read(&changes, sent);
-        ownership.apply_work(&changes.rows);
-        ownership.feed_version.set(changes.version.max(after));
-        ownership.is_stale.set(false);
-        ownership.process_decisions();
-    }
-}
-
 impl Ownership {
     /// Returns the fencing token.
     pub const fn token(&self) -> u64 {
@@ -212,26 +193,11 @@
         self.owner.borrow_mut().lease_renewed(sent);
     }
 
-    /// Applies changed rows of the work table: jobs first, then cancellations.
-    fn apply_work(&self, work: &[platform::Row]) {
-        let moment = node::Node::moment();
-        let mut owner = self.owner.borrow_mut();
-        let mut cancelled = Vec::new();
-        for row in work.iter().filter_map(rows::read_work) {
-            match row.work {
-                record::Work::Job(job) => owner.add_job(row.id, *job, &moment),
-                record::Work::Cancel => cancelled.push(row.id),
-            }
-        }
-        for id in cancelled {
-            owner.cancel_job(id, moment.now);
-        }
-    }
-
-    /// Adds a job that a daemon has stored.
+    /// Adds a job that a daemon has just stored.
     pub fn add_job(self: &rc::Rc<Self>, id: task::JobId, job: job::Job) {
         if self.is_loaded.get() {
-            self.owner.borrow_mut().add_job(id, job, &node::Node::moment());
+            let moment = self.node.moment();
+            self.owner.borrow_mut().add_job_after(id, job, moment.now, &moment);
             self.process_decisions();
         }
     }
@@ -257,7 +223,8 @@
 
     /// Runs the time-driven decisions.
     fn tick(self: &rc::Rc<Self>) {
-        let moment = node::Node::moment();
+        self.update_wall_clock();
+        let moment = self.node.moment();
         if let Some(at) = self.node.routing_at.get() {
             self.owner.borrow_mut().emptied_read(&self.node.emptied.borrow(), at);
         }
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -6,7 +6,7 @@
 use gl_jobs::{job, owner, record, task};
 use gl_platform::cell as platform;
 
-use super::{commit, event, node, ownership::Ownership, rows};
+use super::{commit, event, ownership::Ownership, rows};
 use crate::clock;
 
 /// Decodes rows. A row that cannot be decoded is logged and left out.
@@ -48,7 +48,8 @@
         let roster = decode_all("worker", &roster?);
         let vacating = decode_all("vacating worker", &vacating?);
         let model: Vec<record::ModelSnapshot> = decode_all("learnt", &model?);
-        let moment = node::Node::moment();
+        self.update_wall_clock();
+        let moment = self.node.moment();
         let (jobs, count) = (stored.len(), list.workers.len());
         {
             let mut owner = self.owner.borrow_mut();
@@ -61,6 +62,7 @@
             }
         }
         self.feed_version.set(work.version);
+        self.feed_read.set(sent);
         self.list_version.set(Some(list.version));
         self.is_loaded.set(true);
         event::emit(&event::Event::Claimed { token: self.token, jobs, workers: count, cause });
--- a/gl-jobs/src/lib.rs
+++ b/gl-jobs/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod record;
 pub mod retry_after;
 pub mod task;
+pub mod wall_clock;
 pub mod worker;
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -26,6 +26,7 @@
         if is_current {
             self.release_run(end.task);
         }
+        self.open_reported(end.task.phase, now);
         self.mark_started(end.task.phase.job);
         let has_succeeded = match end.outcome {
             worker::Outcome::Done => Some(true),
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -101,6 +101,8 @@
     emptied: domains::View,
     /// Whether no daemon can reach the store, so that no worker can change its entry either.
     is_store_down: bool,
+    /// Whether the time of day is agreed on well enough to start occurrences that are due.
+    is_wall_settled: bool,
     actions: Vec<Action>,
 }
 
@@ -117,6 +119,7 @@
             list_read_at: now,
             emptied: domains::View::default(),
             is_store_down: false,
+            is_wall_settled: true,
             settings,
             token,
             last_attempt: token * ATTEMPTS_PER_TOKEN,
@@ -210,10 +213,22 @@
 
     /// Adds a stored job. A job that is already present is left unchanged.
     pub fn add_job(&mut self, id: task::JobId, job: job::Job, moment: &Moment) {
+        self.add_job_after(id, job, time::Timestamp::default(), moment);
+    }
+
+    /// Adds a job that was stored after `after`, by the owner's steady clock; a job that is announced
+    /// by the daemon that stored it, just now. Its age does not depend on clocks that jump then.
+    pub fn add_job_after(
+        &mut self,
+        id: task::JobId,
+        job: job::Job,
+        after: time::Timestamp,
+        moment: &Moment,
+    ) {
         if self.jobs.contains_key(&id) {
             return;
         }
-        let entry = JobEntry::new(job, moment);
+        let entry = JobEntry::new(job, after, moment);
         if entry.job.schedule.is_some() {
             self.scheduled_jobs.insert(id);
         }
@@ -246,6 +261,11 @@
         self.orphans.extend(orphans);
     }
 
+    /// Sets whether the time of day is agreed on well enough to start occurrences that are due.
+    pub const fn set_wall_settled(&mut self, is_settled: bool) {
+        self.is_wall_settled = is_settled;
+    }
+
     /// Returns the state of a job as clients may see it, or `None` if the job is unknown.
     pub fn state(&self, id: task::JobId) -> Option<job::State> {
         let entry = self.jobs.get(&id)?;
@@ -324,6 +344,9 @@
             self.scheduled_jobs.remove(&id);
             return;
         }
+        if entry.job.schedule.is_some() && !self.is_wall_settled {
+            return;
+        }
         let opened = entry.open_due(id, moment);
         if entry.all_opened() {
             self.scheduled_jobs.remove(&id);
@@ -359,6 +382,6 @@
 pub struct Moment {
     /// The steady clock, which also counts the time during which the VM was suspended.
     pub now: time::Timestamp,
-    /// The time of day.
+    /// The time of day on which the daemons agree.
     pub wall: time::Timestamp,
 }
--- a/gl-jobs/src/owner/recovery/adoption.rs
+++ b/gl-jobs/src/owner/recovery/adoption.rs
@@ -3,9 +3,19 @@
 use gl_model::time;
 
 use crate::owner::{Owner, Stage, StopReason, runs};
-use crate::worker;
+use crate::{task, worker};
 
 impl Owner {
+    /// Opens the occurrence of a phase of which a worker reports a run. An earlier owner, by another
+    /// time of day, found it due; left unopened, its tasks would start a second time later.
+    pub(in crate::owner) fn open_reported(&mut self, phase: task::PhaseId, now: time::Timestamp) {
+        let entry = self.jobs.get_mut(&phase.job).filter(|entry| entry.final_state.is_none());
+        if let Some(entry) = entry {
+            let opened = entry.open_through(phase.job, phase.occurrence, now);
+            self.open_phases.extend(opened);
+        }
+    }
+
     /// Adopts a run that an earlier owner started. Returns `false` if no stored job has the task,
     /// or if another run of it is recorded.
     pub(in crate::owner) fn adopt(
@@ -18,6 +28,7 @@
         if self.runs.contains_key(&task) {
             return false;
         }
+        self.open_reported(task.phase, now);
         let Some(entry) = self.jobs.get_mut(&task.phase.job) else {
             return false;
         };
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -168,7 +168,7 @@
     }
 
     fn restore(&mut self, row: StoredJob, moment: &Moment) {
-        let mut entry = crate::owner::JobEntry::new(row.job, moment);
+        let mut entry = crate::owner::JobEntry::new(row.job, time::Timestamp::default(), moment);
         entry.is_inherited = row.is_inherited;
         entry.restore(row.progress.unwrap_or_default());
         if entry.final_state.is_none() && row.is_cancelled {
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -72,13 +72,15 @@
 }
 
 impl JobEntry {
-    pub(in crate::owner) fn new(job: job::Job, moment: &Moment) -> Self {
+    /// Creates the entry of a job that was stored after `after`, by the owner's steady clock. The time
+    /// stamp of the job counts only as far as it agrees with that.
+    pub(in crate::owner) fn new(job: job::Job, after: time::Timestamp, moment: &Moment) -> Self {
         let age = moment.wall.since(job.submitted);
         Self {
             objective: job.objective(),
             critical_paths: job.critical_paths(),
             job,
-            accepted_at: moment.now - age,
+            accepted_at: (moment.now - age).max(after.min(moment.now)),
             has_started: false,
             final_state: None,
             stored_state: None,
@@ -117,14 +119,35 @@
                 break;
             }
             self.next_occurrence += 1;
-            let late = moment.wall.since(due);
-            let deadline = moment.now - late + self.objective;
+            let due_at = match self.job.schedule {
+                Some(_) => moment.now - moment.wall.since(due),
+                None => self.accepted_at,
+            };
+            let deadline = due_at + self.objective;
             self.make_phases(occurrence, deadline);
             opened.extend(self.open_ready(id, occurrence, moment.now));
         }
         opened
     }
 
+    /// Creates the phases of all occurrences up to one that an earlier owner has started, as that owner
+    /// found them due. Returns those that can start.
+    pub(in crate::owner) fn open_through(
+        &mut self,
+        id: task::JobId,
+        occurrence: u32,
+        now: time::Timestamp,
+    ) -> Vec<task::PhaseId> {
+        let mut opened = Vec::new();
+        while self.next_occurrence <= occurrence && !self.all_opened() {
+            let next = self.next_occurrence;
+            self.next_occurrence += 1;
+            self.make_phases(next, now + self.objective);
+            opened.extend(self.open_ready(id, next, now));
+        }
+        opened
+    }
+
     fn make_phases(&mut self, occurrence: u32, deadline: time::Timestamp) {
         for (number, phase) in (0..).zip(&self.job.phases) {
             let state = self.phases.entry((occurrence, number)).or_default();
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod fleet;
 
+mod clocks;
 mod commits;
 mod cost;
 mod crashes;
