--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -3,13 +3,13 @@
 use std::{cell, rc, sync};
 
 use gl_fleet::budget;
-use gl_jobs::{domain, election, owner, queue};
+use gl_jobs::{domain, election, owner, queue, wall_clock};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
 
-use super::{event, log_writer, mesh, ownership, submission};
+use super::{event, log_writer, mesh, outages, ownership, submission};
 use crate::clock;
 
 /// Settings of a daemon.
@@ -103,6 +103,10 @@
     pub claim_after: cell::Cell<time::Timestamp>,
     /// Time at which this daemon last reported to an owner that it could not reach the store.
     pub outage_reported: cell::Cell<time::Timestamp>,
+    /// Time of day on which the daemons agree, once it is known.
+    pub agreed: cell::Cell<Option<wall_clock::Agreed>>,
+    /// Outages that this daemon has observed.
+    pub outages: outages::Outages,
     /// Wakes the loop that watches the cell's owner.
     pub owner_wake: Notify,
     /// Whether the daemon is shutting down.
@@ -133,6 +137,8 @@
             has_open_claim: cell::Cell::new(false),
             claim_after: cell::Cell::default(),
             outage_reported: cell::Cell::default(),
+            agreed: cell::Cell::default(),
+            outages: outages::Outages::default(),
             owner_wake: Notify::new(),
             is_draining: cell::Cell::new(false),
             open_requests: cell::Cell::new(0),
@@ -141,11 +147,6 @@
         }
     }
 
-    /// Returns the present time by the steady clock and by the wall clock.
-    pub fn moment() -> owner::Moment {
-        owner::Moment { now: clock::steady(), wall: clock::now() }
-    }
-
     /// Returns the daemon's role in the cell.
     pub fn role(&self) -> Role {
         self.role.borrow().clone()
@@ -153,6 +154,12 @@
 
     /// Changes the daemon's role in the cell.
     pub fn set_role(&self, role: Role) {
+        let now = clock::steady();
+        match role {
+            Role::Owner(_) => self.outages.owner_observed(true, now, now),
+            Role::OwnerUnknown => self.outages.owner_observed(false, now, now),
+            Role::Follower(_) => {}
+        }
         let old = self.role.replace(role);
         // The old role is dropped after the borrow has ended, as its destructor may read the role.
         drop(old);
@@ -191,6 +198,11 @@
             Err(platform::StoreError::Compacted { .. }) => "forgotten",
         };
         self.metrics.store_call(outcome);
+        let is_ok = matches!(result, Ok(_) | Err(platform::StoreError::Compacted { .. }));
+        // Before the first success, the time of the last one is not known.
+        let is_known = old.last_success > time::Timestamp::default();
+        let worked_at = if is_known { old.last_success } else { now };
+        self.outages.store_called(is_ok, worked_at, now);
         match result {
             Ok(_) | Err(platform::StoreError::Compacted { .. }) => {
                 if old.up_since.is_none() && old.last_success > time::Timestamp::default() {
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -5,12 +5,14 @@
 mod cell;
 mod fleet;
 
+mod clocks;
 mod collapse;
 mod commits;
 mod cost;
 mod crashes;
 mod domains;
 mod election;
+mod freshness;
 mod identity;
 mod interference;
 mod leases;
@@ -19,6 +21,7 @@
 mod placement;
 mod poll_times;
 mod recovery;
+mod retry_after;
 mod roster;
 mod routing;
 mod throttle;
