feat: read the cold time of workers and the factor of remote tasks

The emulator gains failure domains, cold workers, and tasks that are slower away from their data or from the other tasks of their phase.

--- a/gl-emulate/src/fleet.rs
+++ b/gl-emulate/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Descriptions of fleets of workers.
 
-use gl_model::size;
+use gl_model::{size, time};
 
 /// The description of a worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -9,12 +9,18 @@
     pub size: size::Size,
     /// The rack.
     pub rack: String,
+    /// The failure domain.
+    pub domain: String,
     /// The rate of the worker's clock relative to true time.
     pub clock_rate: f64,
+    /// The time for which a worker that starts during the simulation is cold.
+    pub cold_time: time::Span,
 }
 
 /// The number of workers on one rack.
 const WORKERS_PER_RACK: usize = 8;
+/// The number of failure domains, to which racks belong in turn.
+const DOMAINS: usize = 3;
 const MEMORY_MB: u64 = 250_000;
 
 /// Returns workers of one size, on racks of eight. `cores` is in thousandths of a core.
@@ -31,5 +37,12 @@
     // The clocks drift apart, within the drift that owners allow for.
     let clock_rate = 1.0 - 0.004 * (n % 5) as f64;
     let size = size::Size { cores, memory: MEMORY_MB, accelerators: 0 };
-    Spec { size, rack: format!("r{}", n / WORKERS_PER_RACK), clock_rate }
+    let rack = n / WORKERS_PER_RACK;
+    Spec {
+        size,
+        rack: format!("r{rack}"),
+        domain: format!("d{}", rack % DOMAINS),
+        clock_rate,
+        cold_time: time::Span::ZERO,
+    }
 }
--- a/gl-emulate/src/load.rs
+++ b/gl-emulate/src/load.rs
@@ -54,6 +54,19 @@
     pub cancelled: f64,
     /// A temporary increase of the arrival rate of best-effort jobs.
     pub burst: Option<Burst>,
+    /// Where short and best-effort tasks have their data.
+    pub distance: Distance,
+}
+
+/// The racks that jobs prefer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Distance {
+    /// The share of short and best-effort jobs whose data is in one rack.
+    pub bound: f64,
+    /// The number of racks that hold data.
+    pub racks: u32,
+    /// The share of the other such jobs whose phases are slower when they are spread over racks.
+    pub sensitive: f64,
 }
 
 /// A temporary increase of the arrival rate.
@@ -81,6 +94,7 @@
             crashing: 0.0,
             cancelled: 0.03,
             burst: None,
+            distance: Distance::default(),
         }
     }
 }
@@ -159,6 +173,7 @@
                 ..job::Phase::default()
             })
             .collect();
+        let phases = self.with_racks(settings, phases);
         let always_fails = self.rng.random_bool(settings.failing);
         let cancelled = self.rng.random_bool(settings.cancelled);
         let cancelled = cancelled.then(|| at + time::Span::seconds(1));
@@ -190,11 +205,26 @@
                 ..job::Phase::default()
             })
             .collect();
+        let phases = self.with_racks(settings, phases);
         let cancelled = self.rng.random_bool(settings.cancelled);
         let cancelled = cancelled.then(|| at + time::Span::seconds(1));
         self.arrival(at, phases, "fill", 2.0, cancelled)
     }
 
+    /// Binds the phases of some jobs to a rack. Without such jobs the sequence of random numbers
+    /// stays the same.
+    fn with_racks(&mut self, settings: &Settings, mut phases: Vec<job::Phase>) -> Vec<job::Phase> {
+        let Distance { bound, racks, sensitive } = settings.distance;
+        let is_bound = bound > 0.0 && self.rng.random_bool(bound);
+        let is_sensitive = !is_bound && sensitive > 0.0 && self.rng.random_bool(sensitive);
+        let rack = is_bound.then(|| format!("r{}", self.rng.random_range(0..racks.max(1))));
+        for phase in &mut phases {
+            phase.data_rack.clone_from(&rack);
+            phase.rack_sensitive = is_sensitive;
+        }
+        phases
+    }
+
     fn arrival(
         &mut self,
         at: time::Timestamp,
@@ -240,6 +270,8 @@
         crashes_worker: false,
         checkpointing: phase.checkpointing,
         speculative: phase.speculative,
+        data_rack: phase.data_rack.clone(),
+        rack_sensitive: phase.rack_sensitive,
     }
 }
 
--- a/gl-emulate/src/simulation/settings.rs
+++ b/gl-emulate/src/simulation/settings.rs
@@ -81,6 +81,8 @@
     pub faults: Vec<ScheduledFault>,
     /// The settings of the owners.
     pub owner: owner::Settings,
+    /// The factor by which tasks away from their rack or data take longer.
+    pub remote_factor: f64,
     /// Mechanisms that are disabled, to show that they are necessary.
     pub disabled: Disabled,
     /// The trace filter: notes of owners whose text contains it are kept in the report.
@@ -95,6 +97,7 @@
             arrivals: Vec::new(),
             faults: Vec::new(),
             owner: owner::Settings::default(),
+            remote_factor: 1.0,
             disabled: Disabled::default(),
             trace: None,
         }
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -130,9 +130,17 @@
         let was_running = self.workers[n].runs.contains_key(&order.task);
         let is_speculative = behaviour.speculative;
         let crashes_worker = behaviour.crashes_worker && order.task.index == 0;
+        let slowdown = if self.is_remote(n, order.task, &behaviour) {
+            self.settings.remote_factor
+        } else {
+            1.0
+        };
         let reply = self.workers[n].start(token, order, behaviour, self.now);
         if reply == model::OrderReply::Done && !was_running {
             self.report.starts += 1;
+            if let Some(run) = self.workers[n].runs.get_mut(&order.task) {
+                run.slowdown = slowdown;
+            }
             if crashes_worker {
                 self.crashes.push((self.now + CRASH_DELAY, n, order.task));
             }
@@ -141,6 +149,16 @@
         reply
     }
 
+    /// Returns whether a task on a worker is away from its data or from the other tasks of its phase.
+    fn is_remote(&self, n: usize, task: task::TaskId, behaviour: &worker::Behaviour) -> bool {
+        let rack = &self.workers[n].spec.rack;
+        let is_elsewhere = |w: &worker::Worker| {
+            w.spec.rack != *rack && w.runs.keys().any(|other| other.phase == task.phase)
+        };
+        behaviour.data_rack.as_ref().is_some_and(|data| data != rack)
+            || behaviour.rack_sensitive && self.workers.iter().any(is_elsewhere)
+    }
+
     pub(super) fn behaviour(&self, phase: task::PhaseId) -> Option<worker::Behaviour> {
         let job = self.jobs.get(&phase.job)?;
         let arrival = &self.settings.arrivals[job.arrival];
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -43,6 +43,10 @@
     pub checkpointing: bool,
     /// Whether several runs of the task may overlap.
     pub speculative: bool,
+    /// The rack that holds the task's data.
+    pub data_rack: Option<String>,
+    /// Whether the tasks of the phase are slower when they are spread over several racks.
+    pub rack_sensitive: bool,
 }
 
 /// A run of a task.
@@ -56,6 +60,8 @@
     pub started: time::Timestamp,
     /// The part of `behaviour.work` that is done.
     pub done: time::Span,
+    /// The factor by which the run takes longer because it is away from its rack or data.
+    pub slowdown: f64,
     /// The share of the requested CPU that the run may use.
     pub cpu_limit: f64,
     /// The CPU usage in thousandths of a core, or, for a long-running task, the tail latency in
@@ -83,6 +89,8 @@
     pub fault: Fault,
     /// Whether the worker is down.
     pub is_down: bool,
+    /// The time until which its runs are slower, if it has started cold.
+    pub cold_until: Option<time::Timestamp>,
     /// Whether the worker is draining.
     pub draining: bool,
     /// The number of lease expiries, also while nothing ran: ends that were listed count as lost.
@@ -101,6 +109,8 @@
 const STARTUP_TIME: time::Span = time::Span::millis(1_000);
 /// The longest lease that the worker accepts.
 const MAX_LEASE: time::Span = time::Span::seconds(10);
+/// The factor by which runs take longer on a cold worker.
+const COLD_SLOWDOWN: f64 = 3.0;
 /// The work between two checkpoints.
 const CHECKPOINT_INTERVAL: time::Span = time::Span::seconds(2);
 /// The tail latency of a long-running task without interference, as a share of its target.
@@ -124,6 +134,7 @@
             runs: collections::BTreeMap::new(),
             fault: Fault::default(),
             is_down: false,
+            cold_until: None,
             draining: false,
             lease_expiries: 0,
             was_expired: true,
@@ -146,6 +157,8 @@
         self.lease_expiry = time::Timestamp::default();
         self.was_expired = true;
         self.is_down = false;
+        let is_cold = self.spec.cold_time > time::Span::ZERO;
+        self.cold_until = is_cold.then(|| now + self.spec.cold_time);
     }
 
     /// Returns the worker's entry in the platform's directory.
@@ -156,11 +169,12 @@
             service: crate::load::SERVICE.to_owned(),
             address: std::net::SocketAddr::new(std::net::Ipv4Addr::LOCALHOST.into(), 1),
             vm: format!("vm-{}", self.id),
-            domain: "a".to_owned(),
+            domain: self.spec.domain.clone(),
             rack: Some(self.spec.rack.clone()),
             labels: vec!["a".to_owned(), self.spec.rack.clone()],
             size: self.spec.size,
             draining: self.draining,
+            cold_left: self.cold_until.map(|_| self.spec.cold_time),
         }
     }
 
@@ -207,6 +221,7 @@
             behaviour,
             started: now,
             done: saved,
+            slowdown: 1.0,
             cpu_limit: 1.0,
             load: 0.0,
             stop_at: None,
@@ -358,7 +373,9 @@
         }
         let idle = (capacity - used).max(0.0);
         let share = if demanded > idle { idle / demanded } else { 1.0 };
-        let slowdown = self.fault.slowdown.unwrap_or(1.0);
+        let is_cold = self.cold_until.is_some_and(|until| now < until);
+        let slowdown =
+            self.fault.slowdown.unwrap_or(1.0) * if is_cold { COLD_SLOWDOWN } else { 1.0 };
         for (task, run) in &mut self.runs {
             let cores = run.behaviour.size.cores as f64;
             if run.behaviour.long_running {
@@ -375,7 +392,7 @@
             let speed = if run.behaviour.best_effort { run.cpu_limit * share } else { 1.0 };
             run.load = cores * speed;
             if !self.fault.is_stalled {
-                run.done = run.done + step.scaled(speed / slowdown);
+                run.done = run.done + step.scaled(speed / slowdown / run.slowdown);
             }
         }
     }
--- a/gl-jobs/src/worker.rs
+++ b/gl-jobs/src/worker.rs
@@ -50,6 +50,8 @@
     pub size: size::Size,
     /// Whether the worker is draining and will terminate soon.
     pub draining: bool,
+    /// The time for which runs are slower, if the worker was cold when the entry was written.
+    pub cold_left: Option<time::Span>,
 }
 
 /// The changes of the platform's list of workers between two versions of it.
--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -40,6 +40,7 @@
         labels: vec!["a".to_owned(), format!("r{}", n / 2)],
         size: size::Size { cores: 64_000, memory: 250_000, accelerators: 0 },
         draining: false,
+        cold_left: None,
     }
 }
 
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -63,6 +63,8 @@
         crashes_worker: false,
         checkpointing: false,
         speculative: false,
+        data_rack: None,
+        rack_sensitive: false,
     }
 }
 
