feat(gl-jobs): estimate speed, failures and flapping of workers

The only thing known of a worker was a decayed count of failures. The owner now records, per worker, the durations of short and best-effort runs relative to the median of their queue, the share of runs that fail, and incarnation changes and silent periods. A worker that replaces another one on the same VM takes its record over.

No decision reads the estimates yet.

--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -23,9 +23,7 @@
             worker: id.clone(),
             cause: cause_of(end.outcome),
         });
-        if is_current {
-            self.release_run(end.task);
-        }
+        let run = if is_current { self.release_run(end.task) } else { None };
         self.mark_started(end.task.phase.job);
         let has_succeeded = match end.outcome {
             worker::Outcome::Done => Some(true),
@@ -34,6 +32,11 @@
         };
         if let (Some(has_succeeded), Some(worker)) = (has_succeeded, self.workers.get_mut(id)) {
             worker.health.record(has_succeeded);
+            worker.record.add_outcome(!has_succeeded, now);
+            worker.is_unproven &= !has_succeeded;
+        }
+        if let (Some(true), Some(run)) = (has_succeeded, &run) {
+            self.record_duration(end.task.phase.job, run, now);
         }
         if has_succeeded == Some(false) {
             self.suspect_if_failing(id, now);
@@ -44,6 +47,25 @@
         }
     }
 
+    /// Records how long a run took that is done. Long-running tasks have no duration, and the CPU
+    /// limit or the checkpoint of a run would change it.
+    fn record_duration(&mut self, job: task::JobId, run: &super::Run, now: time::Timestamp) {
+        let is_comparable = run.kind != super::Kind::LongRunning
+            && run.was_confirmed()
+            && !run.is_partial
+            && !run.was_throttled
+            && run.estimate > time::Span::ZERO;
+        let entry = self.jobs.get(&job).filter(|_| is_comparable);
+        let Some(queue) = entry.map(|entry| entry.job.queue.as_str()) else {
+            return;
+        };
+        let observed = now.since(run.started_at()).as_seconds() / run.estimate.as_seconds();
+        let ratio = self.medians.add(queue, observed);
+        if let (Some(ratio), Some(worker)) = (ratio, self.workers.get_mut(&run.worker)) {
+            worker.record.add_duration(ratio, now);
+        }
+    }
+
     /// Updates the progress of the task according to the outcome of the run.
     fn apply_outcome(&mut self, end: &worker::Ended, now: time::Timestamp) {
         let phase = end.task.phase;
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -25,6 +25,7 @@
 pub use action::{Action, Cause, Note, StopReason};
 pub use advice::Grant;
 pub use commit::{Commit, Row as CommitRow};
+pub use estimate::{Estimate, Medians, Record as WorkerRecord};
 pub use interference::{CpuUse, ImageId, InterferenceModel};
 pub use jobs::{Advice, JobEntry, PhaseState};
 pub use recovery::{StoredJob, Takeover};
@@ -36,7 +37,7 @@
 use colocation::{interference, throttle};
 use placement::{advice, drain, gang, headroom, search, trials};
 use recovery::{store_clock, timeouts};
-use state::{jobs, runs, workers};
+use state::{estimate, jobs, runs, workers};
 use view::{domains, roster};
 
 use crate::{job, record, task, worker};
@@ -78,6 +79,8 @@
     /// Workers that are still stored in the roster and have to be removed from it.
     removed_workers: collections::BTreeSet<worker::WorkerId>,
     interference: InterferenceModel,
+    /// The usual durations of the queues' tasks.
+    medians: estimate::Medians,
     /// The time at which the learned model was last included in a commit.
     model_stored_at: time::Timestamp,
     /// Workers whose [`record::Vacating`] has to be stored.
@@ -138,6 +141,7 @@
             unstored: collections::BTreeSet::new(),
             removed_workers: collections::BTreeSet::new(),
             interference: InterferenceModel::default(),
+            medians: estimate::Medians::default(),
             model_stored_at: now,
             unstored_vacating: collections::BTreeSet::new(),
             recovery: None,
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -161,6 +161,9 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if !worker.is_unresponsive && worker.incarnation.is_some() {
+            worker.record.add_flap(now);
+        }
         worker.is_unresponsive = true;
         let until = now + timeout;
         if worker.suspect_until < now && worker.incarnation.is_some() {
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -240,6 +240,7 @@
         runs::RunOrder { worker: worker.clone(), attempt, deadline, stage: Stage::Starting, image };
     let mut run = runs::make_run(&description, order, now);
     run.checkpoint.clone_from(&checkpoint);
+    run.is_partial = !checkpoint.is_empty();
     owner.add_run(task, run);
     let estimate = description.estimate;
     owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate });
--- a/gl-jobs/src/owner/recovery/adoption.rs
+++ b/gl-jobs/src/owner/recovery/adoption.rs
@@ -44,6 +44,7 @@
         };
         let mut run = runs::make_run(&spec, order, now);
         run.checkpoint.clone_from(&running.checkpoint);
+        run.is_partial = true;
         run.progress = running.progress;
         run.load = running.load;
         self.add_run(task, run);
--- a/gl-jobs/src/owner/state/mod.rs
+++ b/gl-jobs/src/owner/state/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's tables of jobs, phases, runs and workers, and the small queries on them. The tables
 //! know nothing of the decisions that are based on them.
 
+pub(in crate::owner) mod estimate;
 pub(in crate::owner) mod jobs;
 pub(in crate::owner) mod runs;
 pub(in crate::owner) mod workers;
--- a/gl-jobs/src/owner/state/runs.rs
+++ b/gl-jobs/src/owner/state/runs.rs
@@ -80,6 +80,11 @@
     pub checkpoint: String,
     /// Whether the task saves checkpoints, so that a stop loses little work.
     pub checkpointing: bool,
+    /// The declared duration.
+    pub estimate: time::Span,
+    /// Whether its running time does not tell its duration: it was started from a checkpoint, or by
+    /// an earlier owner.
+    pub is_partial: bool,
 }
 
 /// The kinds of tasks.
@@ -176,5 +181,7 @@
         tail_target: spec.tail_target.map(|tail| tail.as_seconds() * MILLIS_PER_SECOND),
         checkpoint: String::new(),
         checkpointing: spec.checkpointing,
+        estimate: spec.estimate,
+        is_partial: false,
     }
 }
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -4,7 +4,7 @@
 
 use gl_model::{size, time};
 
-use crate::owner::{Settings, interference, runs};
+use crate::owner::{Settings, estimate, interference, runs};
 use crate::{record, task, worker};
 
 /// A worker of the cell.
@@ -66,6 +66,13 @@
     pub unknown_runs: usize,
     /// The recent failures and successes.
     pub health: Health,
+    /// The estimates of its speed, failures and flapping.
+    pub record: estimate::Record,
+    /// Whether it has registered or restarted while others were in use, and has not yet completed a
+    /// run since.
+    pub is_unproven: bool,
+    /// The time until which its runs are slower, as it is cold.
+    pub cold_until: time::Timestamp,
     /// The worker gets no new tasks before this time.
     pub suspect_until: time::Timestamp,
     /// The task that is tried on the worker, as it may crash it. The worker gets no other tasks.
@@ -178,6 +185,9 @@
             runs: collections::BTreeSet::new(),
             unknown_runs: 0,
             health: Health::default(),
+            record: estimate::Record::default(),
+            is_unproven: false,
+            cold_until: time::Timestamp::default(),
             suspect_until: time::Timestamp::default(),
             held_for: None,
             probed_at: time::Timestamp::default(),
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -4,7 +4,9 @@
 
 use gl_model::time;
 
-use crate::owner::{Action, Cause, Note, Owner, Stage, StopReason, Worker, throttle, workers};
+use crate::owner::{
+    Action, Cause, Note, Owner, Stage, StopReason, Worker, estimate, runs, throttle, workers,
+};
 use crate::{task, worker};
 
 impl Owner {
@@ -56,12 +58,21 @@
         if known.is_some_and(|worker| worker.is_listed && worker.registration == *entry) {
             return;
         }
-        self.end_older_on_vm(entry, now);
+        let is_late = known.is_none() && !self.runs.is_empty();
+        let earlier = self.end_older_on_vm(entry, now);
         let settings = self.settings;
         let worker = self
             .workers
             .entry(entry.id.clone())
             .or_insert_with(|| Worker::new(entry.clone(), &settings, now));
+        worker.is_unproven |= is_late;
+        if let Some(record) = earlier {
+            worker.record = record;
+            worker.record.add_flap(now);
+        }
+        if let Some(left) = entry.cold_left {
+            worker.cold_until = now + left;
+        }
         if entry.incarnation < worker.registration.incarnation {
             return self.worker_unlisted(&entry.id, now);
         }
@@ -82,8 +93,12 @@
     }
 
     /// Removes the older workers of a VM. A VM runs one worker at a time, so a newer entry for the
-    /// same VM means that the older worker has ended.
-    fn end_older_on_vm(&mut self, entry: &worker::Registration, now: time::Timestamp) {
+    /// same VM means that the older worker has ended. Returns what is known of the VM from it.
+    fn end_older_on_vm(
+        &mut self,
+        entry: &worker::Registration,
+        now: time::Timestamp,
+    ) -> Option<estimate::Record> {
         let is_older = |w: &&Worker| {
             w.registration.vm == entry.vm
                 && w.registration.id != entry.id
@@ -91,10 +106,13 @@
         };
         let older: Vec<_> =
             self.workers.values().filter(is_older).map(|w| w.registration.id.clone()).collect();
+        let mut record = None;
         for id in older {
+            record = self.workers.get(&id).map(|worker| worker.record).or(record);
             self.end_incarnation(&id, &collections::BTreeSet::new(), now);
             self.remove_worker(&id);
         }
+        record
     }
 
     /// Removes a worker without runs from the table.
@@ -247,6 +265,8 @@
                 worker.granted_until = time::Timestamp::default();
                 worker.clock = None;
                 worker.health = workers::Health::default();
+                worker.record.add_flap(now);
+                worker.is_unproven = true;
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -301,6 +321,10 @@
         if run.checkpoint != running.checkpoint {
             run.checkpoint.clone_from(&running.checkpoint);
         }
+        let is_ready = run.kind == runs::Kind::LongRunning && run.progress >= runs::FULL_PERCENT;
+        if let Some(worker) = self.workers.get_mut(id).filter(|w| is_ready && w.is_unproven) {
+            worker.is_unproven = false;
+        }
         if run.stage == Stage::Starting {
             run.stage = Stage::Running(now);
             self.mark_started(running.task.phase.job);
