feat(gl-jobs): choose workers by expected duration, risk and distance

Cause: a worker was either suspect or not.

Change: five switches in owner::Settings, all off by default. A worker's score has a malus for the extra time that a task is expected to take there; what lies within the errors of the estimates counts nothing. A worker that registers or restarts beside busy ones gets a bounded number of runs until one is done. A task waits for its rack if it is expected to end sooner there, and for no longer than it could save. The suspect rule stays as the last resort. The search assesses each worker once a phase, as before.

--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -35,7 +35,7 @@
 pub use workers::Worker;
 
 use colocation::{interference, throttle};
-use placement::{advice, drain, gang, headroom, search, trials};
+use placement::{advice, distance, drain, gang, headroom, preference, search, spread, trials};
 use recovery::{store_clock, timeouts};
 use state::{estimate, jobs, runs, workers};
 use view::{domains, roster};
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -1,10 +1,13 @@
 //! Placement: decides which waiting tasks start, and on which workers.
 
 pub(in crate::owner) mod advice;
+pub(in crate::owner) mod distance;
 pub(in crate::owner) mod drain;
 pub(in crate::owner) mod gang;
 pub(in crate::owner) mod headroom;
+pub(in crate::owner) mod preference;
 pub(in crate::owner) mod search;
+pub(in crate::owner) mod spread;
 pub(in crate::owner) mod trials;
 pub(in crate::owner) mod unplaced;
 
@@ -52,8 +55,9 @@
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
     ranks.sort_unstable();
     let mut skip = unplaced::Unplaced::new(owner, now);
+    let mut racks = distance::Racks::default();
     for rank in ranks {
-        start_phase(owner, rank.phase, &mut skip, now);
+        start_phase(owner, rank.phase, &mut skip, &mut racks, now);
     }
 }
 
@@ -115,6 +119,7 @@
     owner: &mut Owner,
     phase: task::PhaseId,
     skip: &mut unplaced::Unplaced,
+    racks: &mut distance::Racks,
     now: time::Timestamp,
 ) {
     let entry = owner.jobs.get(&phase.job);
@@ -141,6 +146,9 @@
         return;
     }
     let mut candidates = search::Candidates::default();
+    if distance::should_wait(owner, racks, phase, None, now) {
+        return;
+    }
     while let Some(index) = next_waiting(owner, phase) {
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
@@ -148,6 +156,9 @@
             }
             return;
         };
+        if distance::should_wait(owner, racks, phase, Some(&worker), now) {
+            return;
+        }
         owner.last_attempt += 1;
         start(owner, phase, index, &worker, owner.last_attempt, now);
     }
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -3,7 +3,8 @@
 use gl_model::time;
 
 use crate::owner::{
-    JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, state,
+    JobEntry, Owner, PhaseState, Worker, colocation, distance, headroom, interference, jobs,
+    preference, spread, state,
 };
 use crate::{job, task, worker};
 
@@ -75,7 +76,13 @@
             self.scores = workers.map(|w| assess(owner, &request, w, now)).collect();
         }
         self.conditions = Some(conditions);
-        self.found = first_highest(&self.scores);
+        let shares = spread::Shares::new(owner, phase, spec);
+        self.found = if shares.is_empty() {
+            first_highest(self.scores.iter().copied())
+        } else {
+            let workers = self.scores.iter().zip(owner.workers.values());
+            first_highest(workers.map(|(score, w)| Some((*score)? - shares.malus(w))))
+        };
         let worker = owner.workers.values().nth(self.found?)?;
         Some(worker.registration.id.clone())
     }
@@ -90,7 +97,7 @@
     let spec = entry.spec(phase.phase)?;
     let state = state::state_of(owner, phase)?;
     Some(Conditions {
-        rack: sibling_rack(owner, phase, spec),
+        rack: shared_rack(owner, phase, spec, now),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
         ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
         room: room_for(owner, entry, spec, state),
@@ -133,9 +140,9 @@
 }
 
 /// Returns the position of the highest score, and of the first one among equals.
-fn first_highest(scores: &[Option<f64>]) -> Option<usize> {
+fn first_highest(scores: impl Iterator<Item = Option<f64>>) -> Option<usize> {
     let mut best: Option<(usize, f64)> = None;
-    for (n, score) in scores.iter().enumerate() {
+    for (n, score) in scores.enumerate() {
         if let Some(score) = score.filter(|s| best.is_none_or(|(_, highest)| *s > highest)) {
             best = Some((n, score));
         }
@@ -167,8 +174,23 @@
         && owner.runs.range(from..=to).next().is_none()
 }
 
+/// Returns the rack for the tasks of the phase, if they should share one.
+fn shared_rack(
+    owner: &Owner,
+    phase: task::PhaseId,
+    spec: &job::Phase,
+    now: time::Timestamp,
+) -> Option<String> {
+    let chosen = || distance::roomiest_rack(owner, phase, spec, now);
+    sibling_rack(owner, phase, spec).or_else(chosen)
+}
+
 /// Returns the rack on which other tasks of the phase run, if the tasks should share a rack.
-fn sibling_rack(owner: &Owner, phase: task::PhaseId, spec: &job::Phase) -> Option<String> {
+pub(in crate::owner) fn sibling_rack(
+    owner: &Owner,
+    phase: task::PhaseId,
+    spec: &job::Phase,
+) -> Option<String> {
     if !spec.rack_sensitive {
         return None;
     }
@@ -181,7 +203,7 @@
 /// Returns the score of a worker for the requested task, or `None` if the task must not start there.
 fn assess(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> Option<f64> {
     let is_free = w.held_for.is_none() && is_possible(owner, request, w, now);
-    is_free.then(|| score(owner, request, w))?
+    is_free.then(|| score(owner, request, w, now))?
 }
 
 fn is_possible(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> bool {
@@ -190,6 +212,7 @@
     w.has_room(&spec.reserved())
         && w.registration.service == request.entry.job.service
         && w.is_eligible(settings, now)
+        && !preference::is_on_probation(owner, w)
         && spec.label.as_ref().is_none_or(|label| w.registration.labels.contains(label))
         && spec.per_worker.is_none_or(|limit| siblings(w, request.phase) < limit as usize)
         && is_allowed(request, w, now)
@@ -219,7 +242,7 @@
 /// The bonus of a worker on the preferred rack. It outweighs any difference in free capacity.
 const RACK_BONUS: f64 = 10.0;
 
-fn score(owner: &Owner, request: &Request<'_>, w: &Worker) -> Option<f64> {
+fn score(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> Option<f64> {
     let spec = request.spec;
     let total = (w.registration.size.cores as f64).max(1.0);
     let left = w.free().cores.saturating_sub(spec.size.cores) as f64;
@@ -239,8 +262,11 @@
     };
     let has_users = request.conditions.is_trial && w.long_running_cores > 0;
     let trial_malus = if has_users { TRIAL_MALUS } else { 0.0 };
-    let is_near = |rack: &Option<String>| rack.is_some() && *rack == w.registration.rack;
+    let knows_distance = owner.settings.remote_factor > 1.0 && !spec.long_running;
+    let is_near =
+        |rack: &Option<String>| !knows_distance && rack.is_some() && *rack == w.registration.rack;
     let data_bonus = if is_near(&spec.data_rack) { RACK_BONUS } else { 0.0 };
     let rack_bonus = if is_near(&request.conditions.rack) { RACK_BONUS } else { 0.0 };
-    Some(capacity + data_bonus + rack_bonus - trial_malus)
+    let malus = preference::malus(owner, request, w, now) + trial_malus;
+    Some(capacity + data_bonus + rack_bonus - malus)
 }
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -137,6 +137,21 @@
     /// The share of a best-effort task's processors that must be idle on the worker where it
     /// starts.
     pub idle_share: f64,
+    /// Whether workers are chosen by their expected speed and by the risk that a task has to run
+    /// again.
+    pub uses_estimates: bool,
+    /// The number of runs that a worker gets which registered or restarted while others were in use,
+    /// until one of them is done; `None` for no limit.
+    pub unproven_runs: Option<usize>,
+    /// The factor by which short and best-effort tasks are expected to take longer on a cold worker;
+    /// 1 or less if cold workers are used like others.
+    pub cold_factor: f64,
+    /// The factor by which tasks away from their rack or data take longer; 1 or less if it is not
+    /// known.
+    pub remote_factor: f64,
+    /// Whether the long-running tasks of a job are spread over failure domains where the capacity
+    /// is the same.
+    pub spreads_domains: bool,
 }
 
 impl Default for Settings {
@@ -185,6 +200,11 @@
             order: PhaseOrder::Deadline,
             warm_up: time::Span::millis(800),
             idle_share: 0.9,
+            uses_estimates: false,
+            unproven_runs: None,
+            cold_factor: 1.0,
+            remote_factor: 1.0,
+            spreads_domains: false,
         }
     }
 }
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -54,6 +54,9 @@
     pub since: time::Timestamp,
     /// Whether a run of a waiting task has ended or, after a change of owner, may have ended.
     pub is_interrupted: bool,
+    /// The time since which tasks have waited for capacity in their rack although other racks have
+    /// some; `None` if none has.
+    pub rack_wait: Option<time::Timestamp>,
     /// The time by which the occurrence should be complete.
     pub deadline: time::Timestamp,
     /// The tickets of the workers that the queue's policy allows.
--- a/gl-jobs/tests/jobs/cost.rs
+++ b/gl-jobs/tests/jobs/cost.rs
@@ -41,8 +41,8 @@
 const MANY_WORKERS: usize = 600;
 
 /// Returns the time of the placement pass that starts a best-effort phase of `count` tasks.
-fn time_to_start(count: u32) -> std::time::Duration {
-    let mut cell = Cell::new(MANY_WORKERS);
+fn time_to_start(count: u32, settings: owner::Settings) -> std::time::Duration {
+    let mut cell = Cell::with_settings(MANY_WORKERS, settings);
     let image = Some("image".to_owned());
     let phase = job::Phase { best_effort: true, image, ..cell::phase(count, 1_000) };
     cell.owner.add_job(cell::id(1), cell::job(vec![phase]), &cell::moment(cell.now));
@@ -57,7 +57,17 @@
 /// All workers must be assessed once per phase, and not again for each of its tasks.
 #[test]
 fn starting_many_tasks_of_a_phase_assesses_each_worker_once() {
-    let one = time_to_start(1).max(time_to_start(1));
-    let many = (0..3).map(|_| time_to_start(200)).min().unwrap();
-    assert!(many < one * 50, "{many:?} for 200 tasks, {one:?} for one");
+    let uneven = owner::Settings {
+        uses_estimates: true,
+        unproven_runs: Some(8),
+        cold_factor: 2.0,
+        remote_factor: 1.5,
+        spreads_domains: true,
+        ..owner::Settings::default()
+    };
+    for settings in [owner::Settings::default(), uneven] {
+        let one = time_to_start(1, settings).max(time_to_start(1, settings));
+        let many = (0..3).map(|_| time_to_start(200, settings)).min().unwrap();
+        assert!(many < one * 50, "{many:?} for 200 tasks, {one:?} for one");
+    }
 }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -20,3 +20,4 @@
 mod roster;
 mod routing;
 mod throttle;
+mod uneven;
