feat(geraniumlatchd): use the settings for uneven workers in the hosted server

The hosted server uses estimates, bounds the runs of new workers, expects cold workers to be slower, and spreads long-running tasks over failure domains. Tasks wait for their rack only where the platform's settings file states the factor of remote tasks.

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -9,6 +9,12 @@
 use super::{api, event, lease, log_writer, mesh, node, routing, shutdown, submission};
 use crate::error;
 
+/// The number of runs that a new worker gets until one of them is done. It covers one phase of short
+/// tasks.
+const UNPROVEN_RUNS: usize = 8;
+/// The factor by which tasks are expected to take longer on a cold worker. The platform states only
+/// for how long a worker is cold.
+const COLD_FACTOR: f64 = 2.0;
 /// Time for which an idle client connection is kept open.
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
 /// Time that a client may take to send the head of a request.
@@ -159,6 +165,11 @@
         drain_time: settings.drain,
         empty_time: settings.empty_time,
         retention: settings.retention + settings.retention,
+        uses_estimates: true,
+        unproven_runs: Some(UNPROVEN_RUNS),
+        cold_factor: COLD_FACTOR,
+        remote_factor: settings.remote_factor.unwrap_or(defaults.remote_factor),
+        spreads_domains: true,
         ..defaults
     }
 }
