--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -26,6 +26,7 @@
 pub use action::{Action, Cause, Note, StopReason};
 pub use advice::Grant;
 pub use commit::{Commit, Row as CommitRow};
+pub use estimate::{Estimate, Medians, Record as WorkerRecord};
 pub use interference::{CpuUse, ImageId, InterferenceModel};
 pub use jobs::{Advice, JobEntry, PhaseState};
 pub use pacing::window::{
@@ -39,9 +40,9 @@
 
 use colocation::{interference, pressure, throttle};
 use pacing::{in_flight, poll_times};
-use placement::{advice, drain, gang, headroom, search, trials};
+use placement::{advice, distance, drain, gang, headroom, preference, search, spread, trials};
 use recovery::{store_clock, timeouts};
-use state::{jobs, runs, workers};
+use state::{estimate, jobs, runs, workers};
 use view::{domains, roster};
 
 use crate::{job, record, task, worker};
@@ -91,6 +92,8 @@
     interference: InterferenceModel,
     /// The effects of best-effort images on the tail latency of long-running ones.
     pressure: pressure::PressureModel,
+    /// The usual durations of the queues' tasks.
+    medians: estimate::Medians,
     /// The time at which the learned model was last included in a commit.
     model_stored_at: time::Timestamp,
     /// Workers whose [`record::Vacating`] has to be stored.
@@ -160,6 +163,7 @@
             removed_workers: collections::BTreeSet::new(),
             interference: InterferenceModel::default(),
             pressure: pressure::PressureModel::default(),
+            medians: estimate::Medians::default(),
             model_stored_at: now,
             unstored_vacating: collections::BTreeSet::new(),
             recovery: None,
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -25,4 +25,5 @@
 mod roster;
 mod routing;
 mod throttle;
+mod uneven;
 mod windows;
