feat: tell all daemons how scarce the capacity of each service is

Cause: only the owner can see that work waits, and neither operators nor the daemons that accept jobs learn of it. Change: the owner keeps a summary (level, backlog, rates and free capacity for each service and kind of tasks, with its age) and sends it in the reply to a heartbeat that asks for it. Followers keep it with the time at which they asked, so that its age is an upper bound. All daemons export it as geraniumlatch.load, and its age as the level load-age-ms. Earlier builds ignore the new field of the heartbeat, and get the reply that they know.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -206,9 +206,13 @@
         if let Some(log) = &self.node.log {
             self.node.metrics.lines_dropped(log.dropped());
         }
-        if let Some(age) = self.node.routing_age(clock::steady()) {
+        let now = clock::steady();
+        if let Some(age) = self.node.routing_age(now) {
             self.node.metrics.routing_age(age);
         }
+        if let Some(load) = self.node.load(now) {
+            self.node.metrics.load(&load.summary, load.age(now));
+        }
         if let Some(ownership) = self.node.ownership() {
             let owner = ownership.owner();
             self.node.metrics.emptied(owner.emptied().len(), owner.emptied_runs());
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -276,7 +276,13 @@
     let connection = rpc::Client::new(owner.value.mesh);
     let confirmed_at = std::cell::Cell::new(time::Timestamp::default());
     let former_since = std::cell::Cell::new(None);
-    let followed = node::FollowedOwner { token, connection, confirmed_at, former_since };
+    let followed = node::FollowedOwner {
+        token,
+        connection,
+        confirmed_at,
+        former_since,
+        load: std::cell::RefCell::default(),
+    };
     let followed = rc::Rc::new(followed);
     node.set_role(node::Role::Follower(rc::Rc::clone(&followed)));
     ntex::rt::spawn(send_heartbeats(rc::Rc::clone(node), rc::Rc::downgrade(&followed)));
@@ -294,8 +300,11 @@
         }
         let daemon = node.settings.daemon.clone();
         let token = followed.token;
-        let request = super::mesh::Request::Heartbeat { daemon, store_up, token };
+        let sent = clock::steady();
+        let request =
+            super::mesh::Request::Heartbeat { daemon, store_up, token, wants_summary: true };
         let reply = followed.connection.request(request, HEARTBEAT_TIMEOUT).await;
+        followed.keep_summary(reply.as_ref(), sent);
         handle_heartbeat_reply(&node, &followed, reply.as_ref());
         drop(followed);
         ntex::time::sleep(HEARTBEAT_INTERVAL).await;
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -2,6 +2,7 @@
 
 use std::rc;
 
+use gl_cost::summary;
 use gl_jobs::{election, job, task};
 use gl_model::time;
 use gl_peer::rpc;
@@ -20,6 +21,9 @@
         store_up: bool,
         /// The fencing token of the owner that the sender follows.
         token: u64,
+        /// Whether the sender understands [`Response::Summary`]. Earlier builds do not send this.
+        #[serde(default)]
+        wants_summary: bool,
     },
     /// Reports that a job has been stored.
     Accepted {
@@ -57,6 +61,8 @@
 pub enum Response {
     /// The report or heartbeat was received.
     Noted,
+    /// A heartbeat was received that asked for the load of the services.
+    Summary(summary::Summary),
     /// The result of storing a job.
     Store(submission::Outcome),
     /// The job's state; `None` if the owner has no such job.
@@ -120,9 +126,13 @@
 
 fn handle_as_owner(ownership: &rc::Rc<ownership::Ownership>, request: Request) -> Response {
     match request {
-        Request::Heartbeat { daemon, store_up, .. } => {
+        Request::Heartbeat { daemon, store_up, wants_summary, .. } => {
             ownership.heartbeat_received(daemon, store_up);
-            Response::Noted
+            if wants_summary {
+                Response::Summary(ownership.owner().load_summary(clock::steady()))
+            } else {
+                Response::Noted
+            }
         }
         Request::Accepted { id, job } => {
             ownership.add_job(id, *job);
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -12,7 +12,7 @@
 mod followers;
 mod lease;
 pub mod log_writer;
-mod mesh;
+pub mod mesh;
 mod node;
 mod outstanding;
 mod ownership;
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -2,6 +2,7 @@
 
 use std::{cell, rc, sync};
 
+use gl_cost::summary;
 use gl_jobs::{domain, owner, queue};
 use gl_model::time;
 use gl_peer::rpc;
@@ -61,6 +62,17 @@
     /// Time since which the process that held the token is known to have terminated or given the cell
     /// up.
     pub former_since: cell::Cell<Option<time::Timestamp>>,
+    /// The load of the services in its newest reply that had one.
+    pub load: cell::RefCell<Option<summary::Received>>,
+}
+
+impl FollowedOwner {
+    /// Keeps the load of the services in the reply to a heartbeat that was sent at `sent`.
+    pub fn keep_summary(&self, reply: Option<&mesh::Response>, sent: time::Timestamp) {
+        if let Some(mesh::Response::Summary(summary)) = reply {
+            self.load.replace(Some(summary::Received { summary: summary.clone(), sent }));
+        }
+    }
 }
 
 /// Health of the store, as observed by this daemon's calls.
@@ -163,6 +175,18 @@
         }
     }
 
+    /// Returns the newest known load of the services; `None` if the owner is not known or has sent none.
+    pub fn load(&self, now: time::Timestamp) -> Option<summary::Received> {
+        match &*self.role.borrow() {
+            Role::Owner(ownership) => {
+                let summary = ownership.owner().load_summary(now);
+                Some(summary::Received { summary, sent: now })
+            }
+            Role::Follower(followed) => followed.load.borrow().clone(),
+            Role::OwnerUnknown => None,
+        }
+    }
+
     /// Returns the time since which the routing may be out of date, or `None` if it was never read.
     pub fn routing_age(&self, now: time::Timestamp) -> Option<time::Span> {
         self.routing_at.get().map(|at| now.since(at))
--- a/gl-cost/src/lib.rs
+++ b/gl-cost/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod level;
 pub mod loss;
 pub mod rate;
+pub mod summary;
 pub mod turns;
--- a/gl-jobs/src/owner/scarcity.rs
+++ b/gl-jobs/src/owner/scarcity.rs
@@ -6,7 +6,7 @@
 
 use std::collections;
 
-use gl_cost::{ledger, level, rate};
+use gl_cost::{ledger, level, rate, summary};
 use gl_model::time;
 
 use super::{Owner, PhaseState, Worker, order, state};
@@ -172,6 +172,23 @@
 }
 
 impl Owner {
+    /// Returns the load of all services, as it was last sampled.
+    pub fn load_summary(&self, now: time::Timestamp) -> summary::Summary {
+        let load = |service: &str, kind, flow: &Flow| summary::Load {
+            service: service.to_owned(),
+            kind,
+            level: flow.monitor.level(),
+            sample: flow.sample,
+        };
+        let loads = self.scarcity.iter().flat_map(|(name, service)| {
+            [
+                load(name, summary::Kind::Short, &service.short),
+                load(name, summary::Kind::BestEffort, &service.best_effort),
+            ]
+        });
+        summary::Summary { loads: loads.collect(), age: now.since(self.sampled_at) }
+    }
+
     /// Counts the work of a job that was accepted.
     pub(in crate::owner) fn count_arrival(&mut self, id: task::JobId, now: time::Timestamp) {
         self.record_size(id);
--- a/gl-jobs/tests/jobs/order.rs
+++ b/gl-jobs/tests/jobs/order.rs
@@ -1,5 +1,6 @@
 //! The order of waiting phases while the capacity of a service is scarce.
 
+use gl_cost::{level, summary};
 use gl_jobs::{job, owner, worker};
 use gl_model::time;
 
@@ -130,3 +131,24 @@
     wait(&mut cell, &blocker);
     assert_eq!(next(&mut cell, &blocker).task, cell::task(1, 0, 0));
 }
+
+/// Guards against a summary that other daemons cannot act on: a shortage that does not show, a kind of
+/// tasks without shortage that counts as scarce, or a backlog in another unit than core-seconds.
+#[test]
+fn summary_shows_the_shortage_with_its_backlog_and_age() {
+    let (mut cell, blocker) = occupied(true);
+    let before = cell.owner.load_summary(cell::at(cell.now));
+    assert_eq!(before.level(cell::SERVICE), level::Level::Ample);
+    for n in 2..6 {
+        cell.submit(n, relaxed(1, 0, 20));
+    }
+    wait(&mut cell, &blocker);
+    let summary = cell.owner.load_summary(cell::at(cell.now + 5_000));
+    assert_eq!(summary.level(cell::SERVICE), level::Level::Scarce);
+    assert!((5_000..5_200).contains(&summary.age.as_millis()), "{:?}", summary.age);
+    let of_kind = |kind| summary.loads.iter().find(|load| load.kind == kind).unwrap();
+    let short = of_kind(summary::Kind::Short).sample;
+    assert!((short.backlog - 4.0 * 64.0 * 0.5).abs() < 1e-6, "{short:?}");
+    assert!(short.arrivals > 0.0, "{short:?}");
+    assert_eq!(of_kind(summary::Kind::BestEffort).level, level::Level::Ample);
+}
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -1,5 +1,6 @@
 //! The exported metrics of a daemon that schedules jobs.
 
+use gl_cost::{level, summary};
 use gl_jobs::{owner, worker};
 use gl_model::time;
 use opentelemetry::metrics;
@@ -23,6 +24,7 @@
     store: metrics::Counter<u64>,
     events: metrics::Counter<u64>,
     levels: metrics::Gauge<f64>,
+    loads: metrics::Gauge<f64>,
 }
 
 impl Metrics {
@@ -47,6 +49,8 @@
             store: count("geraniumlatch.store.calls", "Calls of the store, by outcome"),
             events: count("geraniumlatch.changes", "Changes of the owner's state, by kind"),
             levels: exporter.gauge("geraniumlatch.levels", "Levels"),
+            loads: exporter
+                .gauge("geraniumlatch.load", "Load by service, kind of tasks and quantity"),
             exporter,
         })
     }
@@ -135,6 +139,32 @@
         self.level("emptied-runs", runs as u64);
     }
 
+    /// Records the load of the services as this daemon knows it, and how old that is. The level is 0
+    /// for ample, 1 for tight and 2 for scarce; backlogs are in core-seconds, the rest in cores.
+    pub fn load(&self, summary: &summary::Summary, age: time::Span) {
+        self.level("load-age-ms", age.as_millis());
+        for load in &summary.loads {
+            let level = match load.level {
+                level::Level::Ample => 0.0,
+                level::Level::Tight => 1.0,
+                level::Level::Scarce => 2.0,
+            };
+            let quantities = [
+                ("level", level),
+                ("backlog", load.sample.backlog),
+                ("arrivals", load.sample.arrivals),
+                ("completions", load.sample.completions),
+                ("free", load.sample.free),
+            ];
+            for (quantity, value) in quantities {
+                let service = opentelemetry::KeyValue::new("service", load.service.clone());
+                let kind = opentelemetry::KeyValue::new("kind", load.kind.as_str());
+                let quantity = opentelemetry::KeyValue::new("quantity", quantity);
+                self.loads.record(value, &[service, kind, quantity]);
+            }
+        }
+    }
+
     /// Records the total number of dropped log lines.
     pub fn lines_dropped(&self, total: u64) {
         self.level("log-lines-dropped", total);
--- a/gl-meter/tests/meter/mod.rs
+++ b/gl-meter/tests/meter/mod.rs
@@ -1,2 +1,3 @@
 mod burn;
+mod jobs;
 mod metrics;
