--- a/geraniumlatchd/src/jobs/daemon_clocks.rs
+++ b/geraniumlatchd/src/jobs/daemon_clocks.rs
@@ -28,7 +28,7 @@
 
     /// Takes the agreed time of day over from the prompt reply to a heartbeat that was sent at `sent`.
     pub(super) fn adopt_agreement(&self, reply: Option<&mesh::Response>, sent: time::Timestamp) {
-        if let Some(mesh::Response::Confirmed { wall, readings }) = reply {
+        if let Some(mesh::Response::Confirmed { wall, readings, .. }) = reply {
             self.agreed.set(Some(wall_clock::Agreed::reported(*wall, *readings, sent)));
         }
     }
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -2,6 +2,7 @@
 
 use std::rc;
 
+use gl_cost::summary;
 use gl_jobs::{election, job, task};
 use gl_model::time;
 use gl_peer::rpc;
@@ -20,7 +21,7 @@
         store_up: bool,
         /// The fencing token of the owner that the sender follows.
         token: u64,
-        /// The sender's time of day; zero if it does not tell it.
+        /// The sender's time of day; zero if it does not tell it, as in earlier versions.
         #[serde(default)]
         wall: time::Timestamp,
     },
@@ -60,12 +61,15 @@
 pub enum Response {
     /// The report or heartbeat was received.
     Noted,
-    /// The heartbeat was received, and the daemons agree on this time of day.
+    /// The heartbeat was received. Only senders that tell their time of day get this response, as
+    /// earlier versions do not know it.
     Confirmed {
-        /// The time of day.
+        /// The time of day on which the daemons agree.
         wall: time::Timestamp,
         /// The number of daemons whose clocks it follows from.
         readings: usize,
+        /// The load of the services.
+        load: summary::Summary,
     },
     /// The result of storing a job.
     Store(submission::Outcome),
@@ -131,13 +135,16 @@
 fn handle_as_owner(ownership: &rc::Rc<ownership::Ownership>, request: Request) -> Response {
     match request {
         Request::Heartbeat { daemon, store_up, wall, .. } => {
-            // A daemon of an earlier version sends no time of day, and knows no such response.
             let has_wall = wall > time::Timestamp::default();
             ownership.heartbeat_received(daemon, store_up, has_wall.then_some(wall));
             let agreed = ownership.node().agreed.get().filter(|_| has_wall);
-            agreed.map_or(Response::Noted, |agreed| Response::Confirmed {
-                wall: agreed.wall(clock::steady()),
-                readings: agreed.readings,
+            agreed.map_or(Response::Noted, |agreed| {
+                let now = clock::steady();
+                Response::Confirmed {
+                    wall: agreed.wall(now),
+                    readings: agreed.readings,
+                    load: ownership.owner().load_summary(now),
+                }
             })
         }
         Request::Accepted { id, job } => {
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -15,7 +15,7 @@
 mod followers;
 mod lease;
 pub mod log_writer;
-mod mesh;
+pub mod mesh;
 mod node;
 pub mod ordering;
 mod outages;
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -197,6 +197,7 @@
         cold_factor: COLD_FACTOR,
         remote_factor: settings.remote_factor.unwrap_or(defaults.remote_factor),
         spreads_domains: true,
+        follows_loss: true,
         ..defaults
     }
 }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -15,6 +15,7 @@
 mod pacing;
 mod placement;
 mod recovery;
+mod scarcity;
 mod settings;
 mod state;
 mod view;
@@ -40,7 +41,9 @@
 
 use colocation::{interference, pressure, throttle};
 use pacing::{in_flight, poll_times};
-use placement::{advice, distance, drain, gang, headroom, preference, search, spread, trials};
+use placement::{
+    advice, distance, drain, gang, headroom, order, preference, search, spread, trials,
+};
 use recovery::{store_clock, timeouts};
 use state::{estimate, jobs, runs, workers};
 use view::{domains, roster};
@@ -109,6 +112,10 @@
     crowded: Vec<String>,
     /// The time at which the demand was last recorded.
     demand_at: time::Timestamp,
+    /// The load of the services.
+    scarcity: scarcity::Services,
+    /// The time at which the load was last sampled.
+    sampled_at: time::Timestamp,
     /// The latest time to which leases of workers may be extended.
     horizon: time::Timestamp,
     /// The time until which it is certain that no other daemon has taken over the cell.
@@ -172,6 +179,8 @@
             demands: Vec::new(),
             crowded: Vec::new(),
             demand_at: time::Timestamp::default(),
+            scarcity: scarcity::Services::new(),
+            sampled_at: time::Timestamp::default(),
             actions: Vec::new(),
         }
     }
@@ -257,6 +266,7 @@
             self.scheduled_jobs.insert(id);
         }
         self.jobs.insert(id, entry);
+        self.count_arrival(id, moment.now);
         self.open_due(id, moment);
     }
 
@@ -271,6 +281,7 @@
         entry.final_state = Some(job::State::Cancelled);
         entry.stored_state = Some(job::State::Cancelled);
         entry.ended_at = now;
+        self.count_end(id, job::State::Cancelled);
         self.note_decided(id, now);
         self.close_job(id, now);
     }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -16,6 +16,7 @@
 mod identity;
 mod interference;
 mod leases;
+mod order;
 mod orders;
 mod phases;
 mod placement;
