fix: keep polls for an immediate reply, and polls of replying workers, apart from silent ones

Cause: polls that follow a stop order waited at the gate behind those of silent workers, each of which takes its time-out, and these shrank the gate's window. With a cut-off failure domain, stop orders would have been confirmed late also in small cells.

Change: polls for an immediate reply do not pass the gate. Repeated failures of a worker are not counted, and 128 polls pass in any case. With fewer than three connections for each worker, one start order to a worker is in flight in place of three. A metric shows the age of the oldest reply of a worker.

--- a/geraniumlatchd/src/jobs/execution.rs
+++ b/geraniumlatchd/src/jobs/execution.rs
@@ -6,6 +6,7 @@
 use gl_platform::cell as platform;
 
 use super::{event, ownership::Ownership, worker_client};
+use crate::clock;
 
 /// Number of actions that are carried out before other tasks run. The requests of one chunk take a
 /// few milliseconds on a small VM, so that the renewal of the cell's lease is late by no more.
@@ -48,7 +49,10 @@
         let polls = self.worker_clients.borrow().len().saturating_sub(waiting);
         let (starts, urgent) = (owner.starts_in_flight(), self.connections.urgent_in_flight());
         self.node.metrics.orders(starts, owner.start_limit(), urgent);
-        self.node.metrics.polls(polls, waiting);
+        let now = clock::steady();
+        let replied = owner.workers().filter(|w| w.is_listed && w.clock.is_some());
+        let oldest = replied.map(|w| now.since(w.polled_at)).max().unwrap_or_default();
+        self.node.metrics.polls(polls, waiting, oldest);
         if self.connections.has_reached_limit(polls, starts + urgent) {
             let budget = self.connections.budget();
             event::emit(&event::Event::ConnectionsShort {
@@ -79,10 +83,11 @@
             client.is_needed.set(is_kept);
             is_kept
         });
+        let starts = self.connections.starts_per_worker(owner.workers().count());
         for worker in owner.workers() {
             let id = &worker.registration.id;
             if !worker_clients.contains_key(id) {
-                let client = rc::Rc::new(worker_client::WorkerClient::new(id.clone()));
+                let client = rc::Rc::new(worker_client::WorkerClient::new(id.clone(), starts));
                 worker_clients.insert(id.clone(), rc::Rc::clone(&client));
                 ntex::rt::spawn(worker_client::poll_while_needed(rc::Rc::clone(self), client));
             }
--- a/geraniumlatchd/src/jobs/ordering.rs
+++ b/geraniumlatchd/src/jobs/ordering.rs
@@ -8,6 +8,8 @@
 /// The share of the connections for orders that start orders leave to stop and CPU-limit orders, as a
 /// divisor.
 pub const URGENT_SHARE: usize = 4;
+/// The largest number of start orders to one worker in flight; each needs a connection of its own.
+const MAX_START_ORDERS: usize = 3;
 /// The share of the limit, as a divisor, by which the use has to fall before it is reported again
 /// that it has reached the limit.
 const HYSTERESIS: usize = 10;
@@ -48,6 +50,11 @@
         workers > self.budget.polls
     }
 
+    /// Returns the largest number of start orders to one worker in flight.
+    pub const fn starts_per_worker(&self, workers: usize) -> usize {
+        if self.budget.is_roomy(workers) { MAX_START_ORDERS } else { 1 }
+    }
+
     /// Returns whether the use has just reached a limit and has to be reported.
     pub fn has_reached_limit(&self, polls: usize, orders: usize) -> bool {
         let is_full = polls >= self.budget.polls || orders >= self.budget.orders;
--- a/geraniumlatchd/src/jobs/poll_gate.rs
+++ b/geraniumlatchd/src/jobs/poll_gate.rs
@@ -1,9 +1,9 @@
 //! Limits the polls that may be many at a time: the first polls of a new owner, those of workers
-//! that did not reply, and those in addition to a long poll. Workers reply to all of them at once.
+//! that did not reply. Workers reply to all of them at once.
 //!
 //! A process with little processor time cannot open thousands of connections at once; the polls
 //! would miss their time-outs and be repeated. Waiting polls are sent in the order of the times at
-//! which the workers' leases end. Orders to workers do not pass the gate.
+//! which the workers' leases end. Orders to workers, and polls for an immediate reply, do not pass the gate.
 
 use std::{cell, collections, rc};
 
@@ -11,6 +11,10 @@
 use gl_model::time;
 use tokio::sync::oneshot;
 
+/// The smallest limit. As polls of silent workers end with their time-out of 0.9 s only, it lets 140 of
+/// them pass each second, which the smallest VM (0.12 cores) can send.
+const FLOOR: usize = 128;
+
 /// The gate, with the polls that wait for it.
 pub struct PollGate {
     window: cell::RefCell<owner::OrderWindow>,
@@ -40,6 +44,8 @@
 impl PollGate {
     /// Creates a gate.
     pub fn new(settings: owner::WindowSettings) -> rc::Rc<Self> {
+        let floor = FLOOR.clamp(settings.floor, settings.initial.max(settings.floor));
+        let settings = owner::WindowSettings { floor, ..settings };
         rc::Rc::new(Self {
             window: cell::RefCell::new(owner::OrderWindow::new(settings)),
             in_flight: cell::Cell::new(0),
--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -11,8 +11,6 @@
 use super::{ownership, poll_gate};
 use crate::clock;
 
-/// Maximum number of start orders to one worker in flight; each needs a connection of its own.
-const MAX_START_ORDERS: usize = 3;
 /// Pause after a poll without a usable reply.
 const POLL_RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
 
@@ -31,11 +29,11 @@
 }
 
 impl WorkerClient {
-    /// Creates the client of the worker `id`.
-    pub const fn new(id: worker::WorkerId) -> Self {
+    /// Creates the client of the worker `id`, with at most `starts` start orders in flight.
+    pub const fn new(id: worker::WorkerId, starts: usize) -> Self {
         Self {
             id,
-            start_permits: sync::Semaphore::const_new(MAX_START_ORDERS),
+            start_permits: sync::Semaphore::const_new(starts),
             is_polling_now: cell::Cell::new(false),
             is_needed: cell::Cell::new(true),
         }
@@ -89,8 +87,7 @@
     client.is_polling_now.set(false);
 }
 
-/// Waits until the poll may be sent, if it may be one of many: of a worker that has not replied, or in
-/// addition to the long poll.
+/// Waits until the poll may be sent, if it may be one of many: of a worker that has not replied.
 ///
 /// # Errors
 ///
@@ -98,11 +95,10 @@
 async fn enter_gate(
     ownership: &ownership::Ownership,
     client: &WorkerClient,
-    is_extra: bool,
 ) -> Result<Option<poll_gate::Permit>, poll_gate::Closed> {
     let due = {
         let owner = ownership.owner();
-        let is_gated = is_extra || owner.is_poll_deferrable(&client.id);
+        let is_gated = owner.is_poll_deferrable(&client.id);
         is_gated.then(|| owner.poll_due(&client.id, clock::steady()))
     };
     match due {
@@ -118,7 +114,9 @@
     client: &rc::Rc<WorkerClient>,
     is_extra: bool,
 ) -> bool {
-    let Ok(permit) = enter_gate(ownership, client, is_extra).await else {
+    // Extra polls follow from stop orders and refusals, and do not wait for those of silent workers.
+    let entry = if is_extra { Ok(None) } else { enter_gate(ownership, client).await };
+    let Ok(permit) = entry else {
         return false;
     };
     let sent = clock::steady();
@@ -128,7 +126,7 @@
     let Some(mut request) = ownership.owner().poll_request(&client.id, sent) else {
         return false;
     };
-    if permit.is_some() || ownership.are_polls_short() {
+    if is_extra || permit.is_some() || ownership.are_polls_short() {
         request.wait = time::Span::ZERO;
     }
     let polled = ownership.node().platform.workers.poll(&target, &request).await;
@@ -136,7 +134,9 @@
         return false;
     }
     let now = clock::steady();
-    if let Some(permit) = permit {
+    // A worker that has failed before shows by its silence nothing about this process.
+    let was_silent = ownership.owner().worker(&client.id).is_some_and(|w| w.is_unresponsive);
+    if let Some(permit) = permit.filter(|_| polled.is_ok() || !was_silent) {
         permit.record(now.since(sent), polled.is_ok(), now);
     }
     ownership.node().metrics.poll(polled.is_ok());
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -143,8 +143,10 @@
         self.level("urgent-orders-in-flight", urgent as u64);
     }
 
-    /// Records the polls that were not answered, and those that wait for others.
-    pub fn polls(&self, in_flight: usize, waiting: usize) {
+    /// Records the polls that were not answered, those that wait for others, and the time since the
+    /// oldest of the workers' last replies.
+    pub fn polls(&self, in_flight: usize, waiting: usize, oldest: time::Span) {
+        self.level("oldest-reply-age-ms", oldest.as_millis());
         self.level("polls-in-flight", in_flight as u64);
         self.level("polls-waiting", waiting as u64);
     }
