--- a/gl-jobs/src/owner/scarcity.rs
+++ b/gl-jobs/src/owner/scarcity.rs
@@ -72,9 +72,12 @@
         self.sample = level::Sample { arrivals, completions, ..level::Sample::default() };
     }
 
-    /// Updates the level, and the turns of the waiting jobs.
-    fn update(&mut self, waiting: &[ledger::Waiting<'_>], now: time::Timestamp) {
+    fn update_level(&mut self, now: time::Timestamp) {
         self.monitor.update(&self.sample, &level::Settings::default(), now);
+    }
+
+    /// Updates the turns of the waiting jobs.
+    fn update_turns(&mut self, waiting: &[ledger::Waiting<'_>]) {
         if self.is_scarce() {
             self.ledger.grant(waiting);
         } else {
@@ -99,9 +102,13 @@
     add_backlog(owner, &mut services, now);
     add_free(owner, &mut services, now);
     for (name, service) in &mut services {
-        let [short, best_effort] = waiting_jobs(owner, name);
-        service.short.update(&short, now);
-        service.best_effort.update(&best_effort, now);
+        service.short.update_level(now);
+        service.best_effort.update_level(now);
+        let is_scarce = service.short.is_scarce() || service.best_effort.is_scarce();
+        // With room there are no turns, and the owner of a full cell has thousands of phases.
+        let waiting = if is_scarce { waiting_jobs(owner, name) } else { Default::default() };
+        service.short.update_turns(&waiting[0]);
+        service.best_effort.update_turns(&waiting[1]);
     }
     owner.scarcity = services;
 }
