fix(gl-jobs): end the turn of a recurring job with its occurrence

Cause: a turn was kept until the job ended, so all later occurrences of a recurring job came first. Change: the turn ends once all tasks of the occurrence are done.

--- a/gl-cost/src/ledger.rs
+++ b/gl-cost/src/ledger.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Removes a job that ended otherwise.
+    /// Ends the turn of a job that ended otherwise, if it has one.
     pub fn removed(&mut self, id: u64) {
         self.open.remove(&id);
     }
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -132,6 +132,10 @@
             return;
         }
         let opened = entry.open_ready(phase.job, phase.occurrence, now);
+        let is_recurring = entry.job.schedule.is_some();
+        if is_recurring && entry.is_occurrence_done(phase.occurrence) {
+            self.end_turn(phase.job);
+        }
         self.open_phases.extend(opened);
         self.finish_if_done(phase.job, now);
     }
--- a/gl-jobs/src/owner/scarcity.rs
+++ b/gl-jobs/src/owner/scarcity.rs
@@ -260,7 +260,15 @@
         if is_complete && flow.is_scarce() {
             flow.ledger.completed(id.0, &entry.job.queue, order::job_work(&entry.job));
         }
-        service.short.ledger.removed(id.0);
-        service.best_effort.ledger.removed(id.0);
+        self.end_turn(id);
+    }
+
+    /// Ends the turn of a job, or of the occurrence of a job for which it was granted.
+    pub(in crate::owner) fn end_turn(&mut self, id: task::JobId) {
+        let service = self.jobs.get(&id).map(|entry| &entry.job.service);
+        if let Some(service) = service.and_then(|name| self.scarcity.get_mut(name)) {
+            service.short.ledger.removed(id.0);
+            service.best_effort.ledger.removed(id.0);
+        }
     }
 }
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -164,6 +164,12 @@
         state.is_some_and(|state| state.done.count() >= spec.count)
     }
 
+    /// Returns whether all tasks of an occurrence are done.
+    pub fn is_occurrence_done(&self, occurrence: u32) -> bool {
+        let mut phases = self.phases.range((occurrence, 0)..=(occurrence, u32::MAX));
+        phases.all(|(&(occurrence, phase), _)| self.is_phase_done(occurrence, phase))
+    }
+
     /// Returns whether all tasks of all occurrences are done.
     pub fn is_done(&self) -> bool {
         self.all_opened()
--- a/gl-jobs/tests/jobs/order.rs
+++ b/gl-jobs/tests/jobs/order.rs
@@ -110,6 +110,30 @@
     assert_eq!(next(&mut cell, &blocker).task, cell::task(2, 0, 0));
 }
 
+/// Guards against a recurring job whose later occurrences all use the turn of the first one.
+#[test]
+fn turn_of_a_recurring_job_ends_with_its_occurrence() {
+    let (mut cell, blocker) = occupied(true);
+    let first = cell::at(cell.now);
+    let schedule = Some(job::Schedule { first, interval: time::Span::seconds(2), count: 2 });
+    cell.submit(2, job::Job { schedule, ..relaxed(1, 2, 40) });
+    for n in 3..7 {
+        let submitted = cell::at(cell.now);
+        cell.submit(n, job::Job { submitted, ..relaxed(1, 0, 40) });
+    }
+    wait(&mut cell, &blocker);
+    let recurring = next(&mut cell, &blocker);
+    assert_eq!(recurring.task, cell::task(2, 0, 0), "the oldest job has a turn");
+    cell.report_end(0, &recurring, worker::Outcome::Done);
+    cell.poll(0, &[]);
+    let other = cell::starts(&cell.tick()).remove(0);
+    cell.start_replied(&other, worker::OrderReply::Done);
+    wait(&mut cell, &other);
+    let occurrences = |cell: &Cell| cell.owner.jobs().map(|(_, entry)| entry.phases.len()).max();
+    assert_eq!(occurrences(&cell), Some(2), "the second occurrence is due");
+    assert_ne!(next(&mut cell, &other).task.phase.job, cell::id(2));
+}
+
 /// Guards against a shortage of short tasks that keeps interrupted long-running tasks waiting.
 #[test]
 fn interrupted_long_running_task_precedes_all_while_capacity_is_scarce() {
