fix: wait for requests whose body is still arriving before a stopping daemon exits

Cause: a request counted as open only once its body was read. A daemon that was stopped could exit while a body was arriving, and cut the request off without a response.

Change: the ingress counts a request from its head until its response is built; JobApi has request_opened() and request_closed() for that, in place of the counts in the handler's methods.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -23,22 +23,6 @@
     node: rc::Rc<node::Node>,
 }
 
-/// Counts a request as open until it is dropped.
-struct OpenRequest<'a>(&'a node::Node);
-
-impl<'a> OpenRequest<'a> {
-    fn new(node: &'a node::Node) -> Self {
-        node.open_requests.set(node.open_requests.get() + 1);
-        Self(node)
-    }
-}
-
-impl Drop for OpenRequest<'_> {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get().saturating_sub(1));
-    }
-}
-
 impl Handler {
     /// Creates the handler of `node`.
     pub const fn new(node: rc::Rc<node::Node>) -> Self {
@@ -201,6 +185,14 @@
         self.node.outages.store_retry_after(retry_after::key_of(path), clock::steady())
     }
 
+    fn request_opened(&self) {
+        self.node.open_requests.set(self.node.open_requests.get() + 1);
+    }
+
+    fn request_closed(&self) {
+        self.node.open_requests.set(self.node.open_requests.get().saturating_sub(1));
+    }
+
     fn metrics(&self) -> String {
         if let Some(log) = &self.node.log {
             self.node.metrics.lines_dropped(log.dropped());
@@ -229,7 +221,6 @@
         job: job::Job,
         limit: time::Span,
     ) -> Result<(), api::Error> {
-        let _open = OpenRequest::new(&self.node);
         let started = clock::steady();
         let outcome = self.store(id, &job, deadline(limit)).await;
         let now = clock::steady();
@@ -266,7 +257,6 @@
         id: task::JobId,
         limit: time::Span,
     ) -> Result<Option<job::State>, api::Error> {
-        let _open = OpenRequest::new(&self.node);
         let started = clock::steady();
         let until = deadline(limit);
         loop {
@@ -289,7 +279,6 @@
     }
 
     async fn cancel(&self, id: task::JobId, limit: time::Span) -> Result<bool, api::Error> {
-        let _open = OpenRequest::new(&self.node);
         let started = clock::steady();
         let until = deadline(limit);
         loop {
@@ -314,7 +303,6 @@
     }
 
     async fn pending(&self, queue: &str, _: time::Span) -> Result<usize, api::Error> {
-        let _open = OpenRequest::new(&self.node);
         let reply = match self.node.role() {
             node::Role::Owner(ownership) => ownership.pending(queue),
             node::Role::Follower(followed) => {
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -46,6 +46,12 @@
     /// read the routing yet.
     fn start_retry_after(&self, path: &str) -> time::Span;
 
+    /// Records that the head of a request was read. A daemon that shuts down waits for it to close.
+    fn request_opened(&self);
+
+    /// Records that a request has its response, or that its client is gone.
+    fn request_closed(&self);
+
     /// Returns the metrics in their text format.
     fn metrics(&self) -> String;
 
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -335,3 +335,47 @@
         }
     }
 }
+
+/// Guards against a configuration that is ignored without a trace, against a line for each read of it,
+/// and against a daemon that drops the queues of the previous version.
+#[ntex::test]
+async fn configuration_that_cannot_be_decoded_is_logged_once_and_keeps_the_previous_one() {
+    let hosted = Hosted::start(1).await;
+    let url = format!("http://{}/admin/config", hosted.store);
+    for version in [4, 5] {
+        http::post(&url, &json!({"Version": version, "Routes": "none"})).await.unwrap();
+        // Longer than two long polls, and long enough for the log to be written.
+        ntex::time::sleep(time::Duration::from_millis(2_500)).await;
+    }
+    // After an outage, all rows are read again.
+    hosted.set_store_down(true).await;
+    ntex::time::sleep(time::Duration::from_millis(1_200)).await;
+    hosted.set_store_down(false).await;
+    ntex::time::sleep(time::Duration::from_millis(2_500)).await;
+    let lines = hosted.daemons[0].log_lines();
+    let logged = lines.iter().filter(|line| line["event"] == "unreadable");
+    assert_eq!(logged.filter(|line| line["row"] == "config").count(), 2, "{lines:?}");
+    let status = client::request_status(hosted.address(0), "GET", &job_path(9), "").await;
+    assert_eq!(status, Some(410), "the queue of version 3 is still served");
+}
+
+/// Guards against a request that is cut off without a response in planned work, because the daemon
+/// exits while the request's body is still arriving.
+#[ntex::test]
+async fn stopping_daemon_answers_a_request_whose_body_arrives_slowly() {
+    use std::io::{Read as _, Write as _};
+    let hosted = Hosted::start(2).await;
+    let body = two_phase_job("{}");
+    let (first, rest) = body.split_at(20);
+    let (path, host, length) = (job_path(1), client::HOST, body.len());
+    let mut stream = net::TcpStream::connect(hosted.address(0)).unwrap();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(format!("{head}{first}").as_bytes()).unwrap();
+    hosted.daemons[0].process.terminate();
+    // Longer than the notice period and the time without requests after which the daemon exits.
+    ntex::time::sleep(time::Duration::from_millis(3_400)).await;
+    stream.write_all(rest.as_bytes()).unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
