feat(gl-jobs): second copies of tasks on slow or silent workers

Cause: a task on a worker that has become slow holds its phase up, although its runs may overlap.

Change: where Settings::copy_share is above zero, a run of a speculative phase that is expected to take 1.5 times as long as a new one, or whose worker is silent, is overtaken: it leaves the table of runs, keeps its capacity until it has ended, and its task waits for placement again. The first end that is done counts, and the other run is stopped. There is one copy a task, and overtaken runs use at most the given share of the service's processors.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -76,6 +76,9 @@
         waited_ms: u64,
         estimate_ms: u64,
     },
+    /// A task starts again elsewhere while this run continues.
+    #[serde(rename = "overtaken")]
+    RunOvertaken { task: Text<task::TaskId>, attempt: u64, worker: &'a str },
     /// A run ended.
     #[serde(rename = "over")]
     RunEnded { task: Text<task::TaskId>, attempt: u64, worker: &'a str, cause: owner::Cause },
@@ -133,6 +136,9 @@
                 waited_ms: waited.as_millis(),
                 estimate_ms: estimate.as_millis(),
             },
+            Note::Overtaken { task, attempt, worker } => {
+                Self::RunOvertaken { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
+            }
             Note::Ended { task, attempt, worker, cause } => Self::RunEnded {
                 task: Text(*task),
                 attempt: *attempt,
--- a/gl-emulate/examples/uneven.rs
+++ b/gl-emulate/examples/uneven.rs
@@ -8,8 +8,9 @@
 const USAGE: &str = "Usage: uneven [options]\n\nCompares the settings for uneven workers.";
 
 /// The ways in which workers are uneven.
-const SCENARIOS: [&str; 9] =
-    ["even", "slow5", "slow2", "failing", "flapping", "empty", "cold", "racks", "one-rack"];
+const SCENARIOS: [&str; 10] = [
+    "even", "slow5", "slow2", "failing", "flapping", "silent", "empty", "cold", "racks", "one-rack",
+];
 
 /// The options of a comparison.
 struct Plan {
@@ -73,6 +74,8 @@
         ("unproven", owner::Settings { unproven_runs: Some(8), ..base }),
         ("cold", owner::Settings { cold_factor: 2.0, ..base }),
         ("remote", owner::Settings { remote_factor, ..base }),
+        ("copies", owner::Settings { copy_share: 0.05, ..base }),
+        ("est+copies", owner::Settings { uses_estimates: true, copy_share: 0.05, ..base }),
         ("spread", owner::Settings { spreads_domains: true, ..base }),
         (
             "all",
@@ -175,6 +178,10 @@
                 let fault = worker::Fault { fails_runs: true, ..worker::Fault::default() };
                 add(at, simulation::Fault::Worker(n, time::Span::seconds(10), fault));
             }
+            "silent" => {
+                let fault = worker::Fault { is_partitioned: true, ..worker::Fault::default() };
+                add(at, simulation::Fault::Worker(n, time::Span::seconds(8), fault));
+            }
             "flapping" => {
                 for repeat in 0..5 {
                     let down = time::Span::millis(1_000);
--- a/gl-emulate/tests/simulation/main.rs
+++ b/gl-emulate/tests/simulation/main.rs
@@ -4,3 +4,4 @@
 pub mod faults;
 mod handover;
 mod scenarios;
+mod uneven;
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -66,6 +66,15 @@
         /// The declared duration of the run.
         estimate: time::Span,
     },
+    /// A task is started again elsewhere while this run continues, as its worker is slow or silent.
+    Overtaken {
+        /// The task.
+        task: task::TaskId,
+        /// The attempt of the run that continues.
+        attempt: u64,
+        /// The worker that it runs on.
+        worker: worker::WorkerId,
+    },
     /// A run ended, or is known never to have started.
     Ended {
         /// The task.
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -24,6 +24,7 @@
             cause: cause_of(end.outcome),
         });
         let run = if is_current { self.release_run(end.task) } else { None };
+        self.overtaken_ended(id, end);
         self.mark_started(end.task.phase.job);
         let has_succeeded = match end.outcome {
             worker::Outcome::Done => Some(true),
@@ -191,7 +192,7 @@
     }
 
     /// Removes a run and releases the capacity that it reserved.
-    fn release_run(&mut self, task: task::TaskId) -> Option<super::Run> {
+    pub(super) fn release_run(&mut self, task: task::TaskId) -> Option<super::Run> {
         let run = self.runs.remove(&task)?;
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.remove(task, &run);
@@ -200,7 +201,7 @@
     }
 
     /// Queues a task for placement again, if its job still needs it.
-    fn requeue(&mut self, task: task::TaskId, now: time::Timestamp) {
+    pub(super) fn requeue(&mut self, task: task::TaskId, now: time::Timestamp) {
         let Some(entry) = self.jobs.get_mut(&task.phase.job) else {
             return;
         };
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -35,7 +35,9 @@
 pub use workers::Worker;
 
 use colocation::{interference, throttle};
-use placement::{advice, distance, drain, gang, headroom, preference, search, spread, trials};
+use placement::{
+    advice, copies, distance, drain, gang, headroom, preference, search, spread, trials,
+};
 use recovery::{store_clock, timeouts};
 use state::{estimate, jobs, runs, workers};
 use view::{domains, roster};
@@ -50,6 +52,8 @@
     jobs: collections::BTreeMap<task::JobId, JobEntry>,
     workers: collections::BTreeMap<worker::WorkerId, Worker>,
     runs: collections::BTreeMap<task::TaskId, Run>,
+    /// Runs of tasks that were started again elsewhere, as their worker became slow or silent.
+    overtaken: collections::BTreeMap<task::TaskId, Run>,
     /// Phases with tasks that wait for placement.
     open_phases: collections::BTreeSet<task::PhaseId>,
     /// Tasks that may have crashed a worker, and are not done.
@@ -126,6 +130,7 @@
             jobs: collections::BTreeMap::new(),
             workers: collections::BTreeMap::new(),
             runs: collections::BTreeMap::new(),
+            overtaken: collections::BTreeMap::new(),
             open_phases: collections::BTreeSet::new(),
             suspects: collections::BTreeSet::new(),
             trials: collections::BTreeMap::new(),
@@ -293,6 +298,9 @@
             self.open_due(id, moment);
         }
         drain::run(self, moment.now);
+        if self.may_start(moment.now) {
+            copies::run(self, moment.now);
+        }
         self.place(moment.now);
     }
 
--- a/gl-jobs/src/owner/placement/distance.rs
+++ b/gl-jobs/src/owner/placement/distance.rs
@@ -147,7 +147,8 @@
     releases
 }
 
-fn expected_end(
+/// Returns the time at which a run is expected to be done.
+pub(in crate::owner) fn expected_end(
     owner: &Owner,
     task: task::TaskId,
     run: &Run,
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Placement: decides which waiting tasks start, and on which workers.
 
 pub(in crate::owner) mod advice;
+pub(in crate::owner) mod copies;
 pub(in crate::owner) mod distance;
 pub(in crate::owner) mod drain;
 pub(in crate::owner) mod gang;
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -3,8 +3,8 @@
 use gl_model::time;
 
 use crate::owner::{
-    JobEntry, Owner, PhaseState, Worker, colocation, distance, headroom, interference, jobs,
-    preference, spread, state,
+    JobEntry, Owner, PhaseState, Worker, colocation, copies, distance, headroom, interference,
+    jobs, preference, spread, state,
 };
 use crate::{job, task, worker};
 
@@ -213,6 +213,7 @@
         && w.registration.service == request.entry.job.service
         && w.is_eligible(settings, now)
         && !preference::is_on_probation(owner, w)
+        && !copies::has_overtaken(owner, request.phase, w)
         && spec.label.as_ref().is_none_or(|label| w.registration.labels.contains(label))
         && spec.per_worker.is_none_or(|limit| siblings(w, request.phase) < limit as usize)
         && is_allowed(request, w, now)
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -152,6 +152,9 @@
     /// Whether the long-running tasks of a job are spread over failure domains where the capacity
     /// is the same.
     pub spreads_domains: bool,
+    /// The largest share of a service's processors for runs that continue while their task runs
+    /// again elsewhere, as their worker is slow or silent; zero if no task is started again.
+    pub copy_share: f64,
 }
 
 impl Default for Settings {
@@ -205,6 +208,7 @@
             cold_factor: 1.0,
             remote_factor: 1.0,
             spreads_domains: false,
+            copy_share: 0.0,
         }
     }
 }
--- a/gl-jobs/src/owner/state/runs.rs
+++ b/gl-jobs/src/owner/state/runs.rs
@@ -85,6 +85,8 @@
     /// Whether its running time does not tell its duration: it was started from a checkpoint, or by
     /// an earlier owner.
     pub is_partial: bool,
+    /// Whether it may overlap with another run of its task.
+    pub speculative: bool,
 }
 
 /// The kinds of tasks.
@@ -183,5 +185,6 @@
         checkpointing: spec.checkpointing,
         estimate: spec.estimate,
         is_partial: false,
+        speculative: spec.speculative,
     }
 }
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -261,9 +261,13 @@
     }
 
     pub(in crate::owner) fn add(&mut self, task: task::TaskId, run: &runs::Run) {
-        if !self.runs.insert(task) {
-            return;
+        if self.runs.insert(task) {
+            self.reserve(run);
         }
+    }
+
+    /// Reserves the capacity of a run.
+    pub(in crate::owner) fn reserve(&mut self, run: &runs::Run) {
         self.reserved = self.reserved.plus(&run.reserved);
         match run.kind {
             runs::Kind::BestEffort => {
@@ -279,9 +283,13 @@
     }
 
     pub(in crate::owner) fn remove(&mut self, task: task::TaskId, run: &runs::Run) {
-        if !self.runs.remove(&task) {
-            return;
+        if self.runs.remove(&task) {
+            self.unreserve(run);
         }
+    }
+
+    /// Releases the capacity of a run.
+    pub(in crate::owner) fn unreserve(&mut self, run: &runs::Run) {
         self.reserved = self.reserved.minus(&run.reserved);
         match run.kind {
             runs::Kind::BestEffort => {
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -286,6 +286,7 @@
         for running in &reply.running {
             match self.update_run(id, running, now) {
                 Some(is_first) => known += usize::from(is_first),
+                None if self.reports_overtaken(id, running, now) => {}
                 None if self.adopt(id, running, now) => {}
                 None => {
                     unknown += 1;
--- a/gl-jobs/tests/jobs/uneven.rs
+++ b/gl-jobs/tests/jobs/uneven.rs
@@ -259,3 +259,76 @@
     assert_eq!(domains_of(true), [2, 2, 2]);
     assert_ne!(domains_of(false), [2, 2, 2]);
 }
+
+/// Returns a cell with copies whose worker 0 has a run of a speculative task that made 5% progress in
+/// 2 s, and the start of that run.
+fn with_slow_run(copy_share: f64, speculative: bool) -> (Cell, cell::Started) {
+    let settings = owner::Settings { copy_share, ..owner::Settings::default() };
+    let mut cell = Cell::with_settings(3, settings);
+    let phase = job::Phase { speculative, ..cell::phase(1, 10_000) };
+    let start = cell::starts(&cell.submit(1, cell::job(vec![phase]))).remove(0);
+    cell.start_replied(&start, worker::OrderReply::Done);
+    for step in 1..=4 {
+        cell.now += 490;
+        cell.poll(0, &[cell::running(&start, f64::from(step) * 3.0, 0.0)]);
+        cell.poll(1, &[]);
+        cell.poll(2, &[]);
+    }
+    (cell, start)
+}
+
+/// A task that hangs behind must start again elsewhere, once, and only if its runs may overlap.
+#[test]
+fn speculative_task_on_a_slow_worker_gets_one_copy() {
+    let (mut cell, first) = with_slow_run(0.1, true);
+    let copies = cell::starts(&cell.tick());
+    assert_eq!(copies.len(), 1);
+    assert_ne!(copies[0].worker, first.worker);
+    assert!(copies[0].attempt > first.attempt);
+    cell.start_replied(&copies[0], worker::OrderReply::Done);
+    assert!(cell::starts(&cell.tick()).is_empty());
+    for (copy_share, speculative) in [(0.1, false), (0.0, true), (0.01, true)] {
+        let (mut cell, _) = with_slow_run(copy_share, speculative);
+        assert!(cell::starts(&cell.tick()).is_empty(), "{copy_share} {speculative}");
+    }
+}
+
+/// The first end counts. The other run must be stopped, and its capacity be free only after its end.
+#[test]
+fn end_of_either_run_completes_the_task_and_stops_the_other() {
+    for is_first in [true, false] {
+        let (mut cell, first) = with_slow_run(0.1, true);
+        let copy = cell::starts(&cell.tick()).remove(0);
+        cell.start_replied(&copy, worker::OrderReply::Done);
+        let (done, other) = if is_first { (&first, &copy) } else { (&copy, &first) };
+        let report = |start| vec![cell::running(start, 10.0, 0.0)];
+        let (n, m) = (cell::index(&done.worker), cell::index(&other.worker));
+        cell.poll(m, &report(other));
+        cell.report_end(n, done, worker::Outcome::Done);
+        cell.poll(n, &[]);
+        cell.commit();
+        assert_eq!(cell.owner.state(cell::id(1)), Some(job::State::Complete));
+        let stops = cell.tick().into_iter().any(|action| {
+            matches!(action, owner::Action::Stop { attempt, .. } if attempt == other.attempt)
+        });
+        let stopped = |run: &owner::Run| run.attempt == other.attempt && run.is_stopping();
+        assert!(stops || cell.owner.runs().any(|(_, run)| stopped(run)));
+        assert_eq!(cell.owner.worker(&other.worker).unwrap().reserved.cores, 10_000);
+        cell.report_end(m, other, worker::Outcome::Stopped);
+        cell.poll(m, &[]);
+        assert!(cell::starts(&cell.tick()).is_empty());
+        assert_eq!(cell.owner.worker(&other.worker).unwrap().reserved.cores, 0);
+    }
+}
+
+/// The run of a worker that restarts has ended, and must not keep its capacity for ever.
+#[test]
+fn overtaken_run_that_vanishes_releases_its_capacity() {
+    let (mut cell, first) = with_slow_run(0.1, true);
+    let copy = cell::starts(&cell.tick()).remove(0);
+    cell.start_replied(&copy, worker::OrderReply::Done);
+    cell.poll(cell::index(&first.worker), &[]);
+    cell.tick();
+    assert_eq!(cell.owner.worker(&first.worker).unwrap().reserved.cores, 0);
+    assert_eq!(cell.owner.worker(&copy.worker).unwrap().reserved.cores, 10_000);
+}
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -84,6 +84,7 @@
             owner::Note::Suspected { .. } => self.event("suspect"),
             owner::Note::Replaced { .. } => self.event("replaced"),
             owner::Note::Stopping { .. } => self.event("stop"),
+            owner::Note::Overtaken { .. } => self.event("overtaken"),
             owner::Note::Implicated { .. } => self.event("implicated"),
             owner::Note::GivenUp { .. } => self.event("given-up"),
             owner::Note::Emptied { .. } => self.event("domain-emptied"),
