--- a/gl-jobs/src/owner/placement/spread.rs
+++ b/gl-jobs/src/owner/placement/spread.rs
@@ -8,7 +8,7 @@
 
 /// The malus of a failure domain that has all running tasks of the phase. It outweighs differences in
 /// free capacity, and none in interference.
-const DOMAIN_MALUS: f64 = 1.0;
+const DOMAIN_MALUS: f64 = 0.25;
 
 /// The share of a phase's running tasks that each failure domain has.
 #[derive(Default)]
