--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -42,7 +42,7 @@
 use colocation::{interference, pressure, throttle};
 use pacing::{in_flight, poll_times};
 use placement::{
-    advice, distance, drain, gang, headroom, order, preference, search, spread, trials,
+    advice, copies, distance, drain, gang, headroom, order, preference, search, spread, trials,
 };
 use recovery::{store_clock, timeouts};
 use state::{estimate, jobs, runs, workers};
@@ -58,6 +58,8 @@
     jobs: collections::BTreeMap<task::JobId, JobEntry>,
     workers: collections::BTreeMap<worker::WorkerId, Worker>,
     runs: collections::BTreeMap<task::TaskId, Run>,
+    /// Runs of tasks that were started again elsewhere, as their worker became slow or silent.
+    overtaken: collections::BTreeMap<task::TaskId, Run>,
     /// Phases with tasks that wait for placement.
     open_phases: collections::BTreeSet<task::PhaseId>,
     /// Tasks that may have crashed a worker, and are not done.
@@ -154,6 +156,7 @@
             jobs: collections::BTreeMap::new(),
             workers: collections::BTreeMap::new(),
             runs: collections::BTreeMap::new(),
+            overtaken: collections::BTreeMap::new(),
             open_phases: collections::BTreeSet::new(),
             suspects: collections::BTreeSet::new(),
             trials: collections::BTreeMap::new(),
@@ -346,6 +349,9 @@
             self.open_due(id, moment);
         }
         drain::run(self, moment.now);
+        if self.may_start(moment.now) {
+            copies::run(self, moment.now);
+        }
         self.place(moment.now);
     }
 
