feat(gl-emulate): let the load of long-running tasks swing, and count lost windows

Cause: the new deployments' load swings in phase and their evaluation counts a window over target beside best-effort tasks four times; the simulation had neither, so settings could not be compared for them.

Change: a common swing of usage and tail latency (share, period, spread of the offsets), a burst whose jobs share an image, the net payoff by that evaluation, and lost windows, stopped runs and CPU limits per 1,000 starts of best-effort tasks.

--- a/gl-emulate/examples/experiment.rs
+++ b/gl-emulate/examples/experiment.rs
@@ -1,12 +1,17 @@
 //! Simulates a load and prints the service that clients get, for one or more sets of owner settings
 //! side by side.
 
-use gl_emulate::{fleet, load, simulation};
+use std::{collections, fmt};
+
+use gl_emulate::{fleet, load, report, simulation, usage};
 use gl_jobs::owner;
 use gl_model::time;
 
 const USAGE: &str = "Usage: experiment [options]\n\nSimulates jobs in virtual time.";
 
+/// The largest offset of a task from the common swing, as a share of the period.
+const SPREAD: f64 = 0.06;
+
 fn main() -> Result<(), String> {
     let mut options = getopts::Options::new();
     options.optflag("h", "help", "print this text");
@@ -19,6 +24,12 @@
     options.optopt("", "burst", "factor on the rate of best-effort jobs for 6 s (1)", "X");
     options.optopt("", "harm-limit", "compare with this interference limit", "X");
     options.optflag("", "orders", "compare the orders of phases");
+    options.optopt("", "burst-at", "second at which the burst starts (10)", "N");
+    options.optopt("", "burst-image", "number of the image of the burst's jobs", "N");
+    options.optopt("", "swing", "swing of the long-running load, relative to its mean", "X");
+    options.optopt("", "period", "period of the swing, in seconds (11)", "N");
+    options.optopt("", "first-seed", "first seed (0)", "N");
+    options.optflag("", "table", "print the mean of all seeds, one line for each set of settings");
     let matches = options.parse(std::env::args().skip(1)).map_err(|e| e.to_string())?;
     if matches.opt_present("help") {
         println!("{}", options.usage(USAGE));
@@ -42,24 +53,33 @@
         policies.push(("slack", owner::Settings { order: owner::PhaseOrder::Slack, ..base }));
         policies.push(("work", owner::Settings { order: owner::PhaseOrder::Work, ..base }));
     }
-    for seed in 0..u64::from(whole("seeds", 3)?) {
-        let burst = load::Burst {
-            from: time::Timestamp(time::Span::seconds(10).0),
-            length: time::Span::seconds(6),
-            factor: number("burst", 1.0)?,
-        };
-        let arrivals = load::generate(&load::Settings {
-            seed,
-            length: time::Span::seconds(u64::from(whole("seconds", 20)?)),
-            long_running: whole("lasting", 18)?,
-            batch: number("batch", 2.0)?,
-            best_effort: number("fills", 2.0)?,
-            burst: Some(burst),
-            ..load::Settings::default()
-        });
-        for (name, owner) in &policies {
-            let workers = fleet::mixed(whole("workers", 24)? as usize);
-            let arrivals = arrivals.clone();
+    let swing = usage::Swing {
+        share: number("swing", 0.0)?,
+        period: time::Span::seconds(u64::from(whole("period", 11)?)),
+        spread: SPREAD,
+    };
+    let burst = load::Burst {
+        from: time::Timestamp(time::Span::seconds(u64::from(whole("burst-at", 10)?)).0),
+        length: time::Span::seconds(6),
+        factor: number("burst", 1.0)?,
+        image: matches.opt_present("burst-image").then(|| whole("burst-image", 0)).transpose()?,
+    };
+    let usual = load::Settings {
+        length: time::Span::seconds(u64::from(whole("seconds", 20)?)),
+        long_running: whole("lasting", 18)?,
+        batch: number("batch", 2.0)?,
+        best_effort: number("fills", 2.0)?,
+        burst: Some(burst),
+        swing: matches.opt_present("swing").then_some(swing),
+        ..load::Settings::default()
+    };
+    let workers = fleet::mixed(whole("workers", 24)? as usize);
+    let first = u64::from(whole("first-seed", 0)?);
+    let mut totals = vec![Total::default(); policies.len()];
+    for seed in first..first + u64::from(whole("seeds", 3)?) {
+        let arrivals = load::generate(&load::Settings { seed, ..usual });
+        for ((name, owner), total) in policies.iter().zip(&mut totals) {
+            let (workers, arrivals) = (workers.clone(), arrivals.clone());
             let settings = simulation::Settings {
                 seed,
                 workers,
@@ -67,8 +87,57 @@
                 owner: *owner,
                 ..Default::default()
             };
-            print!("seed {seed}, {name}: {}", simulation::Simulation::new(settings).run());
+            let report = simulation::Simulation::new(settings).run();
+            if !matches.opt_present("table") {
+                print!("seed {seed}, {name}: {report}");
+            }
+            total.add(&report);
         }
     }
+    for ((name, _), total) in policies.iter().zip(&totals) {
+        println!("{name:<16} {total}");
+    }
     Ok(())
 }
+
+/// The totals of all seeds.
+#[derive(Clone, Default)]
+struct Total {
+    kinds: collections::BTreeMap<String, report::KindTotals>,
+    colocation: report::Colocation,
+    violations: usize,
+}
+
+impl Total {
+    fn add(&mut self, report: &report::Report) {
+        for (name, kind) in &report.kinds {
+            let sum = self.kinds.entry(name.clone()).or_default();
+            sum.attainable += kind.attainable;
+            sum.net += kind.net;
+        }
+        self.colocation.starts += report.colocation.starts;
+        self.colocation.windows += report.colocation.windows;
+        self.colocation.stopped += report.colocation.stopped;
+        self.colocation.limits += report.colocation.limits;
+        self.violations += report.violations.len();
+    }
+}
+
+impl fmt::Display for Total {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (mut net, mut attainable) = (0.0, 0.0);
+        for (name, kind) in &self.kinds {
+            write!(f, "{name} {:.3} ", kind.net / kind.attainable)?;
+            net += kind.net;
+            attainable += kind.attainable;
+        }
+        let [windows, stopped, limits] = self.colocation.per_thousand();
+        let starts = self.colocation.starts;
+        write!(
+            f,
+            "all {:.3}, {starts} starts, per 1,000: {windows:.0} windows, ",
+            net / attainable
+        )?;
+        write!(f, "{stopped:.0} stopped, {limits:.0} limits; {} violations", self.violations)
+    }
+}
--- a/gl-emulate/src/lib.rs
+++ b/gl-emulate/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod load;
 pub mod report;
 pub mod simulation;
+pub mod usage;
 pub mod worker;
--- a/gl-emulate/src/load.rs
+++ b/gl-emulate/src/load.rs
@@ -5,7 +5,7 @@
 use gl_model::{size, time};
 use rand::{Rng as _, SeedableRng as _, rngs};
 
-use crate::worker;
+use crate::{usage, worker};
 
 /// The service to which all jobs and workers belong.
 pub const SERVICE: &str = "desk";
@@ -54,6 +54,8 @@
     pub cancelled: f64,
     /// A temporary increase of the arrival rate of best-effort jobs.
     pub burst: Option<Burst>,
+    /// The common swing of the load of long-running tasks.
+    pub swing: Option<usage::Swing>,
 }
 
 /// A temporary increase of the arrival rate.
@@ -65,6 +67,8 @@
     pub length: time::Span,
     /// The factor on the arrival rate.
     pub factor: f64,
+    /// The number of the image that the best-effort jobs of the burst have, if they share one.
+    pub image: Option<u32>,
 }
 
 impl Default for Settings {
@@ -81,6 +85,7 @@
             crashing: 0.0,
             cancelled: 0.03,
             burst: None,
+            swing: None,
         }
     }
 }
@@ -103,7 +108,8 @@
             all.push(generator.batch(settings, at));
         }
         if generator.rng.random_bool((settings.best_effort * factor * step.as_seconds()).min(1.0)) {
-            all.push(generator.best_effort(settings, at));
+            let image = active_burst.and_then(|b| b.image);
+            all.push(generator.best_effort(settings, image, at));
         }
         at = at + step;
     }
@@ -139,7 +145,11 @@
             tail_target: Some(time::Span::millis(50)),
             ..job::Phase::default()
         };
-        self.arrival(at, vec![phase], "lasting", 0.4, None)
+        let mut arrival = self.arrival(at, vec![phase], "lasting", 0.4, None);
+        for behaviour in &mut arrival.behaviours {
+            behaviour.swing = settings.swing;
+        }
+        arrival
     }
 
     fn batch(&mut self, settings: &Settings, at: time::Timestamp) -> Arrival {
@@ -174,8 +184,14 @@
         arrival
     }
 
-    fn best_effort(&mut self, settings: &Settings, at: time::Timestamp) -> Arrival {
-        let image = self.rng.random_range(0..settings.best_effort_images.max(1));
+    fn best_effort(
+        &mut self,
+        settings: &Settings,
+        image: Option<u32>,
+        at: time::Timestamp,
+    ) -> Arrival {
+        let usual = self.rng.random_range(0..settings.best_effort_images.max(1));
+        let image = image.unwrap_or(usual);
         let cores = self.rng.random_range(5_000..10_000);
         let size = size::Size { cores, memory: 13_000, accelerators: 0 };
         let phases: Vec<_> = (0..2)
@@ -240,6 +256,7 @@
         crashes_worker: false,
         checkpointing: phase.checkpointing,
         speculative: phase.speculative,
+        swing: None,
     }
 }
 
--- a/gl-emulate/src/report.rs
+++ b/gl-emulate/src/report.rs
@@ -60,6 +60,26 @@
     pub earned: f64,
     /// The payoff attainable if all jobs ended in time.
     pub attainable: f64,
+    /// The payoff earned if a window of a long-running task over its target with best-effort tasks
+    /// beside it costs [`INTERFERENCE_FACTOR`] times what such a window earns.
+    pub net: f64,
+}
+
+/// The factor by which the new deployments count windows that are lost to interference.
+pub const INTERFERENCE_FACTOR: f64 = 4.0;
+
+/// What interference and the protection from it have cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Colocation {
+    /// The number of started runs of best-effort tasks.
+    pub starts: u64,
+    /// The number of windows of two seconds in which a long-running task was over its target with
+    /// best-effort tasks beside it.
+    pub windows: u64,
+    /// The number of runs that owners have stopped because of interference.
+    pub stopped: u64,
+    /// The number of ordered CPU limits.
+    pub limits: u64,
 }
 
 /// The final state of a job that clients can see.
@@ -88,6 +108,8 @@
     pub polls: u64,
     /// The total time in seconds that long-running tasks spent above their tail latency target.
     pub over_target: f64,
+    /// What interference and the protection from it have cost.
+    pub colocation: Colocation,
     /// The number of commits of owners.
     pub commits: u64,
     /// The owners' notes that match the trace filter.
@@ -103,6 +125,14 @@
     }
 }
 
+impl Colocation {
+    /// Returns the lost windows, the stopped runs and the CPU limits for each thousand starts.
+    pub fn per_thousand(&self) -> [f64; 3] {
+        let starts = (self.starts as f64).max(1.0);
+        [self.windows, self.stopped, self.limits].map(|n| n as f64 * 1_000.0 / starts)
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -116,6 +146,12 @@
             self.over_target,
             self.violations.len()
         )?;
+        let [windows, stopped, limits] = self.colocation.per_thousand();
+        writeln!(
+            f,
+            "  per 1,000 of {} best-effort starts: {windows:.0} windows lost, {stopped:.0} runs stopped, {limits:.0} CPU limits",
+            self.colocation.starts
+        )?;
         for (name, kind) in &self.kinds {
             writeln!(
                 f,
--- a/gl-emulate/src/simulation/checks.rs
+++ b/gl-emulate/src/simulation/checks.rs
@@ -268,9 +268,11 @@
             if took <= objective {
                 kind.in_time += 1;
                 kind.earned += arrival.payoff;
+                kind.net += arrival.payoff;
             } else if took <= objective + objective + objective {
                 kind.late += 1;
                 kind.earned += arrival.payoff * LATE_PAYOFF_SHARE;
+                kind.net += arrival.payoff * LATE_PAYOFF_SHARE;
             }
         }
         for id in unfinished {
--- a/gl-emulate/src/simulation/messages.rs
+++ b/gl-emulate/src/simulation/messages.rs
@@ -110,4 +110,20 @@
             message,
         });
     }
+
+    /// Counts an owner's note, and keeps it if it matches the trace filter.
+    pub(super) fn trace(&mut self, n: usize, note: &owner::Note) {
+        let reason = owner::StopReason::Interference;
+        if matches!(note, owner::Note::Stopping { reason: r, .. } if *r == reason) {
+            self.report.colocation.stopped += 1;
+        }
+        let Some(filter) = &self.settings.trace else {
+            return;
+        };
+        let text = format!("{note:?}");
+        if text.contains(filter) {
+            let at = self.now.0 / 1_000;
+            self.report.trace.push(format!("{at} owner {} {text}", self.ownerships[n].token));
+        }
+    }
 }
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -72,6 +72,9 @@
     last_runs: collections::BTreeMap<task::TaskId, time::Timestamp>,
     completed: collections::BTreeSet<task::TaskId>,
     pending_ends: Vec<PendingEnd>,
+    /// The long-running tasks that were over their targets beside best-effort tasks in the present
+    /// window.
+    spoiled: collections::BTreeSet<task::TaskId>,
     report: report::Report,
 }
 
@@ -120,6 +123,7 @@
             last_runs: collections::BTreeMap::new(),
             completed: collections::BTreeSet::new(),
             pending_ends: Vec::new(),
+            spoiled: collections::BTreeSet::new(),
             report: report::Report::default(),
         }
     }
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -353,6 +353,7 @@
                 (find(&worker), Message::Stop(task, attempt))
             }
             owner::Action::Throttle { worker, task, attempt, percent } => {
+                self.report.colocation.limits += 1;
                 self.ownerships[n].owner.throttle_confirmed(task, attempt, percent);
                 (find(&worker), Message::SetCpuLimit(task, attempt, percent))
             }
@@ -372,17 +373,6 @@
         }
         self.send(n, worker, MESSAGE_DELAY, message);
     }
-
-    pub(super) fn trace(&mut self, n: usize, note: &owner::Note) {
-        let Some(filter) = &self.settings.trace else {
-            return;
-        };
-        let text = format!("{note:?}");
-        if text.contains(filter) {
-            let at = self.now.0 / 1_000;
-            self.report.trace.push(format!("{at} owner {} {text}", self.ownerships[n].token));
-        }
-    }
 }
 
 /// Returns a reading of the store's clock, which is two minutes ahead of all others.
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -129,10 +129,12 @@
         };
         let was_running = self.workers[n].runs.contains_key(&order.task);
         let is_speculative = behaviour.speculative;
+        let is_best_effort = behaviour.best_effort;
         let crashes_worker = behaviour.crashes_worker && order.task.index == 0;
         let reply = self.workers[n].start(token, order, behaviour, self.now);
         if reply == model::OrderReply::Done && !was_running {
             self.report.starts += 1;
+            self.report.colocation.starts += u64::from(is_best_effort);
             if crashes_worker {
                 self.crashes.push((self.now + CRASH_DELAY, n, order.task));
             }
@@ -176,8 +178,13 @@
             let is_over_target = |run: &&worker::Run| {
                 run.behaviour.long_running && run.load > run.behaviour.tail_target
             };
-            let over_target = self.workers[n].runs.values().filter(is_over_target).count();
+            let runs = &self.workers[n].runs;
+            let over_target = runs.values().filter(is_over_target).count();
             self.report.over_target += over_target as f64 * TIME_STEP.as_seconds();
+            if runs.values().any(|run| run.behaviour.best_effort) {
+                let spoiled = runs.iter().filter(|(_, run)| is_over_target(run));
+                self.spoiled.extend(spoiled.map(|(task, _)| *task));
+            }
         }
         if self.is_due(time::Span::seconds(2)) {
             self.score_long_running();
@@ -194,15 +201,23 @@
             }
             let count = arrival.job.phases[0].count;
             let runs = self.workers.iter().flat_map(|w| &w.runs);
-            let good = runs.filter(|(t, r)| {
-                t.phase.job == *id
-                    && self.now.since(r.started) > time::Span::seconds(1)
-                    && r.load <= r.behaviour.tail_target
-            });
+            let is_ready = |t: &task::TaskId, r: &worker::Run| {
+                t.phase.job == *id && self.now.since(r.started) > time::Span::seconds(1)
+            };
+            let ready: Vec<_> = runs.filter(|(t, r)| is_ready(t, r)).collect();
+            let is_good = |r: &worker::Run| r.load <= r.behaviour.tail_target;
+            let good = ready.iter().filter(|(_, r)| is_good(r)).count() as f64;
+            let is_spoiled = |t: &task::TaskId| self.spoiled.contains(t);
+            let kept = ready.iter().filter(|(t, r)| is_good(r) || is_spoiled(t)).count() as f64;
+            let spoiled = self.spoiled.iter().filter(|task| task.phase.job == *id).count() as f64;
+            let lost = spoiled * report::INTERFERENCE_FACTOR;
             let kind = self.report.kinds.entry(arrival.kind.to_owned()).or_default();
             kind.jobs += 1;
             kind.attainable += arrival.payoff;
-            kind.earned += arrival.payoff * good.count() as f64 / f64::from(count);
+            kind.earned += arrival.payoff * good / f64::from(count);
+            kind.net += arrival.payoff * (kept - lost) / f64::from(count);
         }
+        self.report.colocation.windows += self.spoiled.len() as u64;
+        self.spoiled.clear();
     }
 }
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -5,7 +5,7 @@
 use gl_jobs::{task, worker};
 use gl_model::{size, time};
 
-use crate::fleet;
+use crate::{fleet, usage};
 
 /// A temporary fault of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -43,6 +43,8 @@
     pub checkpointing: bool,
     /// Whether several runs of the task may overlap.
     pub speculative: bool,
+    /// The swing of a long-running task's load, if it follows a common one.
+    pub swing: Option<usage::Swing>,
 }
 
 /// A run of a task.
@@ -103,14 +105,6 @@
 const MAX_LEASE: time::Span = time::Span::seconds(10);
 /// The work between two checkpoints.
 const CHECKPOINT_INTERVAL: time::Span = time::Span::seconds(2);
-/// The tail latency of a long-running task without interference, as a share of its target.
-const UNDISTURBED_TAIL: f64 = 0.4;
-/// The mean CPU usage of a long-running task, as a share of its requested CPU.
-const MEAN_USAGE: f64 = 0.45;
-/// The amplitude of the oscillation of that usage.
-const USAGE_AMPLITUDE: f64 = 0.22;
-/// The period of the oscillation, in seconds.
-const USAGE_PERIOD_S: f64 = 14.0;
 
 impl Worker {
     /// Creates a worker that has just started.
@@ -337,8 +331,6 @@
         now: time::Timestamp,
         step: time::Span,
     ) {
-        let angle =
-            now.since(time::Timestamp(0)).as_seconds() / USAGE_PERIOD_S * std::f64::consts::TAU;
         let capacity = self.spec.size.cores as f64;
         let mut used = 0.0;
         let mut demanded = 0.0;
@@ -346,7 +338,7 @@
         for (task, run) in &self.runs {
             let cores = run.behaviour.size.cores as f64;
             if run.behaviour.long_running {
-                used += cores * usage_at(task, angle);
+                used += cores * usage::share(run.behaviour.swing, task, now);
             } else if run.behaviour.best_effort {
                 demanded += cores * run.cpu_limit;
                 if let Some(image) = run.behaviour.image {
@@ -362,14 +354,16 @@
         for (task, run) in &mut self.runs {
             let cores = run.behaviour.size.cores as f64;
             if run.behaviour.long_running {
-                let activity = usage_at(task, angle) / MEAN_USAGE;
+                let swing = run.behaviour.swing;
+                let activity = usage::activity(swing, task, now);
                 let image = run.behaviour.image.unwrap_or_default();
                 let increase: f64 = best_effort_runs
                     .iter()
                     .map(|(source, part)| interference(image, *source) * part)
                     .sum();
+                let undisturbed = usage::undisturbed_tail(swing, activity);
                 run.load =
-                    run.behaviour.tail_target * (UNDISTURBED_TAIL + increase * activity * activity);
+                    run.behaviour.tail_target * (undisturbed + increase * activity * activity);
                 continue;
             }
             let speed = if run.behaviour.best_effort { run.cpu_limit * share } else { 1.0 };
@@ -381,13 +375,6 @@
     }
 }
 
-/// Returns the share of its requested CPU that a long-running task uses. Each task oscillates with
-/// an offset of its own.
-fn usage_at(task: &task::TaskId, angle: f64) -> f64 {
-    let offset = (task.phase.job.0 % 97) as f64 + f64::from(task.index) * 0.7;
-    MEAN_USAGE + USAGE_AMPLITUDE * (angle + offset).sin()
-}
-
 fn checkpoint(run: &Run) -> String {
     let saved = run.done.0 / CHECKPOINT_INTERVAL.0 * CHECKPOINT_INTERVAL.0;
     if run.behaviour.checkpointing && saved > 0 { saved.to_string() } else { String::new() }
--- a/gl-emulate/tests/simulation/scenarios.rs
+++ b/gl-emulate/tests/simulation/scenarios.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn burst_of_best_effort_jobs_does_not_delay_batch_jobs() {
-    let burst = load::Burst { from: at(10_000), length: seconds(6), factor: 2.5 };
+    let burst = load::Burst { from: at(10_000), length: seconds(6), factor: 2.5, image: None };
     let report = run(&load::Settings { burst: Some(burst), ..usual() }, Vec::new());
     assert!(report.payoff_share() > 0.75, "{report}");
     assert!(share_in_time(&report, "batch") > 0.9, "the burst delays batch jobs: {report}");
