feat(gl-jobs): bound trials, use forecasts and count the cost of interference

Cause: images that interfere were taken for harmless ones again. A run with a low CPU limit does not interfere, and the windows in which it did not were counted like any others, so the pair fell below interference_limit and was started again. Nothing bounded the runs of a new image, no decision looked ahead, and the cost of interference was not reported.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -98,6 +98,19 @@
         #[serde(rename = "heat")]
         tail_ratio: f64,
     },
+    /// The cost of interference between best-effort and long-running tasks of a service, in counts
+    /// since the last such line, and per 1,000 starts of best-effort tasks.
+    Interference {
+        service: &'a str,
+        span_ms: u64,
+        starts: u64,
+        windows: u64,
+        stopped: u64,
+        limits: u64,
+        windows_per_1000: f64,
+        stopped_per_1000: f64,
+        limits_per_1000: f64,
+    },
     /// A worker gets no new tasks for a while.
     Suspected { worker: &'a str, reason: &'static str },
     /// A worker has crashed soon after it started a task.
@@ -156,6 +169,17 @@
                 cpu_limit: *percent,
                 tail_ratio: *tail_ratio,
             },
+            Note::Impact { service, impact, span } => Self::Interference {
+                service,
+                span_ms: span.as_millis(),
+                starts: impact.starts,
+                windows: impact.windows,
+                stopped: impact.stopped,
+                limits: impact.limits,
+                windows_per_1000: impact.per_thousand(impact.windows),
+                stopped_per_1000: impact.per_thousand(impact.stopped),
+                limits_per_1000: impact.per_thousand(impact.limits),
+            },
             Note::Suspected { worker, reason, .. } => {
                 Self::Suspected { worker: worker.as_str(), reason }
             }
--- a/gl-emulate/examples/experiment.rs
+++ b/gl-emulate/examples/experiment.rs
@@ -24,6 +24,11 @@
     options.optopt("", "burst", "factor on the rate of best-effort jobs for 6 s (1)", "X");
     options.optopt("", "harm-limit", "compare with this interference limit", "X");
     options.optflag("", "orders", "compare the orders of phases");
+    options.optflag(
+        "",
+        "switches",
+        "compare the switches of colocation; base is skip with untested",
+    );
     options.optopt("", "burst-at", "second at which the burst starts (10)", "N");
     options.optopt("", "burst-image", "number of the image of the burst's jobs", "N");
     options.optopt("", "swing", "swing of the long-running load, relative to its mean", "X");
@@ -53,6 +58,11 @@
         policies.push(("slack", owner::Settings { order: owner::PhaseOrder::Slack, ..base }));
         policies.push(("work", owner::Settings { order: owner::PhaseOrder::Work, ..base }));
     }
+    if matches.opt_present("switches") {
+        let switched = colocations().into_iter();
+        policies
+            .extend(switched.map(|(name, c)| (name, owner::Settings { colocation: c, ..base })));
+    }
     let swing = usage::Swing {
         share: number("swing", 0.0)?,
         period: time::Span::seconds(u64::from(whole("period", 11)?)),
@@ -100,6 +110,29 @@
     Ok(())
 }
 
+/// Returns the switches of colocation: one at a time, and with the two that need no swing.
+fn colocations() -> Vec<(&'static str, owner::Colocation)> {
+    let off = owner::Colocation::default();
+    let skip = owner::Colocation { skips_throttled: true, ..off };
+    let untested = owner::Colocation { untested_runs: Some(2), ..off };
+    let starts = owner::Colocation { forecasts_starts: true, ..off };
+    let limits = owner::Colocation { forecasts_limits: true, ..off };
+    let base = owner::Colocation { untested_runs: Some(2), ..skip };
+    vec![
+        ("skip", skip),
+        ("untested", untested),
+        ("starts", starts),
+        ("limits", limits),
+        ("base", base),
+        ("base, starts", owner::Colocation { forecasts_starts: true, ..base }),
+        ("base, limits", owner::Colocation { forecasts_limits: true, ..base }),
+        (
+            "base, both",
+            owner::Colocation { forecasts_starts: true, forecasts_limits: true, ..base },
+        ),
+    ]
+}
+
 /// The totals of all seeds.
 #[derive(Clone, Default)]
 struct Total {
--- a/gl-forecast/src/forecast.rs
+++ b/gl-forecast/src/forecast.rs
@@ -25,9 +25,9 @@
 }
 
 impl Forecast {
-    /// Returns whether there is a periodic component.
-    pub const fn is_periodic(&self) -> bool {
-        self.wave.is_some()
+    /// Returns the amplitude of the periodic component relative to the mean value; zero without one.
+    pub fn swing(&self) -> f64 {
+        self.wave.map_or(0.0, |wave| wave.amplitude / wave.level.max(f64::EPSILON))
     }
 
     /// Returns the expected value at a time.
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -2,6 +2,7 @@
 
 use gl_model::time;
 
+use crate::owner::Impact;
 use crate::{job, task, worker};
 
 /// A decision that the caller has to carry out.
@@ -162,6 +163,15 @@
         /// The number of runs that are left there.
         runs: usize,
     },
+    /// The cost of interference between best-effort and long-running tasks since the last such note.
+    Impact {
+        /// The service.
+        service: String,
+        /// The counts.
+        impact: Impact,
+        /// The time since the last such note.
+        span: time::Span,
+    },
     /// The recovery takes long, because workers that may run tasks of earlier owners' jobs have not
     /// replied.
     Recovering {
--- a/gl-jobs/src/owner/colocation/interference.rs
+++ b/gl-jobs/src/owner/colocation/interference.rs
@@ -197,6 +197,13 @@
             .map_or(PRIOR.probability(), |model| model.probability(best_effort))
     }
 
+    /// Returns the number of recent windows in which a pair of images was observed.
+    pub fn windows(&self, long_running: ImageId, best_effort: ImageId) -> f64 {
+        let model = self.long_running.get(long_running.0);
+        let pair = model.and_then(|model| model.pairs.get(best_effort.0));
+        pair.map_or(0.0, |pair| (pair.windows - PRIOR.windows).max(0.0))
+    }
+
     /// Returns an upper bound of the probability that any of these best-effort images interferes
     /// with a long-running one.
     pub fn combined_probability(
--- a/gl-jobs/src/owner/colocation/mod.rs
+++ b/gl-jobs/src/owner/colocation/mod.rs
@@ -1,8 +1,13 @@
 //! Rules for tasks on the same worker: best-effort tasks next to long-running ones, and
 //! long-running tasks next to each other.
 
+mod forecasts;
+pub(in crate::owner) mod impact;
 pub(in crate::owner) mod interference;
 pub(in crate::owner) mod throttle;
+pub(in crate::owner) mod untested;
+
+use gl_model::time;
 
 use crate::owner::search::Request;
 use crate::owner::{Owner, Worker, workers};
@@ -31,6 +36,34 @@
     Some(idle / total - interference * INTERFERENCE_WEIGHT)
 }
 
+/// Returns whether a best-effort task may start beside the worker's long-running tasks: it adds no
+/// further trial of an untested pair of images while there are enough, and the probability that it
+/// interferes is low for the room that the forecast peak of the tail ratios leaves. Neither is
+/// required of a task that has waited for long.
+pub(in crate::owner) fn may_join(
+    owner: &Owner,
+    request: &Request<'_>,
+    w: &Worker,
+    now: time::Timestamp,
+) -> bool {
+    if !request.spec.best_effort || request.conditions.ignores_load {
+        return true;
+    }
+    let is_crowded =
+        |entry: &workers::ImageCores| request.conditions.crowded.contains(&entry.image);
+    if w.long_running_images.iter().any(is_crowded) {
+        return false;
+    }
+    let settings = &owner.settings;
+    if !settings.colocation.forecasts_starts {
+        return true;
+    }
+    let peak = forecasts::highest(w, now, now + request.spec.estimate);
+    let room = (settings.ratio_high - peak) / (settings.ratio_high - settings.ratio_low);
+    let limit = settings.interference_limit * room;
+    room >= 1.0 || (room > 0.0 && expected_interference(owner, request, w) <= limit)
+}
+
 /// Returns the highest probability that the best-effort tasks, with the requested one added,
 /// interfere with one of the worker's long-running images.
 fn expected_interference(owner: &Owner, request: &Request<'_>, w: &Worker) -> f64 {
--- a/gl-jobs/src/owner/colocation/throttle.rs
+++ b/gl-jobs/src/owner/colocation/throttle.rs
@@ -3,6 +3,7 @@
 
 use gl_model::time;
 
+use crate::owner::colocation::{forecasts, impact};
 use crate::owner::{Action, Note, Owner, Run, StopReason, interference, runs, search, workers};
 use crate::{task, worker};
 
@@ -24,9 +25,11 @@
 
 /// Protects the long-running tasks of a worker that has just replied to a poll.
 pub fn run(owner: &mut Owner, id: &worker::WorkerId, now: time::Timestamp) {
-    let Some(measured) = measure(owner, id, now) else {
+    let Some(mut measured) = measure(owner, id, now) else {
         return;
     };
+    impact::count_windows(owner, id, now);
+    forecasts::update(owner, id, now);
     update_cpu_use(owner, id, &measured);
     update_model(owner, id, &measured, now);
     let settings = owner.settings;
@@ -48,6 +51,10 @@
         Severity::Transient
     };
     let since = now.since(worker.throttled_at);
+    if settings.colocation.forecasts_limits {
+        let expected = forecasts::highest(worker, now, now + settings.colocation.lead);
+        measured.expect(expected);
+    }
     if measured.tail_ratio > settings.ratio_high && since >= settings.throttle_interval {
         mitigate(owner, id, &measured, severity, now);
     } else if measured.tail_ratio < settings.ratio_high && since >= settings.unthrottle_interval {
@@ -68,6 +75,8 @@
     best_effort: Vec<task::TaskId>,
     /// The processor use of each best-effort image.
     cpu_uses: Vec<interference::CpuUse>,
+    /// The images of runs with reduced CPU limits.
+    throttled: Vec<interference::ImageId>,
     /// The share of its declared processors that each unthrottled run uses.
     unthrottled_uses: Vec<interference::CpuUse>,
     /// The processors that best-effort tasks request within their CPU limits, in thousandths of a
@@ -77,6 +86,18 @@
     batch_load: f64,
 }
 
+impl Measurement {
+    /// Raises the highest tail ratio to the one that is expected.
+    fn expect(&mut self, expected: f64) {
+        let worst = self.long_running.iter_mut();
+        let worst = worst.max_by(|a, b| a.tail_ratio.total_cmp(&b.tail_ratio));
+        if let Some(worst) = worst.filter(|worst| worst.tail_ratio < expected) {
+            worst.tail_ratio = expected;
+            self.tail_ratio = self.tail_ratio.max(expected);
+        }
+    }
+}
+
 /// The highest tail ratio among the tasks of a long-running image.
 struct ImageTail {
     image: interference::ImageId,
@@ -94,7 +115,7 @@
         };
         match run.kind {
             runs::Kind::LongRunning => {
-                let tail_ratio = tail_ratio_of(run);
+                let tail_ratio = run.tail_ratio();
                 measured.tail_ratio = measured.tail_ratio.max(tail_ratio);
                 if let Some(image) = run.image.filter(|_| tail_ratio > 0.0) {
                     record_tail(&mut measured.long_running, image, tail_ratio);
@@ -112,6 +133,9 @@
                     requested * f64::from(run.cpu_limit) / runs::FULL_PERCENT;
                 if let Some(image) = run.image {
                     add_use(&mut measured.cpu_uses, image, run.load / total);
+                    if run.cpu_limit < runs::NO_LIMIT {
+                        measured.throttled.push(image);
+                    }
                     if is_warm
                         && run.cpu_limit == runs::NO_LIMIT
                         && run.progress < runs::FULL_PERCENT
@@ -141,14 +165,6 @@
     }
 }
 
-fn tail_ratio_of(run: &Run) -> f64 {
-    let is_ready = run.is_running() && run.progress >= runs::FULL_PERCENT;
-    match run.tail_target {
-        Some(tail) if is_ready && tail > 0.0 => run.load / tail,
-        _ => 0.0,
-    }
-}
-
 /// Updates the estimate of the processors that the worker's long-running tasks use. The measurement
 /// is exact if the best-effort tasks get less than they request, and an upper bound otherwise.
 fn update_cpu_use(owner: &mut Owner, id: &worker::WorkerId, measured: &Measurement) {
@@ -187,8 +203,14 @@
         return;
     }
     worker.observed_at = now;
+    let mut undisturbed = measured.cpu_uses.clone();
+    if owner.settings.colocation.skips_throttled {
+        undisturbed.retain(|used| !measured.throttled.contains(&used.image));
+    }
     for tail in &measured.long_running {
-        owner.interference.observe(tail.image, tail.tail_ratio, &measured.cpu_uses);
+        let is_exceeded = tail.tail_ratio >= EXCEEDED_RATIO;
+        let present = if is_exceeded { &measured.cpu_uses } else { &undisturbed };
+        owner.interference.observe(tail.image, tail.tail_ratio, present);
     }
     for used in &measured.unthrottled_uses {
         owner.interference.observe_cpu_use(used.image, used.share);
@@ -279,6 +301,7 @@
     let can_move = run.checkpointing && now.since(run.since) >= owner.settings.warm_up;
     let is_paused = run.wanted_limit == 0 && now.since(run.progressed_at) > pause_limit;
     if is_paused || (can_move && search::can_place(owner, task.phase, now)) {
+        impact::count_stop(owner, task);
         owner.stop(task, StopReason::Interference, now);
         return 0;
     }
@@ -366,5 +389,6 @@
     }
     run.was_throttled = true;
     let (worker, attempt, percent) = (run.worker.clone(), run.attempt, run.wanted_limit);
+    impact::count_limit(owner, &worker);
     owner.actions.push(Action::Throttle { worker, task, attempt, percent });
 }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -25,15 +25,16 @@
 pub use action::{Action, Cause, Note, StopReason};
 pub use advice::Grant;
 pub use commit::{Commit, Row as CommitRow};
+pub use impact::Impact;
 pub use interference::{CpuUse, ImageId, InterferenceModel};
 pub use jobs::{Advice, JobEntry, PhaseState};
 pub use recovery::{StoredJob, Takeover};
 pub use runs::{Kind, Run, Stage, Stopping};
-pub use settings::{PhaseOrder, Settings};
+pub use settings::{Colocation, PhaseOrder, Settings};
 pub use store_clock::StoreClock;
 pub use workers::Worker;
 
-use colocation::{interference, throttle};
+use colocation::{impact, interference, throttle, untested};
 use placement::{advice, drain, gang, headroom, search, trials};
 use recovery::{store_clock, timeouts};
 use state::{jobs, runs, workers};
@@ -89,6 +90,12 @@
     store_clock: Option<StoreClock>,
     /// The recent demand of short tasks, one entry for each service that has any.
     demands: Vec<headroom::Demand>,
+    /// The waiting best-effort tasks, one entry for each service that has any.
+    backlogs: Vec<untested::Backlog>,
+    /// The cost of interference since it was last reported, by service.
+    impacts: collections::BTreeMap<String, Impact>,
+    /// The time at which it was last reported.
+    impact_at: time::Timestamp,
     /// The time at which the demand was last recorded.
     demand_at: time::Timestamp,
     /// The latest time to which leases of workers may be extended.
@@ -144,6 +151,9 @@
             inherited_lease: settings.horizon,
             store_clock: None,
             demands: Vec::new(),
+            backlogs: Vec::new(),
+            impacts: collections::BTreeMap::new(),
+            impact_at: now,
             demand_at: time::Timestamp::default(),
             actions: Vec::new(),
         }
@@ -290,6 +300,7 @@
         }
         drain::run(self, moment.now);
         self.place(moment.now);
+        impact::run(self, moment.now);
     }
 
     /// Starts all waiting tasks that can be placed.
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -10,7 +10,9 @@
 
 use gl_model::time;
 
-use crate::owner::{JobEntry, Note, Owner, PhaseState, Stage, crashes, runs, settings, state};
+use crate::owner::{
+    JobEntry, Note, Owner, PhaseState, Stage, crashes, impact, runs, settings, state, untested,
+};
 use crate::{job, task, worker};
 
 /// A waiting phase with its sort key; phases are served in ascending order.
@@ -47,6 +49,7 @@
         return;
     }
     headroom::update(owner, now);
+    untested::update(owner);
     crashes::run(owner, now);
     trials::run(owner, now);
     let mut ranks: Vec<_> = owner.open_phases.iter().filter_map(|p| rank(owner, *p, now)).collect();
@@ -240,6 +243,7 @@
         runs::RunOrder { worker: worker.clone(), attempt, deadline, stage: Stage::Starting, image };
     let mut run = runs::make_run(&description, order, now);
     run.checkpoint.clone_from(&checkpoint);
+    impact::count_start(owner, &run);
     owner.add_run(task, run);
     let estimate = description.estimate;
     owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate });
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -3,7 +3,7 @@
 use gl_model::time;
 
 use crate::owner::{
-    JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, state,
+    JobEntry, Owner, PhaseState, Worker, colocation, headroom, interference, jobs, state, untested,
 };
 use crate::{job, task, worker};
 
@@ -41,6 +41,9 @@
     pub ignores_load: bool,
     /// For a long-running task, how many workers are left without any.
     pub room: headroom::Room,
+    /// For a best-effort task, the long-running images beside which enough runs of its image are on
+    /// trial.
+    pub crowded: Vec<interference::ImageId>,
     /// Whether the task may crash the worker.
     pub is_trial: bool,
 }
@@ -94,6 +97,7 @@
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
         ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
         room: room_for(owner, entry, spec, state),
+        crowded: untested::crowded(owner, &entry.job.service, spec),
         is_trial: false,
     })
 }
@@ -181,7 +185,8 @@
 /// Returns the score of a worker for the requested task, or `None` if the task must not start there.
 fn assess(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> Option<f64> {
     let is_free = w.held_for.is_none() && is_possible(owner, request, w, now);
-    is_free.then(|| score(owner, request, w))?
+    let may_start = is_free && colocation::may_join(owner, request, w, now);
+    may_start.then(|| score(owner, request, w))?
 }
 
 fn is_possible(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> bool {
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -13,6 +13,56 @@
     Work,
 }
 
+/// The parameters of the rules for best-effort tasks next to long-running ones that look ahead or
+/// limit trials. The default switches all of them off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Colocation {
+    /// Whether [`Settings::interference_limit`] is reduced for a best-effort task where the tail
+    /// ratio of a long-running task is expected to exceed [`Settings::ratio_low`] within the task's
+    /// expected duration: in proportion to the room up to [`Settings::ratio_high`]. Refusing only
+    /// above `ratio_high` did harm, as the task itself raises the peak.
+    pub forecasts_starts: bool,
+    /// Whether CPU limits are decided by the tail ratio that is expected within `lead`, where that
+    /// is higher than the measured one.
+    pub forecasts_limits: bool,
+    /// The time by which decisions on CPU limits precede the expected tail ratio: a poll, and the
+    /// time until a limit is in force and shows in the measurements.
+    pub lead: time::Span,
+    /// The maximum number of runs of an untested pair of images in a service while many
+    /// best-effort tasks wait; `None` if there is none.
+    pub untested_runs: Option<usize>,
+    /// The number of observed windows from which a pair of images counts as tested. With 8 windows
+    /// the bound cost more than it saved on one of three loads.
+    pub tested_windows: f64,
+    /// The number of waiting best-effort tasks of a service from which `untested_runs` applies.
+    pub untested_backlog: usize,
+    /// Whether a window without interference is left out for an image whose runs on the worker have
+    /// reduced CPU limits. Such a window says little of the image's effect at its full use, and
+    /// counting it made images that interfere seem harmless again.
+    pub skips_throttled: bool,
+    /// The amplitude of a tail ratio's cycle, relative to its mean, from which forecasts are used. With
+    /// smaller swings, holding starts back cost more than it saved.
+    pub min_swing: f64,
+    /// The interval at which the cost of interference is reported; `None` if it is not.
+    pub impact_interval: Option<time::Span>,
+}
+
+impl Default for Colocation {
+    fn default() -> Self {
+        Self {
+            forecasts_starts: false,
+            forecasts_limits: false,
+            lead: time::Span::millis(1_500),
+            untested_runs: None,
+            tested_windows: 20.0,
+            untested_backlog: 20,
+            impact_interval: None,
+            skips_throttled: false,
+            min_swing: 0.4,
+        }
+    }
+}
+
 /// The parameters of an owner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -130,6 +180,8 @@
     /// best-effort task may start there. Interference costs several times the payoff of a
     /// best-effort task.
     pub interference_limit: f64,
+    /// The rules for best-effort tasks next to long-running ones that look ahead or limit trials.
+    pub colocation: Colocation,
     /// The order in which phases of one class are served.
     pub order: PhaseOrder,
     /// The time from the start of a run until its load is fully measured.
@@ -182,6 +234,7 @@
             load_window: time::Span::millis(500),
             model_interval: time::Span::seconds(2),
             interference_limit: 0.25,
+            colocation: Colocation::default(),
             order: PhaseOrder::Deadline,
             warm_up: time::Span::millis(800),
             idle_share: 0.9,
--- a/gl-jobs/src/owner/state/runs.rs
+++ b/gl-jobs/src/owner/state/runs.rs
@@ -80,6 +80,10 @@
     pub checkpoint: String,
     /// Whether the task saves checkpoints, so that a stop loses little work.
     pub checkpointing: bool,
+    /// The number of the last window in which it was over its target beside best-effort tasks.
+    pub lost_window: Option<u64>,
+    /// The tracker of its tail ratio, if it is a long-running task and forecasts are used.
+    pub tracker: Option<Box<gl_forecast::Tracker>>,
 }
 
 /// The kinds of tasks.
@@ -122,6 +126,16 @@
         self.reported_at.since(self.started_at()) >= window
     }
 
+    /// Returns the tail latency divided by its target; zero if the run is not a long-running one that
+    /// is ready to serve.
+    pub fn tail_ratio(&self) -> f64 {
+        let is_ready = self.is_running() && self.progress >= FULL_PERCENT;
+        match self.tail_target {
+            Some(tail) if is_ready && tail > 0.0 => self.load / tail,
+            _ => 0.0,
+        }
+    }
+
     /// Returns whether the run was ordered to stop.
     pub const fn is_stopping(&self) -> bool {
         matches!(self.stage, Stage::Stopping(_))
@@ -176,5 +190,7 @@
         tail_target: spec.tail_target.map(|tail| tail.as_seconds() * MILLIS_PER_SECOND),
         checkpoint: String::new(),
         checkpointing: spec.checkpointing,
+        lost_window: None,
+        tracker: None,
     }
 }
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -82,6 +82,8 @@
     pub best_effort_images: Vec<ImageCores>,
     /// The highest tail ratio of its long-running tasks: tail latency divided by its target.
     pub tail_ratio: f64,
+    /// The forecasts of the tail ratios of its long-running tasks, as of the last poll.
+    pub forecasts: Vec<gl_forecast::Forecast>,
     /// The time of the first in the current series of polls that all show a long-running task over
     /// its target; `None` if the last poll shows none.
     pub exceeded_since: Option<time::Timestamp>,
@@ -94,19 +96,25 @@
     pub image: interference::ImageId,
     /// The processors.
     pub cores: u64,
+    /// The number of its runs.
+    pub runs: usize,
 }
 
 fn add_cores(images: &mut Vec<ImageCores>, run: &runs::Run) {
     let Some(image) = run.image else { return };
     match images.iter_mut().find(|entry| entry.image == image) {
-        Some(entry) => entry.cores += run.cores,
-        None => images.push(ImageCores { image, cores: run.cores }),
+        Some(entry) => {
+            entry.cores += run.cores;
+            entry.runs += 1;
+        }
+        None => images.push(ImageCores { image, cores: run.cores, runs: 1 }),
     }
 }
 
 fn remove_cores(images: &mut Vec<ImageCores>, run: &runs::Run) {
     for entry in images.iter_mut().filter(|entry| Some(entry.image) == run.image) {
         entry.cores = entry.cores.saturating_sub(run.cores);
+        entry.runs = entry.runs.saturating_sub(1);
     }
     images.retain(|entry| entry.cores > 0);
 }
@@ -186,6 +194,7 @@
             long_running_images: Vec::new(),
             best_effort_images: Vec::new(),
             tail_ratio: 0.0,
+            forecasts: Vec::new(),
             exceeded_since: None,
         }
     }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod fleet;
 
+mod colocation;
 mod commits;
 mod cost;
 mod crashes;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -22,6 +22,8 @@
     polls: metrics::Counter<u64>,
     store: metrics::Counter<u64>,
     events: metrics::Counter<u64>,
+    interference: metrics::Counter<u64>,
+    interference_rates: metrics::Gauge<f64>,
     levels: metrics::Gauge<f64>,
 }
 
@@ -46,6 +48,14 @@
             polls: count("geraniumlatch.looks", "Polls of workers, by outcome"),
             store: count("geraniumlatch.store.calls", "Calls of the store, by outcome"),
             events: count("geraniumlatch.changes", "Changes of the owner's state, by kind"),
+            interference: count(
+                "geraniumlatch.interference",
+                "Starts of best-effort tasks, and what interference has cost, by service and kind",
+            ),
+            interference_rates: exporter.gauge(
+                "geraniumlatch.interference.rate",
+                "Newest cost of interference per 1,000 starts of best-effort tasks",
+            ),
             levels: exporter.gauge("geraniumlatch.levels", "Levels"),
             exporter,
         })
@@ -88,12 +98,27 @@
             owner::Note::GivenUp { .. } => self.event("given-up"),
             owner::Note::Emptied { .. } => self.event("domain-emptied"),
             owner::Note::Restored { .. } => self.event("domain-restored"),
+            owner::Note::Impact { service, impact, .. } => self.impact(service, impact),
             owner::Note::Ordered { .. }
             | owner::Note::Recovering { .. }
             | owner::Note::Recovered { .. } => {}
         }
     }
 
+    fn impact(&self, service: &str, impact: &owner::Impact) {
+        let labels = |kind| {
+            let service = opentelemetry::KeyValue::new("service", service.to_owned());
+            [service, opentelemetry::KeyValue::new("kind", kind)]
+        };
+        self.interference.add(impact.starts, &labels("starts"));
+        let costs =
+            [("windows", impact.windows), ("stopped", impact.stopped), ("limits", impact.limits)];
+        for (kind, count) in costs {
+            self.interference.add(count, &labels(kind));
+            self.interference_rates.record(impact.per_thousand(count), &labels(kind));
+        }
+    }
+
     fn event(&self, kind: &'static str) {
         self.events.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
     }
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -63,6 +63,7 @@
         crashes_worker: false,
         checkpointing: false,
         speculative: false,
+        swing: None,
     }
 }
 
