--- a/gl-emulate/src/load.rs
+++ b/gl-emulate/src/load.rs
@@ -5,7 +5,7 @@
 use gl_model::{size, time};
 use rand::{Rng as _, SeedableRng as _, rngs};
 
-use crate::worker;
+use crate::{usage, worker};
 
 /// The service to which all jobs and workers belong.
 pub const SERVICE: &str = "desk";
@@ -58,6 +58,8 @@
     pub burst: Option<Burst>,
     /// Where short and best-effort tasks have their data.
     pub distance: Distance,
+    /// The common swing of the load of long-running tasks.
+    pub swing: Option<usage::Swing>,
 }
 
 /// The racks that jobs prefer.
@@ -80,6 +82,8 @@
     pub length: time::Span,
     /// The factor on the arrival rate.
     pub factor: f64,
+    /// The number of the image that the best-effort jobs of the burst have, if they share one.
+    pub image: Option<u32>,
 }
 
 impl Default for Settings {
@@ -97,6 +101,7 @@
             cancelled: 0.03,
             burst: None,
             distance: Distance::default(),
+            swing: None,
         }
     }
 }
@@ -119,7 +124,8 @@
             all.push(generator.batch(settings, at));
         }
         if generator.rng.random_bool((settings.best_effort * factor * step.as_seconds()).min(1.0)) {
-            all.push(generator.best_effort(settings, at));
+            let image = active_burst.and_then(|b| b.image);
+            all.push(generator.best_effort(settings, image, at));
         }
         at = at + step;
     }
@@ -155,7 +161,11 @@
             tail_target: Some(time::Span::millis(50)),
             ..job::Phase::default()
         };
-        self.arrival(at, vec![phase], "lasting", 0.4, None)
+        let mut arrival = self.arrival(at, vec![phase], "lasting", 0.4, None);
+        for behaviour in &mut arrival.behaviours {
+            behaviour.swing = settings.swing;
+        }
+        arrival
     }
 
     fn batch(&mut self, settings: &Settings, at: time::Timestamp) -> Arrival {
@@ -191,8 +201,14 @@
         arrival
     }
 
-    fn best_effort(&mut self, settings: &Settings, at: time::Timestamp) -> Arrival {
-        let image = self.rng.random_range(0..settings.best_effort_images.max(1));
+    fn best_effort(
+        &mut self,
+        settings: &Settings,
+        image: Option<u32>,
+        at: time::Timestamp,
+    ) -> Arrival {
+        let usual = self.rng.random_range(0..settings.best_effort_images.max(1));
+        let image = image.unwrap_or(usual);
         let cores = self.rng.random_range(5_000..10_000);
         let size = size::Size { cores, memory: 13_000, accelerators: 0 };
         let phases: Vec<_> = (0..2)
@@ -274,6 +290,7 @@
         speculative: phase.speculative,
         data_rack: phase.data_rack.clone(),
         rack_sensitive: phase.rack_sensitive,
+        swing: None,
     }
 }
 
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -28,6 +28,7 @@
 pub use advice::Grant;
 pub use commit::{Commit, Row as CommitRow};
 pub use estimate::{Estimate, Medians, Record as WorkerRecord};
+pub use impact::Impact;
 pub use interference::{CpuUse, ImageId, InterferenceModel};
 pub use jobs::{Advice, JobEntry, PhaseState};
 pub use pacing::window::{
@@ -35,11 +36,11 @@
 };
 pub use recovery::{StoredJob, Takeover};
 pub use runs::{Kind, Run, Stage, Stopping};
-pub use settings::{PhaseOrder, Settings};
+pub use settings::{Colocation, PhaseOrder, Settings};
 pub use store_clock::StoreClock;
 pub use workers::Worker;
 
-use colocation::{interference, pressure, throttle};
+use colocation::{impact, interference, pressure, throttle, untested};
 use pacing::{in_flight, poll_times};
 use placement::{
     advice, copies, distance, drain, gang, headroom, order, preference, search, spread, trials,
@@ -110,8 +111,12 @@
     store_clock: Option<StoreClock>,
     /// The recent demand of short tasks, one entry for each service that has any.
     demands: Vec<headroom::Demand>,
-    /// The services of which most processors are reserved.
-    crowded: Vec<String>,
+    /// The waiting best-effort tasks, one entry for each service that has any.
+    backlogs: Vec<untested::Backlog>,
+    /// The cost of interference since it was last reported, by service.
+    impacts: collections::BTreeMap<String, Impact>,
+    /// The time at which it was last reported.
+    impact_at: time::Timestamp,
     /// The time at which the demand was last recorded.
     demand_at: time::Timestamp,
     /// The load of the services.
@@ -180,7 +185,9 @@
             inherited_lease: settings.horizon,
             store_clock: None,
             demands: Vec::new(),
-            crowded: Vec::new(),
+            backlogs: Vec::new(),
+            impacts: collections::BTreeMap::new(),
+            impact_at: now,
             demand_at: time::Timestamp::default(),
             scarcity: scarcity::Services::new(),
             sampled_at: time::Timestamp::default(),
@@ -353,6 +360,7 @@
             copies::run(self, moment.now);
         }
         self.place(moment.now);
+        impact::run(self, moment.now);
     }
 
     /// Starts all waiting tasks that can be placed.
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -15,8 +15,7 @@
 
 use gl_model::time;
 
-use crate::owner::colocation::risk;
-use crate::owner::{Note, Owner, Stage, crashes, runs, scarcity, state};
+use crate::owner::{Note, Owner, Stage, crashes, impact, runs, scarcity, state, untested};
 use crate::{task, worker};
 
 /// Starts the waiting tasks that can be placed, in the order of their ranks, until the window for
@@ -27,6 +26,7 @@
     }
     owner.decided_at = now;
     headroom::update(owner, now);
+    untested::update(owner);
     crashes::run(owner, now);
     trials::run(owner, now);
     scarcity::update(owner, now);
@@ -52,8 +52,7 @@
         owner.open_phases.remove(&phase);
         return;
     };
-    let risk_share = risk::share(owner, phase, now);
-    if skip.covers(job, spec, risk_share) {
+    if skip.covers(job, spec) {
         return;
     }
     let spec = spec.clone();
@@ -81,7 +80,7 @@
         }
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
-                skip.add(&entry.job, &spec, risk_share);
+                skip.add(&entry.job, &spec);
             }
             return;
         };
@@ -181,6 +180,7 @@
     let mut run = runs::make_run(&description, order, now);
     run.checkpoint.clone_from(&checkpoint);
     run.is_partial = !checkpoint.is_empty();
+    impact::count_start(owner, &run);
     owner.add_run(task, run);
     let estimate = description.estimate;
     owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate });
--- a/gl-jobs/src/owner/placement/order.rs
+++ b/gl-jobs/src/owner/placement/order.rs
@@ -57,7 +57,7 @@
     let is_long_running = matches!(class, Class::Starved | Class::LongRunning);
     let spec = entry.spec(phase.phase)?;
     let flow = owner.scarcity.get(&entry.job.service).map(|service| service.flow(spec));
-    if let Some(flow) = flow.filter(|flow| !is_long_running && flow.is_scarce()) {
+    if let Some(flow) = flow.filter(|flow| spec.best_effort && flow.is_scarce()) {
         return Some(scarce_rank(flow, entry, state, Rank { class, key: 0, phase }, now));
     }
     let key = if is_long_running { state.since.0 } else { key(owner, entry, state, phase, now) };
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -2,10 +2,9 @@
 
 use gl_model::time;
 
-use crate::owner::colocation::risk;
 use crate::owner::{
     JobEntry, Owner, PhaseState, Worker, colocation, copies, distance, headroom, interference,
-    jobs, preference, spread, state,
+    jobs, preference, spread, state, untested,
 };
 use crate::{job, task, worker};
 
@@ -41,10 +40,11 @@
     /// Whether the task starts on any worker with free capacity, without regard to idle processors
     /// and interference.
     pub ignores_load: bool,
-    /// The share of the limit on interference that the task may risk.
-    pub risk_share: f64,
     /// For a long-running task, how many workers are left without any.
     pub room: headroom::Room,
+    /// For a best-effort task, the long-running images beside which enough runs of its image are on
+    /// trial.
+    pub crowded: Vec<interference::ImageId>,
     /// Whether the task may crash the worker.
     pub is_trial: bool,
 }
@@ -99,13 +99,12 @@
 ) -> Option<Conditions> {
     let spec = entry.spec(phase.phase)?;
     let state = state::state_of(owner, phase)?;
-    let is_rationed = risk::is_rationed(owner, entry, spec);
     Some(Conditions {
         rack: shared_rack(owner, phase, spec, now),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
-        ignores_load: spec.best_effort && is_starved(owner, phase, state, is_rationed, now),
-        risk_share: risk::share(owner, phase, now),
+        ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
         room: room_for(owner, entry, spec, state),
+        crowded: untested::crowded(owner, &entry.job.service, spec),
         is_trial: false,
     })
 }
@@ -169,16 +168,14 @@
     owner: &Owner,
     phase: task::PhaseId,
     state: &PhaseState,
-    is_rationed: bool,
     now: time::Timestamp,
 ) -> bool {
-    let settings = &owner.settings;
-    let limit = if is_rationed { settings.crowded_starvation } else { settings.starvation_time };
     let first = task::PhaseId { job: phase.job, occurrence: 0, phase: 0 };
     let last = task::PhaseId { job: phase.job, occurrence: u32::MAX, phase: u32::MAX };
     let from = task::TaskId { phase: first, index: 0 };
     let to = task::TaskId { phase: last, index: u32::MAX };
-    now.since(state.since) > limit && owner.runs.range(from..=to).next().is_none()
+    now.since(state.since) > owner.settings.starvation_time
+        && owner.runs.range(from..=to).next().is_none()
 }
 
 /// Returns the rack for the tasks of the phase, if they should share one.
@@ -210,7 +207,8 @@
 /// Returns the score of a worker for the requested task, or `None` if the task must not start there.
 fn assess(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> Option<f64> {
     let is_free = w.held_for.is_none() && is_possible(owner, request, w, now);
-    is_free.then(|| score(owner, request, w, now))?
+    let may_start = is_free && colocation::may_join(owner, request, w, now);
+    may_start.then(|| score(owner, request, w, now))?
 }
 
 fn is_possible(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> bool {
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -7,6 +7,7 @@
 
 mod clocks;
 mod collapse;
+mod colocation;
 mod commits;
 mod cost;
 mod crashes;
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -65,6 +65,7 @@
         speculative: false,
         data_rack: None,
         rack_sensitive: false,
+        swing: None,
     }
 }
 
