--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -15,6 +15,11 @@
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(5);
 /// Maximum number of client connections; half of the file descriptors that a small VM provides.
 const MAX_CONNECTIONS: usize = 1_800;
+/// Maximum number of runs of an untested pair of images while many best-effort tasks wait. One run may
+/// be too short to show the interference; bounds from 1 to 8 differed less than seeds do.
+const UNTESTED_RUNS: usize = 2;
+/// Interval at which the cost of interference is logged and added to the metrics.
+const IMPACT_INTERVAL: gl_model::time::Span = gl_model::time::Span::seconds(10);
 
 thread_local! {
     static INGRESS: cell::RefCell<Option<ingress::Ingress>> = const { cell::RefCell::new(None) };
@@ -159,6 +164,13 @@
         drain_time: settings.drain,
         empty_time: settings.empty_time,
         retention: settings.retention + settings.retention,
+        colocation: gl_jobs::owner::Colocation {
+            forecasts_starts: true,
+            untested_runs: Some(UNTESTED_RUNS),
+            skips_throttled: true,
+            impact_interval: Some(IMPACT_INTERVAL),
+            ..defaults.colocation
+        },
         ..defaults
     }
 }
--- a/gl-emulate/examples/experiment.rs
+++ b/gl-emulate/examples/experiment.rs
@@ -116,20 +116,13 @@
     let skip = owner::Colocation { skips_throttled: true, ..off };
     let untested = owner::Colocation { untested_runs: Some(2), ..off };
     let starts = owner::Colocation { forecasts_starts: true, ..off };
-    let limits = owner::Colocation { forecasts_limits: true, ..off };
     let base = owner::Colocation { untested_runs: Some(2), ..skip };
     vec![
         ("skip", skip),
         ("untested", untested),
         ("starts", starts),
-        ("limits", limits),
         ("base", base),
         ("base, starts", owner::Colocation { forecasts_starts: true, ..base }),
-        ("base, limits", owner::Colocation { forecasts_limits: true, ..base }),
-        (
-            "base, both",
-            owner::Colocation { forecasts_starts: true, forecasts_limits: true, ..base },
-        ),
     ]
 }
 
--- a/gl-jobs/src/owner/colocation/forecasts.rs
+++ b/gl-jobs/src/owner/colocation/forecasts.rs
@@ -9,7 +9,7 @@
 /// Updates the forecasts of a worker's long-running tasks from the reply to a poll.
 pub(in crate::owner) fn update(owner: &mut Owner, id: &worker::WorkerId, now: time::Timestamp) {
     let colocation = owner.settings.colocation;
-    if !colocation.forecasts_starts && !colocation.forecasts_limits {
+    if !colocation.forecasts_starts {
         return;
     }
     let Some(worker) = owner.workers.get_mut(id) else {
--- a/gl-jobs/src/owner/colocation/throttle.rs
+++ b/gl-jobs/src/owner/colocation/throttle.rs
@@ -25,7 +25,7 @@
 
 /// Protects the long-running tasks of a worker that has just replied to a poll.
 pub fn run(owner: &mut Owner, id: &worker::WorkerId, now: time::Timestamp) {
-    let Some(mut measured) = measure(owner, id, now) else {
+    let Some(measured) = measure(owner, id, now) else {
         return;
     };
     impact::count_windows(owner, id, now);
@@ -51,10 +51,6 @@
         Severity::Transient
     };
     let since = now.since(worker.throttled_at);
-    if settings.colocation.forecasts_limits {
-        let expected = forecasts::highest(worker, now, now + settings.colocation.lead);
-        measured.expect(expected);
-    }
     if measured.tail_ratio > settings.ratio_high && since >= settings.throttle_interval {
         mitigate(owner, id, &measured, severity, now);
     } else if measured.tail_ratio < settings.ratio_high && since >= settings.unthrottle_interval {
@@ -86,18 +82,6 @@
     batch_load: f64,
 }
 
-impl Measurement {
-    /// Raises the highest tail ratio to the one that is expected.
-    fn expect(&mut self, expected: f64) {
-        let worst = self.long_running.iter_mut();
-        let worst = worst.max_by(|a, b| a.tail_ratio.total_cmp(&b.tail_ratio));
-        if let Some(worst) = worst.filter(|worst| worst.tail_ratio < expected) {
-            worst.tail_ratio = expected;
-            self.tail_ratio = self.tail_ratio.max(expected);
-        }
-    }
-}
-
 /// The highest tail ratio among the tasks of a long-running image.
 struct ImageTail {
     image: interference::ImageId,
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -22,12 +22,6 @@
     /// expected duration: in proportion to the room up to [`Settings::ratio_high`]. Refusing only
     /// above `ratio_high` did harm, as the task itself raises the peak.
     pub forecasts_starts: bool,
-    /// Whether CPU limits are decided by the tail ratio that is expected within `lead`, where that
-    /// is higher than the measured one.
-    pub forecasts_limits: bool,
-    /// The time by which decisions on CPU limits precede the expected tail ratio: a poll, and the
-    /// time until a limit is in force and shows in the measurements.
-    pub lead: time::Span,
     /// The maximum number of runs of an untested pair of images in a service while many
     /// best-effort tasks wait; `None` if there is none.
     pub untested_runs: Option<usize>,
@@ -51,8 +45,6 @@
     fn default() -> Self {
         Self {
             forecasts_starts: false,
-            forecasts_limits: false,
-            lead: time::Span::millis(1_500),
             untested_runs: None,
             tested_windows: 20.0,
             untested_backlog: 20,
