--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -20,9 +20,6 @@
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
 /// Time that a client may take to send the head of a request.
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(5);
-/// Maximum number of runs of an untested pair of images while many best-effort tasks wait. One run may
-/// be too short to show the interference; bounds from 1 to 8 differed less than seeds do.
-const UNTESTED_RUNS: usize = 2;
 /// Interval at which the cost of interference is logged and added to the metrics.
 const IMPACT_INTERVAL: gl_model::time::Span = gl_model::time::Span::seconds(10);
 
@@ -204,8 +201,6 @@
         spreads_domains: true,
         follows_loss: true,
         colocation: gl_jobs::owner::Colocation {
-            forecasts_starts: true,
-            untested_runs: Some(UNTESTED_RUNS),
             skips_throttled: true,
             impact_interval: Some(IMPACT_INTERVAL),
             ..defaults.colocation
