fix: close idle connections of an owner of thousands of workers

The pool closes an idle connection only when the next request to its address would use it, and the number of workers that decides on short idle times was known only from reads of the whole list. Change: each tick tells the number of workers that are polled; where they exceed the budget, idle connections are closed after a second.

--- a/geraniumlatchd/src/jobs/execution.rs
+++ b/geraniumlatchd/src/jobs/execution.rs
@@ -83,7 +83,9 @@
             client.is_needed.set(is_kept);
             is_kept
         });
-        let starts = self.connections.starts_per_worker(owner.workers().count());
+        let workers = owner.workers().count();
+        self.node.platform.workers.trim_connections(workers);
+        let starts = self.connections.starts_per_worker(workers);
         for worker in owner.workers() {
             let id = &worker.registration.id;
             if !worker_clients.contains_key(id) {
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -315,6 +315,10 @@
         attempt: u64,
     ) -> worker::OrderReply;
 
+    /// Closes connections that have been idle for long, as this many workers share the connections
+    /// that the process may have. Called at an interval of some tens of milliseconds.
+    fn trim_connections(&self, workers: usize);
+
     /// Sets the CPU limit of a run.
     async fn set_cpu_limit(
         &self,
--- a/gl-platform/src/pooled.rs
+++ b/gl-platform/src/pooled.rs
@@ -56,6 +56,12 @@
         &self.client
     }
 
+    /// Closes the idle connections to all addresses that have received nothing since `since`. The pool
+    /// by itself closes an idle connection only when the next request to its address would use it.
+    pub fn close_idle(&self, since: time::Instant) {
+        self.connections.close_idle(since);
+    }
+
     /// Closes the idle connections to `address` that have received nothing since `since`, after a
     /// response was lost. Connections that received something later are known to work, and those
     /// on which a request is in progress are left to its own time-out.
@@ -73,6 +79,17 @@
     activity: rc::Rc<Activity>,
 }
 
+impl Connection {
+    /// Closes the connection if it is idle and has received nothing since `since`, and returns whether
+    /// it is open.
+    fn is_kept(&self, since: time::Instant) -> bool {
+        if self.activity.answered_at.get().is_some_and(|at| at < since) {
+            self.io.terminate();
+        }
+        !self.io.is_closed()
+    }
+}
+
 /// The last activity of a connection.
 #[derive(Debug, Default)]
 struct Activity {
@@ -95,14 +112,15 @@
     }
 
     fn discard_idle(&self, address: net::SocketAddr, since: time::Instant) {
-        let mut all = self.0.borrow_mut();
-        let Some(open) = all.get_mut(&address) else { return };
-        open.retain(|connection| {
-            let answered_at = connection.activity.answered_at.get();
-            if answered_at.is_some_and(|at| at < since) {
-                connection.io.terminate();
-            }
-            !connection.io.is_closed()
+        if let Some(open) = self.0.borrow_mut().get_mut(&address) {
+            open.retain(|connection| connection.is_kept(since));
+        }
+    }
+
+    fn close_idle(&self, since: time::Instant) {
+        self.0.borrow_mut().retain(|_, open| {
+            open.retain(|connection| connection.is_kept(since));
+            !open.is_empty()
         });
     }
 }
