--- a/gl-jobs/src/owner/colocation/pressure.rs
+++ b/gl-jobs/src/owner/colocation/pressure.rs
@@ -42,7 +42,7 @@
 
 /// The effects of all pairs of images.
 #[derive(Clone, Debug, Default)]
-pub(in crate::owner) struct PressureModel {
+pub struct PressureModel {
     /// Indexed by the long-running image, then by the best-effort image.
     effects: Vec<Vec<Effect>>,
 }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -34,6 +34,7 @@
 pub use pacing::window::{
     Outcome as OrderOutcome, Settings as WindowSettings, Window as OrderWindow,
 };
+pub use pressure::{Level as TailLevel, PressureModel, Window as PressureWindow};
 pub use recovery::{StoredJob, Takeover};
 pub use runs::{Kind, Run, Stage, Stopping};
 pub use settings::{Colocation, PhaseOrder, Settings};
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -22,6 +22,7 @@
 mod phases;
 mod placement;
 mod poll_times;
+mod pressure;
 mod recovery;
 mod retry_after;
 mod roster;
