feat(gl-jobs): say which phases are ordered by loss

Cause: the order by loss served short jobs worse on the users' platform, while tests and experiments cover both kinds. Change: a setting with three values in place of a switch; the hosted server orders best-effort phases by loss.

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -199,7 +199,8 @@
         cold_factor: COLD_FACTOR,
         remote_factor: settings.remote_factor.unwrap_or(defaults.remote_factor),
         spreads_domains: true,
-        follows_loss: true,
+        // Short jobs are few and wide. By unit of work the widest, which are worth most, came last.
+        loss_order: gl_jobs::owner::LossOrder::BestEffort,
         colocation: gl_jobs::owner::Colocation {
             skips_throttled: true,
             impact_interval: Some(IMPACT_INTERVAL),
--- a/gl-emulate/examples/experiment.rs
+++ b/gl-emulate/examples/experiment.rs
@@ -61,7 +61,7 @@
         policies.push(("work", owner::Settings { order: owner::PhaseOrder::Work, ..base }));
     }
     if matches.opt_present("loss") {
-        policies.push(("loss", owner::Settings { follows_loss: true, ..base }));
+        policies.push(("loss", owner::Settings { loss_order: owner::LossOrder::All, ..base }));
     }
     if matches.opt_present("switches") {
         let switched = colocations().into_iter();
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -37,7 +37,7 @@
 pub use pressure::{Level as TailLevel, PressureModel, Window as PressureWindow};
 pub use recovery::{StoredJob, Takeover};
 pub use runs::{Kind, Run, Stage, Stopping};
-pub use settings::{Colocation, PhaseOrder, Settings};
+pub use settings::{Colocation, LossOrder, PhaseOrder, Settings};
 pub use store_clock::StoreClock;
 pub use workers::Worker;
 
--- a/gl-jobs/src/owner/placement/order.rs
+++ b/gl-jobs/src/owner/placement/order.rs
@@ -1,9 +1,10 @@
 //! The order in which waiting phases are served.
 //!
-//! With enough capacity it is by class, then by deadline. While a service's capacity for a kind
-//! of tasks is scarce, the phases of that kind are served by what their callers lose per second of
-//! delay and unit of work, late ones together with the best-effort ones in time. Two rules bound the wait of those that
-//! the order passes over: see [`gl_cost::ledger`].
+//! With enough capacity it is by class, then by deadline. While a service's capacity for a kind of
+//! tasks is scarce, the phases of that kind are served by what their callers lose per second of delay
+//! and unit of work, late ones together with the best-effort ones in time, as far as
+//! [`settings::LossOrder`] covers them. Two rules bound the wait of those that the order passes over:
+//! see [`gl_cost::ledger`].
 
 use gl_cost::loss;
 use gl_model::time;
@@ -57,7 +58,12 @@
     let is_long_running = matches!(class, Class::Starved | Class::LongRunning);
     let spec = entry.spec(phase.phase)?;
     let flow = owner.scarcity.get(&entry.job.service).map(|service| service.flow(spec));
-    if let Some(flow) = flow.filter(|flow| spec.best_effort && flow.is_scarce()) {
+    let is_covered = match owner.settings.loss_order {
+        settings::LossOrder::Off => false,
+        settings::LossOrder::BestEffort => spec.best_effort,
+        settings::LossOrder::All => !is_long_running,
+    };
+    if let Some(flow) = flow.filter(|flow| is_covered && flow.is_scarce()) {
         return Some(scarce_rank(flow, entry, state, Rank { class, key: 0, phase }, now));
     }
     let key = if is_long_running { state.since.0 } else { key(owner, entry, state, phase, now) };
--- a/gl-jobs/src/owner/scarcity.rs
+++ b/gl-jobs/src/owner/scarcity.rs
@@ -9,7 +9,7 @@
 use gl_cost::{ledger, level, rate, summary};
 use gl_model::time;
 
-use super::{Owner, PhaseState, Worker, order, state};
+use super::{Owner, PhaseState, Worker, order, settings, state};
 use crate::{job, task};
 
 /// The interval at which the load is sampled. Levels change over seconds.
@@ -90,7 +90,7 @@
 pub(in crate::owner) fn update(owner: &mut Owner, now: time::Timestamp) {
     // Tasks that wait for the end of a recovery do not wait for capacity.
     let is_due = now.since(owner.sampled_at) >= INTERVAL;
-    if !owner.settings.follows_loss || !is_due || owner.is_recovering() {
+    if owner.settings.loss_order == settings::LossOrder::Off || !is_due || owner.is_recovering() {
         return;
     }
     owner.sampled_at = now;
@@ -215,7 +215,8 @@
     /// earlier owner has stored this is all, as the time of their arrival has passed.
     pub(in crate::owner) fn record_size(&mut self, id: task::JobId) {
         let entry = self.jobs.get(&id).filter(|entry| !entry.job.is_long_running());
-        let Some(entry) = entry.filter(|_| self.settings.follows_loss) else {
+        let Some(entry) = entry.filter(|_| self.settings.loss_order != settings::LossOrder::Off)
+        else {
             return;
         };
         let service = match self.scarcity.get_mut(&entry.job.service) {
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// The phases that are served by what their callers lose while the capacity for them is scarce.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossOrder {
+    /// None, and the load of services is not measured.
+    Off,
+    /// Best-effort phases.
+    BestEffort,
+    /// Best-effort and short phases.
+    All,
+}
+
 /// The parameters of an owner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -186,9 +197,8 @@
     pub colocation: Colocation,
     /// The order in which phases of one class are served.
     pub order: PhaseOrder,
-    /// Whether the load of each service is measured, and its phases are served by what their callers
-    /// lose while its capacity is scarce.
-    pub follows_loss: bool,
+    /// Which phases are served by what their callers lose while the capacity for them is scarce.
+    pub loss_order: LossOrder,
     /// The time from the start of a run until its load is fully measured.
     pub warm_up: time::Span,
     /// The share of a best-effort task's processors that must be idle on the worker where it
@@ -262,7 +272,7 @@
             interference_limit: 0.25,
             colocation: Colocation::default(),
             order: PhaseOrder::Deadline,
-            follows_loss: false,
+            loss_order: LossOrder::Off,
             warm_up: time::Span::millis(800),
             idle_share: 0.9,
             uses_estimates: false,
--- a/gl-jobs/tests/jobs/order.rs
+++ b/gl-jobs/tests/jobs/order.rs
@@ -8,7 +8,8 @@
 
 /// Returns a cell of one worker, which a task occupies.
 fn occupied(follows_loss: bool) -> (Cell, Started) {
-    let settings = owner::Settings { follows_loss, ..owner::Settings::default() };
+    let loss_order = if follows_loss { owner::LossOrder::All } else { owner::LossOrder::Off };
+    let settings = owner::Settings { loss_order, ..owner::Settings::default() };
     let mut cell = Cell::with_settings(1, settings);
     let blocker = cell::starts(&cell.submit(1, relaxed(1, 0, 40))).remove(0);
     cell.start_replied(&blocker, worker::OrderReply::Done);
@@ -137,7 +138,8 @@
 /// Guards against a shortage of short tasks that keeps interrupted long-running tasks waiting.
 #[test]
 fn interrupted_long_running_task_precedes_all_while_capacity_is_scarce() {
-    let settings = owner::Settings { follows_loss: true, ..owner::Settings::default() };
+    let settings =
+        owner::Settings { loss_order: owner::LossOrder::All, ..owner::Settings::default() };
     let mut cell = Cell::with_settings(1, settings);
     let phase = job::Phase { long_running: true, ..cell::phase(1, 64_000) };
     let lost = cell::starts(&cell.submit(1, cell::job(vec![phase]))).remove(0);
