--- a/geraniumlatchd/src/jobs/ordering.rs
+++ b/geraniumlatchd/src/jobs/ordering.rs
@@ -47,7 +47,7 @@
     /// Returns whether there are fewer connections for polls than workers. Workers then reply to
     /// polls at once, so that they share the connections.
     pub const fn are_polls_short(&self, workers: usize) -> bool {
-        workers > self.budget.polls
+        self.budget.is_exceeded(workers)
     }
 
     /// Returns the largest number of start orders to one worker in flight.
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -257,7 +257,7 @@
     /// Returns the shortest interval between two polls of a worker.
     pub fn poll_interval(&self) -> time::Span {
         if self.are_polls_short() {
-            return self.node.settings.owner.poll_wait;
+            return self.owner.borrow().poll_wait();
         }
         poll_pause::interval(self.timer_delay.get())
     }
--- a/gl-jobs/src/owner/pacing/poll_times.rs
+++ b/gl-jobs/src/owner/pacing/poll_times.rs
@@ -47,6 +47,12 @@
         self.settings.stall_timeout = base.stall_timeout.scaled(ratio);
     }
 
+    /// Returns the time for which workers that need no attention hold polls now, and the interval between
+    /// two polls where workers do not hold them.
+    pub const fn poll_wait(&self) -> time::Span {
+        self.settings.poll_wait
+    }
+
     /// Returns the time for which a worker without throttled or stopping runs may hold a poll. One
     /// that drains has a short lease, and one with best-effort tasks next to long-running ones has
     /// to report interference soon.
