--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -255,9 +255,9 @@
     }
 
     /// Returns the shortest interval between two polls of a worker.
-    pub fn poll_interval(&self) -> time::Span {
+    pub fn poll_interval(&self, id: &worker::WorkerId) -> time::Span {
         if self.are_polls_short() {
-            return self.owner.borrow().poll_wait();
+            return self.owner.borrow().poll_interval(id);
         }
         poll_pause::interval(self.timer_delay.get())
     }
--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -57,7 +57,7 @@
             ntex::time::sleep(POLL_RETRY_PAUSE).await;
         }
         wait_for_commit(&ownership, &client).await;
-        let left = (sent + ownership.poll_interval()).since(clock::steady());
+        let left = (sent + ownership.poll_interval(&client.id)).since(clock::steady());
         if left > time::Span::ZERO {
             ntex::time::sleep(std::time::Duration::from(left)).await;
         }
--- a/gl-jobs/src/owner/pacing/poll_times.rs
+++ b/gl-jobs/src/owner/pacing/poll_times.rs
@@ -2,8 +2,8 @@
 
 use gl_model::time;
 
-use crate::owner::{Owner, Settings, Worker};
-use crate::worker;
+use crate::owner::{Owner, Settings, Worker, runs};
+use crate::{task, worker};
 
 /// The time for which the time-outs stay long after polls became shorter: the polls that were sent
 /// before still take the longer time.
@@ -12,6 +12,10 @@
 /// extend the lease.
 const LEASE_SHARE: f64 = 1.0 / 3.0;
 
+/// The share of the interval between two polls for a worker with runs that end soon. Their mean delay is
+/// then a sixth of a second, a fifth of the shortest phases.
+const BUSY_SHARE: f64 = 1.0 / 3.0;
+
 /// How much longer than configured workers hold polls.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::owner) struct PollTimes {
@@ -47,10 +51,19 @@
         self.settings.stall_timeout = base.stall_timeout.scaled(ratio);
     }
 
-    /// Returns the time for which workers that need no attention hold polls now, and the interval between
-    /// two polls where workers do not hold them.
-    pub const fn poll_wait(&self) -> time::Span {
-        self.settings.poll_wait
+    /// Returns the interval between two polls of a worker that does not hold them. The end of a short or
+    /// best-effort run, which the next phase may wait for, shows only in the next poll.
+    pub fn poll_interval(&self, id: &worker::WorkerId) -> time::Span {
+        let wait = self.settings.poll_wait;
+        let ends_soon = |task: &task::TaskId| {
+            self.runs.get(task).is_some_and(|run| run.kind != runs::Kind::LongRunning)
+        };
+        let worker = self.workers.get(id);
+        if worker.is_some_and(|worker| worker.runs.iter().any(ends_soon)) {
+            wait.scaled(BUSY_SHARE)
+        } else {
+            wait
+        }
     }
 
     /// Returns the time for which a worker without throttled or stopping runs may hold a poll. One
--- a/gl-jobs/tests/jobs/poll_times.rs
+++ b/gl-jobs/tests/jobs/poll_times.rs
@@ -57,3 +57,19 @@
     let actions = cell.submit(1, cell::job(vec![cell::phase(1, 1_000)]));
     assert_eq!(cell::starts(&actions).len(), 1);
 }
+
+/// Guards against phases that wait a second for the end of the one before, where workers do not hold
+/// polls because there are too few connections.
+#[test]
+fn worker_with_short_runs_is_polled_more_often_where_it_does_not_hold_polls() {
+    let mut cell = Cell::new(2);
+    let interval = |cell: &Cell, n| cell.owner.poll_interval(&cell::worker(n));
+    let wait = owner::Settings::default().poll_wait;
+    assert_eq!(interval(&cell, 0), wait);
+    let desk = job::Phase { long_running: true, ..cell::phase(1, 1_000) };
+    let desk = cell::starts(&cell.submit(1, cell::job(vec![desk]))).remove(0);
+    assert_eq!(interval(&cell, cell::index(&desk.worker)), wait);
+    let short = cell::starts(&cell.submit(2, cell::job(vec![cell::phase(1, 1_000)]))).remove(0);
+    let busy = interval(&cell, cell::index(&short.worker));
+    assert!(busy + busy < wait, "{busy:?}");
+}
