refactor: move queries, times and the cell's rows to modules of their own

Change: owner/queries.rs, owner/moment.rs and jobs/cell_rows.rs hold what callers ask, the two clocks, and the rows of the cell with the claim's transaction.

--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -4,12 +4,12 @@
 
 use std::rc;
 
-use gl_jobs::{election, owner, record};
+use gl_jobs::{election, record};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
 
-use super::{event, node, outstanding, ownership, rows};
+use super::{cell_rows, event, node, outstanding, ownership, rows};
 use crate::clock;
 
 /// Time for which a renewal is valid. Long enough for the replies of a slow store, and short enough
@@ -41,27 +41,6 @@
 /// Time without a successful call after which the store counts as down.
 const STORE_DOWN_TIMEOUT: time::Span = time::Span::millis(1_500);
 
-/// Decoded rows of the cell.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(super) struct CellRows {
-    pub owner: Option<Versioned<record::Owner>>,
-    pub lease: Option<Versioned<record::Lease>>,
-}
-
-impl CellRows {
-    /// Returns the number of workers, as the last owner stored it.
-    fn workers(&self) -> Option<usize> {
-        self.lease.as_ref()?.value.workers
-    }
-}
-
-/// A decoded row and its version.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct Versioned<T> {
-    pub value: T,
-    pub version: u64,
-}
-
 /// State that a daemon keeps between two reads of the cell's rows.
 #[derive(Debug, Default)]
 struct OwnerWatch {
@@ -128,7 +107,7 @@
             return;
         };
         self.read_at = now;
-        let cell = decode_rows(&read.rows);
+        let cell = cell_rows::decode(&read.rows);
         if let Some(owner) = &cell.owner {
             self.resolve_claim(node, owner);
             follow(node, owner);
@@ -155,7 +134,7 @@
     fn claim_reason(
         &mut self,
         node: &node::Node,
-        cell: &CellRows,
+        cell: &cell_rows::CellRows,
         sent: time::Timestamp,
         now: time::Timestamp,
     ) -> Option<&'static str> {
@@ -170,13 +149,18 @@
         self.lease_watch.claim_reason(observation, TAKEOVER_TIMEOUT, sent, now)
     }
 
-    async fn claim(&mut self, node: &rc::Rc<node::Node>, cell: &CellRows, cause: &'static str) {
+    async fn claim(
+        &mut self,
+        node: &rc::Rc<node::Node>,
+        cell: &cell_rows::CellRows,
+        cause: &'static str,
+    ) {
         let claim = clock::now().0;
         let settings = &node.settings;
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
         let sent = clock::steady();
         let outstanding = outstanding::at_claim(node, cell, &self.lease_watch, sent);
-        let txn = match claim_transaction(cell, &owner, &settings.owner, outstanding) {
+        let txn = match cell_rows::claim(cell, &owner, &settings.owner, outstanding) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
         };
@@ -201,7 +185,11 @@
 
     /// Resolves a claim whose reply was lost, once the owner's row has changed: the row shows
     /// whether the claim was committed.
-    fn resolve_claim(&mut self, node: &rc::Rc<node::Node>, owner: &Versioned<record::Owner>) {
+    fn resolve_claim(
+        &mut self,
+        node: &rc::Rc<node::Node>,
+        owner: &cell_rows::Versioned<record::Owner>,
+    ) {
         let Some(open) = self.open_claim.filter(|open| open.checked_version != owner.version)
         else {
             return;
@@ -225,54 +213,8 @@
     event::emit(&event::Event::ClaimFailed { cause, detail });
 }
 
-fn decode_rows(read: &[platform::Row]) -> CellRows {
-    fn find<T: serde::de::DeserializeOwned>(
-        read: &[platform::Row],
-        name: &'static str,
-    ) -> Option<Versioned<T>> {
-        let row = read.iter().find(|row| row.name == name)?;
-        match record::decode(name, row.value.as_deref()?) {
-            Ok(value) => Some(Versioned { value, version: row.version }),
-            Err(error) => {
-                let detail = error.to_string();
-                event::emit(&event::Event::Unreadable { row: name, detail });
-                None
-            }
-        }
-    }
-    CellRows { owner: find(read, rows::OWNER), lease: find(read, rows::LEASE) }
-}
-
-/// Returns the transaction that makes `owner` the cell's owner if the cell's rows are unchanged. The
-/// leases that earlier owners have extended last for `outstanding` at most, if that is known.
-fn claim_transaction(
-    cell: &CellRows,
-    owner: &record::Owner,
-    settings: &owner::Settings,
-    outstanding: Option<time::Span>,
-) -> Result<platform::Transaction, record::Error> {
-    let version_of = |version: Option<u64>| version.unwrap_or_default();
-    let check = |name, version| platform::Check { key: rows::cell_row(name), version };
-    let write = |name, value| platform::Write { key: rows::cell_row(name), value };
-    let horizon = settings.horizon;
-    let outstanding = Some(outstanding.unwrap_or(horizon).max(settings.lease));
-    let workers = cell.workers();
-    let lease = record::Lease { renewals: 0, released: false, horizon, outstanding, workers };
-    Ok(platform::Transaction {
-        checks: vec![
-            check(rows::OWNER, version_of(cell.owner.as_ref().map(|row| row.version))),
-            check(rows::LEASE, version_of(cell.lease.as_ref().map(|row| row.version))),
-        ],
-        writes: vec![
-            write(rows::OWNER, record::encode("owner", owner)?),
-            write(rows::LEASE, record::encode("lease", &lease)?),
-        ],
-        removals: Vec::new(),
-    })
-}
-
 /// Connects to the owner and starts to follow it, unless this daemon does so already.
-fn follow(node: &rc::Rc<node::Node>, owner: &Versioned<record::Owner>) {
+fn follow(node: &rc::Rc<node::Node>, owner: &cell_rows::Versioned<record::Owner>) {
     let is_known = match node.role() {
         node::Role::Follower(followed) => followed.token == owner.version,
         node::Role::Owner(ownership) => !ownership.is_ended(),
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod action_queue;
 mod api;
+mod cell_rows;
 mod commit;
 mod daemon_clocks;
 mod event;
--- a/geraniumlatchd/src/jobs/outstanding.rs
+++ b/geraniumlatchd/src/jobs/outstanding.rs
@@ -4,14 +4,14 @@
 use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::{lease, node, ownership};
+use super::{cell_rows, node, ownership};
 use crate::clock;
 
 /// Returns the longest time for which leases of workers that earlier owners have extended may last
 /// at `now`, if it is known.
 pub(super) fn at_claim(
     node: &node::Node,
-    cell: &lease::CellRows,
+    cell: &cell_rows::CellRows,
     watch: &election::LeaseWatch,
     now: time::Timestamp,
 ) -> Option<time::Span> {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -11,9 +11,11 @@
 mod commit;
 mod completion;
 mod crashes;
+mod moment;
 mod orders;
 mod pacing;
 mod placement;
+mod queries;
 mod recovery;
 mod scarcity;
 mod settings;
@@ -31,6 +33,7 @@
 pub use impact::Impact;
 pub use interference::{CpuUse, ImageId, InterferenceModel};
 pub use jobs::{Advice, JobEntry, PhaseState};
+pub use moment::Moment;
 pub use pacing::window::{
     Outcome as OrderOutcome, Settings as WindowSettings, Window as OrderWindow,
 };
@@ -312,40 +315,6 @@
         self.is_wall_settled = is_settled;
     }
 
-    /// Returns the state of a job as clients may see it, or `None` if the job is unknown.
-    pub fn state(&self, id: task::JobId) -> Option<job::State> {
-        let entry = self.jobs.get(&id)?;
-        let unfinished = if entry.has_started { job::State::Running } else { job::State::Queued };
-        Some(entry.stored_state.unwrap_or(unfinished))
-    }
-
-    /// Returns the number of jobs of a queue that were accepted and have not started.
-    pub fn pending(&self, queue: &str) -> usize {
-        let is_pending =
-            |e: &&JobEntry| !e.has_started && e.final_state.is_none() && e.job.queue == queue;
-        self.jobs.values().filter(is_pending).count()
-    }
-
-    /// Returns the workers of the cell.
-    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
-        self.workers.values()
-    }
-
-    /// Returns a worker.
-    pub fn worker(&self, id: &worker::WorkerId) -> Option<&Worker> {
-        self.workers.get(id)
-    }
-
-    /// Returns the jobs.
-    pub fn jobs(&self) -> impl Iterator<Item = (task::JobId, &JobEntry)> {
-        self.jobs.iter().map(|(id, entry)| (*id, entry))
-    }
-
-    /// Returns the runs.
-    pub fn runs(&self) -> impl Iterator<Item = (task::TaskId, &Run)> {
-        self.runs.iter().map(|(id, run)| (*id, run))
-    }
-
     /// Runs all systems that depend on the time.
     pub fn tick(&mut self, moment: &Moment) {
         self.decided_at = moment.now;
@@ -428,12 +397,3 @@
         self.jobs.get(&id).map(JobEntry::progress)
     }
 }
-
-/// A point in time by the steady clock, with the corresponding time of day.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Moment {
-    /// The steady clock, which also counts the time during which the VM was suspended.
-    pub now: time::Timestamp,
-    /// The time of day on which the daemons agree.
-    pub wall: time::Timestamp,
-}
