--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -202,7 +202,6 @@
         // Short jobs are few and wide. By unit of work the widest, which are worth most, came last.
         loss_order: gl_jobs::owner::LossOrder::BestEffort,
         colocation: gl_jobs::owner::Colocation {
-            skips_throttled: true,
             impact_interval: Some(IMPACT_INTERVAL),
             ..defaults.colocation
         },
--- a/gl-jobs/src/owner/colocation/mod.rs
+++ b/gl-jobs/src/owner/colocation/mod.rs
@@ -39,7 +39,7 @@
         }
         _ => 0.0,
     };
-    if !ignores_load && predicted > settings.ratio_high {
+    if !ignores_load && settings.predicted_limit.is_some_and(|limit| predicted > limit) {
         return None;
     }
     let total = (w.registration.size.cores as f64).max(1.0);
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -140,9 +140,12 @@
     /// interference and idle processors. It is shorter than the time within which waiting work has
     /// to start while there is free capacity.
     pub starvation_time: time::Span,
-    /// Whether a best-effort task starts only where the predicted tail ratio of the long-running
-    /// tasks stays below `ratio_high`.
+    /// Whether a best-effort task prefers workers on which the predicted tail ratio of the long-running
+    /// tasks is low.
     pub predicts_tail: bool,
+    /// The predicted tail ratio above which a best-effort task does not start there; `None` for no
+    /// limit. Needs `predicts_tail`.
+    pub predicted_limit: Option<f64>,
     /// The time after which a long-running phase with a task that has ended is placed before short
     /// tasks. Half of the time within which such a task has to run again if there is capacity.
     pub patience: time::Span,
@@ -253,6 +256,7 @@
             advice_workers: 30,
             starvation_time: time::Span::millis(2_000),
             predicts_tail: false,
+            predicted_limit: None,
             patience: time::Span::seconds(3),
             advice_retry: time::Span::seconds(2),
             failure_limit: 2.4,
