--- a/gl-jobs/tests/jobs/pressure.rs
+++ b/gl-jobs/tests/jobs/pressure.rs
@@ -119,7 +119,7 @@
 /// so. Without the setting, the place is taken.
 #[test]
 fn task_does_not_start_where_the_tail_ratio_is_predicted_to_exceed_its_limit() {
-    let starts = |predicts_tail| {
+    let starts = |predicts_tail: bool| {
         let predicted_limit = predicts_tail.then_some(0.9);
         let settings =
             owner::Settings { predicts_tail, predicted_limit, ..owner::Settings::default() };
