feat(geraniumlatchd): log why start orders are late

A full window for start orders, long placement passes and orders that are sent late could not be told apart: the first was in the metrics only, the others nowhere. Change: the event starts-late, at most one a second, with the counts of passes and of those that the window ended, the time of the passes, and the longest delay of an order between decision and request.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -57,6 +57,18 @@
     SteppedDown { token: u64, cause: &'static str },
     /// The connections to workers have reached their limit. Logged once until they fall below it.
     ConnectionsShort { polls: usize, poll_limit: usize, orders: usize, order_limit: usize },
+    /// Start orders were late in the last second: `held` of the placement passes ended early, as the
+    /// orders in flight had reached their limit, which was `limit` at the end.
+    StartsLate {
+        passes: u64,
+        held: u64,
+        total_ms: u64,
+        longest_ms: u64,
+        orders: u64,
+        order_delay_ms: u64,
+        in_flight: usize,
+        limit: usize,
+    },
     /// New runs were permitted or forbidden.
     Starts { allowed: bool, lease_left_ms: u64, cause: &'static str },
     /// A job was stored.
--- a/geraniumlatchd/src/jobs/execution.rs
+++ b/geraniumlatchd/src/jobs/execution.rs
@@ -64,6 +64,24 @@
         }
     }
 
+    /// Reports in the log that start orders are late, and why.
+    pub(super) fn report_late_starts(&self, now: gl_model::time::Timestamp) {
+        let owner = self.owner.borrow();
+        let Some(late) = self.pass_meter.borrow_mut().report(owner.held_passes(), now) else {
+            return;
+        };
+        event::emit(&event::Event::StartsLate {
+            passes: late.passes,
+            held: late.held,
+            total_ms: late.total.as_millis(),
+            longest_ms: late.longest.as_millis(),
+            orders: late.orders,
+            order_delay_ms: late.order_delay.as_millis(),
+            in_flight: owner.starts_in_flight(),
+            limit: owner.start_limit(),
+        });
+    }
+
     /// Carries out one chunk of the pending actions, and returns whether there are more.
     fn execute_chunk(self: &rc::Rc<Self>) -> bool {
         for _ in 0..CHUNK {
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod outages;
 mod outstanding;
 mod ownership;
+pub mod pass_meter;
 pub mod placement_pause;
 pub mod poll_gate;
 pub mod poll_pause;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -8,8 +8,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    action_queue, commit, event, followers, lease, node, ordering, placement_pause, poll_gate,
-    poll_pause, work_feed, worker_client, worker_list,
+    action_queue, commit, event, followers, lease, node, ordering, pass_meter, placement_pause,
+    poll_gate, poll_pause, work_feed, worker_client, worker_list,
 };
 use crate::clock;
 
@@ -55,6 +55,8 @@
     last_tick: cell::Cell<time::Timestamp>,
     /// Smoothed time by which timers fire late; a measure of the shortage of processor time.
     timer_delay: cell::Cell<time::Span>,
+    /// Measures how late start orders are.
+    pub(super) pass_meter: cell::RefCell<pass_meter::PassMeter>,
     /// Wakes the placement of waiting tasks.
     placement_wake: Notify,
     /// Actions that are not carried out yet.
@@ -106,6 +108,7 @@
         is_stale: cell::Cell::new(false),
         last_tick: cell::Cell::new(now),
         timer_delay: cell::Cell::new(time::Span::ZERO),
+        pass_meter: cell::RefCell::default(),
         placement_wake: Notify::new(),
         pending_actions: cell::RefCell::default(),
         poll_gate: poll_gate::PollGate::new(node.settings.owner.order_window),
@@ -150,6 +153,7 @@
         ownership.placement_wake.notified().await;
         let started = clock::steady();
         ownership.owner.borrow_mut().place(started);
+        ownership.pass_meter.borrow_mut().pass(clock::steady().since(started));
         ownership.execute_actions();
         let pause = placement_pause::after(clock::steady().since(started));
         ntex::time::sleep(std::time::Duration::from(pause)).await;
@@ -240,8 +244,10 @@
         }
         self.update_starts(moment.now);
         self.owner.borrow_mut().tick(&moment);
+        self.pass_meter.borrow_mut().pass(clock::steady().since(moment.now));
         self.update_worker_clients();
         self.execute_actions();
+        self.report_late_starts(moment.now);
     }
 
     /// Records that the timer between two ticks has fired after `took`.
--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -175,6 +175,9 @@
         ownership.owner().start_unsent(&client.id, order.task, order.attempt, sent);
         return ownership.process_decisions();
     };
+    if let Some(delay) = ownership.owner().order_age(order.task, order.attempt, sent) {
+        ownership.pass_meter.borrow_mut().order(delay);
+    }
     let reply = ownership.node().platform.workers.start(&target, ownership.token(), &order).await;
     if !is_still_owner(&ownership, reply) {
         return;
--- a/gl-jobs/src/owner/pacing/in_flight.rs
+++ b/gl-jobs/src/owner/pacing/in_flight.rs
@@ -12,11 +12,13 @@
 pub(in crate::owner) struct StartsInFlight {
     orders: collections::BTreeMap<(task::TaskId, u64), time::Timestamp>,
     window: OrderWindow,
+    /// The number of placement passes that ended because the window was full.
+    held_passes: u64,
 }
 
 impl StartsInFlight {
     pub const fn new(window: OrderWindow) -> Self {
-        Self { orders: collections::BTreeMap::new(), window }
+        Self { orders: collections::BTreeMap::new(), window, held_passes: 0 }
     }
 
     /// Records that an order was decided on, or became ready to be sent, at `now`.
@@ -62,6 +64,26 @@
         self.in_flight.window.limit()
     }
 
+    /// Returns the number of placement passes that ended because the window for start orders was full.
+    pub const fn held_passes(&self) -> u64 {
+        self.in_flight.held_passes
+    }
+
+    /// Returns the time since it was decided to send a start order that was not answered.
+    pub fn order_age(
+        &self,
+        task: task::TaskId,
+        attempt: u64,
+        now: time::Timestamp,
+    ) -> Option<time::Span> {
+        self.in_flight.orders.get(&(task, attempt)).map(|decided| now.since(*decided))
+    }
+
+    /// Records that a placement pass ended because the window was full.
+    pub(in crate::owner) const fn pass_held(&mut self) {
+        self.in_flight.held_passes += 1;
+    }
+
     /// Returns whether another start may be ordered.
     pub(in crate::owner) fn admits_start(&mut self) -> bool {
         let count = self.starts_in_flight();
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -34,7 +34,7 @@
     let mut racks = distance::Racks::default();
     for phase in order::sorted(owner, now) {
         if !owner.admits_start() {
-            return;
+            return owner.pass_held();
         }
         start_phase(owner, phase, &mut skip, &mut racks, now);
     }
