fix(gl-jobs): leave a part of the window for start orders to tasks that reserve capacity

Cause: while many best-effort tasks wait, the window for start orders is always full, and a placement pass ended as soon as it was. Phases behind the best-effort ones in the order, as short tasks past their deadline are, were never reached, although they need other capacity. Class: work of one kind waits behind another for a resource that they share, and not for the one that is scarce. Change: best-effort starts leave a quarter of the window to others, and a pass goes on to phases that the window admits. Result: short_tasks_start_while_best_effort_tasks_fill_the_window failed before (0 of 8 starts).

--- a/gl-jobs/src/owner/pacing/in_flight.rs
+++ b/gl-jobs/src/owner/pacing/in_flight.rs
@@ -5,20 +5,25 @@
 use gl_model::time;
 
 use crate::owner::{OrderOutcome, OrderWindow, Owner};
-use crate::task;
+use crate::{job, task};
+
+/// The share of the window that best-effort tasks leave to others, as a divisor.
+const RESERVED_SHARE: usize = 4;
 
 /// The start orders that were decided on and not answered, with the window that limits them.
 #[derive(Clone, Debug)]
 pub(in crate::owner) struct StartsInFlight {
     orders: collections::BTreeMap<(task::TaskId, u64), time::Timestamp>,
     window: OrderWindow,
-    /// The number of placement passes that ended because the window was full.
+    /// The number of placement passes that the window held back.
     held_passes: u64,
+    /// Whether it has held back the present one.
+    is_pass_held: bool,
 }
 
 impl StartsInFlight {
     pub const fn new(window: OrderWindow) -> Self {
-        Self { orders: collections::BTreeMap::new(), window, held_passes: 0 }
+        Self { orders: collections::BTreeMap::new(), window, held_passes: 0, is_pass_held: false }
     }
 
     /// Records that an order was decided on, or became ready to be sent, at `now`.
@@ -64,7 +69,7 @@
         self.in_flight.window.limit()
     }
 
-    /// Returns the number of placement passes that ended because the window for start orders was full.
+    /// Returns the number of placement passes that could not order all starts because of the window.
     pub const fn held_passes(&self) -> u64 {
         self.in_flight.held_passes
     }
@@ -79,14 +84,20 @@
         self.in_flight.orders.get(&(task, attempt)).map(|decided| now.since(*decided))
     }
 
-    /// Records that a placement pass ended because the window was full.
-    pub(in crate::owner) const fn pass_held(&mut self) {
-        self.in_flight.held_passes += 1;
+    /// Returns whether a start of a task may be ordered. Best-effort tasks leave a part of the window to
+    /// those that reserve capacity, which wait for other capacity: while many best-effort tasks wait,
+    /// they would take every place that becomes free.
+    pub(in crate::owner) fn admits_start(&mut self, spec: &job::Phase) -> bool {
+        let reserve = if spec.best_effort { self.start_limit() / RESERVED_SHARE } else { 0 };
+        let count = self.starts_in_flight() + reserve;
+        let is_admitted = self.in_flight.window.admits(count);
+        self.in_flight.is_pass_held |= !is_admitted;
+        is_admitted
     }
 
-    /// Returns whether another start may be ordered.
-    pub(in crate::owner) fn admits_start(&mut self) -> bool {
-        let count = self.starts_in_flight();
-        self.in_flight.window.admits(count)
+    /// Records the end of a placement pass.
+    pub(in crate::owner) const fn pass_ended(&mut self) {
+        self.in_flight.held_passes += self.in_flight.is_pass_held as u64;
+        self.in_flight.is_pass_held = false;
     }
 }
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -18,8 +18,8 @@
 use crate::owner::{Note, Owner, Stage, crashes, impact, runs, scarcity, state, untested};
 use crate::{task, worker};
 
-/// Starts the waiting tasks that can be placed, in the order of their ranks, until the window for
-/// start orders is full. A gang is ordered as a whole, and may exceed the window.
+/// Starts the waiting tasks that can be placed, in the order of their ranks, as far as the window for
+/// start orders admits them. A gang is ordered as a whole, and may exceed the window.
 pub fn run(owner: &mut Owner, now: time::Timestamp) {
     if !owner.may_start(now) || owner.start_validity(now) < owner.settings.order_time {
         return;
@@ -33,11 +33,9 @@
     let mut skip = unplaced::Unplaced::new(owner, now);
     let mut racks = distance::Racks::default();
     for phase in order::sorted(owner, now) {
-        if !owner.admits_start() {
-            return owner.pass_held();
-        }
         start_phase(owner, phase, &mut skip, &mut racks, now);
     }
+    owner.pass_ended();
 }
 
 fn start_phase(
@@ -56,6 +54,9 @@
         return;
     }
     let spec = spec.clone();
+    if !owner.admits_start(&spec) {
+        return;
+    }
     let has_suspects =
         state::state_of(owner, phase).is_some_and(|state| !state.suspects.is_empty());
     if next_waiting(owner, phase).is_none() && !has_suspects {
@@ -75,7 +76,7 @@
         return;
     }
     while let Some(index) = next_waiting(owner, phase) {
-        if !owner.admits_start() {
+        if !owner.admits_start(&spec) {
             return;
         }
         let Some(worker) = candidates.find(owner, phase, now) else {
--- a/gl-jobs/tests/jobs/windows.rs
+++ b/gl-jobs/tests/jobs/windows.rs
@@ -3,7 +3,7 @@
 
 use std::collections;
 
-use gl_jobs::{owner, worker};
+use gl_jobs::{job, owner, worker};
 use gl_model::time;
 use proptest::prelude::*;
 
@@ -175,3 +175,15 @@
     }
     assert!(!cell::starts(&cell.tick()).is_empty());
 }
+
+/// Guards against short tasks that wait while best-effort tasks take each place in the window that
+/// becomes free, with capacity left for both.
+#[test]
+fn short_tasks_start_while_best_effort_tasks_fill_the_window() {
+    let mut cell = Cell::new(60);
+    let best_effort = job::Phase { best_effort: true, ..cell::phase(3_000, 100) };
+    cell.submit(1, cell::job(vec![best_effort]));
+    let short = cell::starts(&cell.submit(2, cell::job(vec![cell::phase(8, 1_000)])));
+    let of_short = |start: &&cell::Started| start.task.phase.job == cell::id(2);
+    assert_eq!(short.iter().filter(of_short).count(), 8);
+}
