fix(geraniumlatchd): do not count lines of the log as requests of a chunk

Cause: actions are carried out 32 at a time, so that other tasks run in between, and lines of the log were actions like others, served first. Each run has two of them, so that a chunk held ten start orders in a busy cell. Evidence: some 1,500 orders a second were sent while the process handled 50 to 60 placement passes a second, and orders waited for 300 to 700 ms. Change: a chunk takes all lines of the log and 32 requests. Result: lines_of_the_log_take_no_place_of_requests_in_a_chunk fails with chunks as before (0 of 32 starts).

--- a/geraniumlatchd/src/jobs/execution.rs
+++ b/geraniumlatchd/src/jobs/execution.rs
@@ -8,7 +8,7 @@
 use super::{event, ownership::Ownership, worker_client};
 use crate::clock;
 
-/// Number of actions that are carried out before other tasks run. The requests of one chunk take a
+/// Number of requests that are sent before other tasks run. The requests of one chunk take a
 /// few milliseconds on a small VM, so that the renewal of the cell's lease is late by no more.
 const CHUNK: usize = 32;
 
@@ -84,9 +84,8 @@
 
     /// Carries out one chunk of the pending actions, and returns whether there are more.
     fn execute_chunk(self: &rc::Rc<Self>) -> bool {
-        for _ in 0..CHUNK {
-            let next = self.pending_actions.borrow_mut().pop();
-            let Some(action) = next else { break };
+        let chunk = self.pending_actions.borrow_mut().next_chunk(CHUNK);
+        for action in chunk {
             self.execute(action);
         }
         !self.pending_actions.borrow().is_empty()
--- a/geraniumlatchd/tests/execution.rs
+++ b/geraniumlatchd/tests/execution.rs
@@ -14,19 +14,23 @@
     worker::WorkerId("w-1".to_owned())
 }
 
-#[test]
-fn stop_orders_come_before_starts_and_polls() {
+fn start(index: u32) -> owner::Action {
     let order = worker::StartOrder {
-        task: task::TaskId { phase: phase(), index: 0 },
+        task: task::TaskId { phase: phase(), index },
         attempt: 1,
         spec: String::new(),
         checkpoint: String::new(),
         deadline: time::Timestamp(1),
         ticket: None,
     };
-    let task = order.task;
+    owner::Action::Start { worker: worker(), order }
+}
+
+#[test]
+fn stop_orders_come_before_starts_and_polls() {
     let poll = owner::Action::Poll { worker: worker() };
-    let start = owner::Action::Start { worker: worker(), order };
+    let start = start(0);
+    let task = task::TaskId { phase: phase(), index: 0 };
     let stop = owner::Action::Stop { worker: worker(), task, attempt: 2 };
     let mut queue = action_queue::ActionQueue::default();
     for action in [&poll, &start, &stop] {
@@ -36,6 +40,22 @@
     assert_eq!(order, [stop, start, poll]);
 }
 
+/// Guards against starts that wait in a burst because each of them comes with two lines of the log.
+#[test]
+fn lines_of_the_log_take_no_place_of_requests_in_a_chunk() {
+    let mut queue = action_queue::ActionQueue::default();
+    for index in 0..100 {
+        let note = owner::Note::Recovered { missing: 0, took: time::Span::ZERO };
+        queue.push(owner::Action::Note(note.clone()));
+        queue.push(owner::Action::Note(note));
+        queue.push(start(index));
+    }
+    let chunk = queue.next_chunk(32);
+    let is_start = |action: &&owner::Action| matches!(action, owner::Action::Start { .. });
+    assert_eq!(chunk.iter().filter(is_start).count(), 32);
+    assert_eq!(chunk.len(), 232, "the lines are written at once");
+}
+
 #[test]
 fn limit_is_reported_once_until_the_use_has_fallen() {
     let connections = ordering::Connections::new(budget::Budget::new(4_100));
