fix(gl-jobs): treat an interruption as one of a task, and serve it before tasks that have not run

Cause: some workers are held free of long-running tasks for the short ones, and only tasks that were interrupted may take them, as they have to run again soon. Interruption was a property of the phase: one failed task of a phase let all its waiting tasks, which had never run, take held workers, and before short tasks, as the phase had waited for long. Besides, tasks that wait for longer took the capacity that an interrupted one had left, which then had nowhere else to go. Class: a right of one member is given to its whole group. Change: a phase records which of its waiting tasks were interrupted, and since when. They are served as a part of their own: before short tasks once they have waited for long, else before long-running tasks that have not run. Result: two tests failed before (a second held worker was taken; another job's task got the capacity).

--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -227,7 +227,7 @@
             state.since = now;
         }
         state.waiting.insert(task.index);
-        state.is_interrupted = true;
+        state.interrupted.entry(task.index).or_insert(now);
         let is_gang = entry.spec(task.phase.phase).is_some_and(|spec| spec.gang);
         self.open_phases.insert(task.phase);
         if is_gang {
--- a/gl-jobs/src/owner/placement/gang.rs
+++ b/gl-jobs/src/owner/placement/gang.rs
@@ -4,7 +4,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Owner, StopReason, search, state};
+use crate::owner::{Owner, StopReason, order, search, state};
 use crate::{task, worker};
 
 /// The index under which the failures and checkpoints of a gang are kept.
@@ -27,7 +27,10 @@
         }
         state.waiting.iter().copied().collect()
     };
-    let mut candidates = search::Candidates::default();
+    let is_interrupted =
+        state::state_of(owner, phase).is_some_and(|state| !state.interrupted.is_empty());
+    let part = if is_interrupted { order::Part::Interrupted } else { order::Part::All };
+    let mut candidates = search::Candidates::new(part);
     let mut placements = collections::BTreeMap::new();
     for index in members {
         let Some(worker) = candidates.find(owner, phase, now) else {
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -32,15 +32,15 @@
     scarcity::update(owner, now);
     let mut skip = unplaced::Unplaced::new(owner, now);
     let mut racks = distance::Racks::default();
-    for phase in order::sorted(owner, now) {
-        start_phase(owner, phase, &mut skip, &mut racks, now);
+    for entry in order::sorted(owner, now) {
+        start_phase(owner, entry, &mut skip, &mut racks, now);
     }
     owner.pass_ended();
 }
 
 fn start_phase(
     owner: &mut Owner,
-    phase: task::PhaseId,
+    order::Entry { phase, part }: order::Entry,
     skip: &mut unplaced::Unplaced,
     racks: &mut distance::Racks,
     now: time::Timestamp,
@@ -59,7 +59,7 @@
     }
     let has_suspects =
         state::state_of(owner, phase).is_some_and(|state| !state.suspects.is_empty());
-    if next_waiting(owner, phase).is_none() && !has_suspects {
+    if next_waiting(owner, phase, part).is_none() && !has_suspects {
         return close_if_started(owner, phase);
     }
     if !advice::has_advice(owner, phase, now) {
@@ -71,11 +71,11 @@
         }
         return;
     }
-    let mut candidates = search::Candidates::default();
+    let mut candidates = search::Candidates::new(part);
     if distance::should_wait(owner, racks, phase, None, now) {
         return;
     }
-    while let Some(index) = next_waiting(owner, phase) {
+    while let Some(index) = next_waiting(owner, phase, part) {
         if !owner.admits_start(&spec) {
             return;
         }
@@ -102,13 +102,15 @@
     }
 }
 
-/// Returns the next waiting task that is not held back.
-fn next_waiting(owner: &Owner, phase: task::PhaseId) -> Option<u32> {
+/// Returns the next waiting task of a part of a phase that is not held back.
+fn next_waiting(owner: &Owner, phase: task::PhaseId, part: order::Part) -> Option<u32> {
+    let state = state::state_of(owner, phase)?;
     let may_start = |index: &&u32| {
         let task = task::TaskId { phase, index: **index };
-        !owner.is_withheld(task) && !is_unseen(owner, task)
+        let is_in_part = part == order::Part::All || state.interrupted.contains_key(index);
+        is_in_part && !owner.is_withheld(task) && !is_unseen(owner, task)
     };
-    state::state_of(owner, phase)?.waiting.iter().find(may_start).copied()
+    state.waiting.iter().find(may_start).copied()
 }
 
 /// Returns whether the task may be running on a worker that has not replied, and has one run at a
@@ -170,7 +172,7 @@
         return;
     };
     state.waiting.remove(&index);
-    state.is_interrupted &= !state.waiting.is_empty();
+    state.interrupted.remove(&index);
     let shared = if description.gang { gang::SHARED_INDEX } else { index };
     let checkpoint = state.checkpoints.get(&shared).cloned().unwrap_or_default();
     let ticket = state.tickets.get(worker.0.as_str()).cloned();
--- a/gl-jobs/src/owner/placement/order.rs
+++ b/gl-jobs/src/owner/placement/order.rs
@@ -21,18 +21,38 @@
     /// while capacity is scarce.
     key: u64,
     phase: task::PhaseId,
+    part: Part,
+}
+
+/// A waiting phase, or a part of one, in the order in which they are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::owner) struct Entry {
+    pub phase: task::PhaseId,
+    pub part: Part,
+}
+
+/// The waiting tasks of a phase that are served together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::owner) enum Part {
+    /// The long-running tasks that were interrupted and have to run again soon. The others of their
+    /// phase, which may not have run yet, have no claim to be served with them.
+    Interrupted,
+    All,
 }
 
 /// The classes of phases, in the order in which they are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
-    /// A long-running phase of which a task has ended and waits for longer than
-    /// [`settings::Settings::patience`], as short tasks take all capacity that becomes free.
+    /// Long-running tasks that were interrupted for longer than [`settings::Settings::patience`], as
+    /// short tasks take all capacity that becomes free.
     Starved,
     /// Belongs to a job that is served by right while capacity is scarce; see [`gl_cost::ledger`].
     Turn,
     /// Can still meet its objective, reserves capacity, and releases it soon.
     Short,
+    /// Long-running tasks that were interrupted. They come before those that have not run yet, which
+    /// would take the capacity that they have left.
+    Interrupted,
     /// Runs until it is cancelled, and keeps its capacity; its payoff grows with its running time.
     LongRunning,
     /// A best-effort phase that can still meet its objective.
@@ -44,42 +64,55 @@
 }
 
 /// Returns the waiting phases in the order in which they are served.
-pub(in crate::owner) fn sorted(owner: &Owner, now: time::Timestamp) -> Vec<task::PhaseId> {
-    let ranks = owner.open_phases.iter().filter_map(|phase| rank(owner, *phase, now));
-    let mut ranks: Vec<_> = ranks.collect();
+pub(in crate::owner) fn sorted(owner: &Owner, now: time::Timestamp) -> Vec<Entry> {
+    let phases = owner.open_phases.iter();
+    let mut ranks: Vec<_> = phases
+        .flat_map(|phase| [rank_interrupted(owner, *phase, now), rank(owner, *phase, now)])
+        .flatten()
+        .collect();
     ranks.sort_unstable();
-    ranks.into_iter().map(|rank| rank.phase).collect()
+    ranks.into_iter().map(|rank| Entry { phase: rank.phase, part: rank.part }).collect()
+}
+
+/// Returns the rank of the interrupted tasks of a long-running phase, if there are any.
+fn rank_interrupted(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<Rank> {
+    let entry = owner.jobs.get(&phase.job)?;
+    let state = entry.phases.get(&(phase.occurrence, phase.phase))?;
+    let since = *state.interrupted.values().min()?;
+    entry.spec(phase.phase).filter(|spec| spec.long_running)?;
+    let is_starved = now.since(since) >= owner.settings.patience;
+    let class = if is_starved { Class::Starved } else { Class::Interrupted };
+    Some(Rank { class, key: since.0, phase, part: Part::Interrupted })
 }
 
 fn rank(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<Rank> {
     let entry = owner.jobs.get(&phase.job)?;
     let state = entry.phases.get(&(phase.occurrence, phase.phase))?;
-    let class = class(owner, phase, now)?;
-    let is_long_running = matches!(class, Class::Starved | Class::LongRunning);
     let spec = entry.spec(phase.phase)?;
+    let rank = Rank { class: class(entry, state, phase, now)?, key: 0, phase, part: Part::All };
     let flow = owner.scarcity.get(&entry.job.service).map(|service| service.flow(spec));
     let is_covered = match owner.settings.loss_order {
         settings::LossOrder::Off => false,
         settings::LossOrder::BestEffort => spec.best_effort,
-        settings::LossOrder::All => !is_long_running,
+        settings::LossOrder::All => !spec.long_running,
     };
     if let Some(flow) = flow.filter(|flow| is_covered && flow.is_scarce()) {
-        return Some(scarce_rank(flow, entry, state, Rank { class, key: 0, phase }, now));
+        return Some(scarce_rank(flow, entry, state, rank, now));
     }
-    let key = if is_long_running { state.since.0 } else { key(owner, entry, state, phase, now) };
-    Some(Rank { class, key, phase })
+    let key = if spec.long_running { state.since.0 } else { key(owner, entry, state, phase, now) };
+    Some(Rank { key, ..rank })
 }
 
-fn class(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<Class> {
-    let entry = owner.jobs.get(&phase.job)?;
-    let state = entry.phases.get(&(phase.occurrence, phase.phase))?;
+fn class(
+    entry: &JobEntry,
+    state: &PhaseState,
+    phase: task::PhaseId,
+    now: time::Timestamp,
+) -> Option<Class> {
     let spec = entry.spec(phase.phase)?;
     let objective = entry.objective;
     let finish = now + entry.critical_path(phase.phase);
-    let is_starved = state.is_interrupted && now.since(state.since) >= owner.settings.patience;
-    Some(if spec.long_running && is_starved {
-        Class::Starved
-    } else if spec.long_running {
+    Some(if spec.long_running {
         Class::LongRunning
     } else if finish <= state.deadline && !spec.best_effort {
         Class::Short
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -4,7 +4,7 @@
 
 use crate::owner::{
     JobEntry, Owner, PhaseState, Worker, colocation, copies, distance, headroom, interference,
-    jobs, preference, spread, state, untested,
+    jobs, order, preference, spread, state, untested,
 };
 use crate::{job, task, worker};
 
@@ -29,6 +29,8 @@
     found: Option<usize>,
     /// Whether the worker is for a task that may crash it.
     is_trial: bool,
+    /// Whether the tasks have run before and were interrupted.
+    is_interrupted: bool,
 }
 
 /// What the scores of a phase depend on, apart from the state of the assessed worker.
@@ -50,6 +52,11 @@
 }
 
 impl Candidates {
+    /// Returns the workers for the tasks of a part of a phase.
+    pub fn new(part: order::Part) -> Self {
+        Self { is_interrupted: part == order::Part::Interrupted, ..Self::default() }
+    }
+
     /// Returns the workers for a task that may crash the one on which it starts.
     pub fn for_trial() -> Self {
         Self { is_trial: true, ..Self::default() }
@@ -66,8 +73,9 @@
         let entry = owner.jobs.get(&phase.job)?;
         let spec = entry.spec(phase.phase)?;
         let state = state::state_of(owner, phase)?;
-        let conditions =
-            Conditions { is_trial: self.is_trial, ..conditions(owner, entry, phase, now)? };
+        let common = conditions(owner, entry, phase, now)?;
+        let room = room_for(owner, entry, spec, self.is_interrupted);
+        let conditions = Conditions { is_trial: self.is_trial, room, ..common };
         let request = Request { phase, entry, spec, state, conditions: &conditions };
         if self.conditions.as_ref() == Some(&conditions) {
             let changed = self.found.and_then(|n| Some((n, owner.workers.values().nth(n)?)));
@@ -103,7 +111,7 @@
         rack: shared_rack(owner, phase, spec, now),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
         ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
-        room: room_for(owner, entry, spec, state),
+        room: room_for(owner, entry, spec, false),
         crowded: untested::crowded(owner, &entry.job.service, spec),
         is_trial: false,
     })
@@ -131,14 +139,14 @@
     owner: &Owner,
     entry: &JobEntry,
     spec: &job::Phase,
-    state: &PhaseState,
+    is_interrupted: bool,
 ) -> headroom::Room {
     if !spec.long_running {
         return headroom::Room::Ample;
     }
     match headroom::room(owner, &entry.job.service) {
         // Interrupted tasks have to run again soon.
-        headroom::Room::Held if state.is_interrupted => headroom::Room::Scarce,
+        headroom::Room::Held if is_interrupted => headroom::Room::Scarce,
         room => room,
     }
 }
--- a/gl-jobs/src/owner/recovery/adoption.rs
+++ b/gl-jobs/src/owner/recovery/adoption.rs
@@ -42,7 +42,7 @@
         };
         let is_done = state.done.contains(task.index);
         state.waiting.remove(&task.index);
-        state.is_interrupted = !state.waiting.is_empty();
+        state.interrupted = state.waiting.iter().map(|index| (*index, state.since)).collect();
         if state.waiting.is_empty() {
             self.open_phases.remove(&task.phase);
         }
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -52,8 +52,9 @@
     /// The start of the current wait for placement: the time at which the phase was opened, or at
     /// which a task was queued again while none was waiting.
     pub since: time::Timestamp,
-    /// Whether a run of a waiting task has ended or, after a change of owner, may have ended.
-    pub is_interrupted: bool,
+    /// The waiting tasks of which a run has ended or, after a change of owner, may have ended, with the
+    /// time since which they wait.
+    pub interrupted: collections::BTreeMap<u32, time::Timestamp>,
     /// The time since which tasks have waited for capacity in their rack although other racks have
     /// some; `None` if none has.
     pub rack_wait: Option<time::Timestamp>,
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -285,15 +285,20 @@
     assert_eq!(starts_after_a_short_job(&mut cell, 60_000).len(), 50);
 }
 
+/// Starts a run and lets it fail.
+fn lose(cell: &mut Cell, start: &cell::Started) {
+    cell.start_replied(start, worker::OrderReply::Done);
+    let n = cell::index(&start.worker);
+    cell.report_end(n, start, worker::Outcome::Failed);
+    cell.poll(n, &[]);
+}
+
 /// A task that has run before must run again soon, wherever there is capacity.
 #[test]
 fn interrupted_long_running_task_takes_a_worker_that_is_held_free() {
     let mut cell = Cell::new(25);
     let starts = starts_after_a_short_job(&mut cell, 100);
-    cell.start_replied(&starts[0], worker::OrderReply::Done);
-    let n = cell::index(&starts[0].worker);
-    cell.report_end(n, &starts[0], worker::Outcome::Failed);
-    cell.poll(n, &[]);
+    lose(&mut cell, &starts[0]);
     let removed = vec![starts[0].worker.clone()];
     let changes = worker::ListChanges { removed, ..worker::ListChanges::default() };
     cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
@@ -301,6 +306,37 @@
     assert!(again.iter().any(|start| start.task == starts[0].task), "{}", again.len());
 }
 
+/// Guards against workers held for short tasks that are filled by the tasks of a wide phase as soon as
+/// one of them fails.
+#[test]
+fn tasks_that_have_not_run_take_no_held_worker_with_an_interrupted_one_of_their_phase() {
+    let mut cell = Cell::new(25);
+    let starts = starts_after_a_short_job(&mut cell, 100);
+    assert_eq!(starts.len(), 46, "four tasks wait");
+    lose(&mut cell, &starts[0]);
+    let removed = vec![starts[0].worker.clone()];
+    let changes = worker::ListChanges { removed, ..worker::ListChanges::default() };
+    cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
+    let again = cell::starts(&cell.tick());
+    assert_eq!(again[0].task, starts[0].task);
+    assert!(again.iter().all(|start| start.worker == again[0].worker), "one of two held workers");
+}
+
+/// Guards against interrupted tasks that have to take a held worker, as tasks that wait for longer have
+/// taken the capacity that they left.
+#[test]
+fn interrupted_task_gets_its_capacity_back_before_tasks_that_have_not_run() {
+    let mut cell = Cell::new(25);
+    let long_running = |count| job::Phase { long_running: true, ..cell::phase(count, 32_000) };
+    let running = cell::starts(&cell.submit(1, cell::job(vec![long_running(50)])));
+    assert_eq!(running.len(), 50);
+    assert!(cell::starts(&cell.submit(2, cell::job(vec![long_running(3)]))).is_empty());
+    cell.now += 100;
+    lose(&mut cell, &running[7]);
+    let next: Vec<_> = cell::starts(&cell.tick()).into_iter().map(|start| start.task).collect();
+    assert_eq!(next, [running[7].task]);
+}
+
 /// Returns the cell's first worker with another capacity, in thousandths of a core and megabytes.
 fn resized(cores: u64, memory: u64) -> worker::Registration {
     let size = size::Size { cores, memory, accelerators: 0 };
