fix: keep the cell in an outage that followers notice later than the owner

Cause: an owner whose lease had expired gave the cell up as soon as the heartbeat of any follower said that the store was up. Daemons notice an outage at different times, up to 1.5 s after their last successful call, so the last of 46 followers said so for a while. Nobody can claim the cell in an outage, and the leases expired. Class: an old observation is taken for a new one. Change: such a heartbeat counts only if its sender must have reached the store since the owner was cut off. An owner that alone is cut off gives the cell up 2.3 s after its last successful call, the time at which others may claim it anyway.

--- a/geraniumlatchd/src/jobs/followers.rs
+++ b/geraniumlatchd/src/jobs/followers.rs
@@ -32,11 +32,15 @@
         self.followers.borrow_mut().insert(daemon, heartbeat);
     }
 
-    /// Returns whether a follower can reach the store, so that it can own the cell instead.
+    /// Returns whether a follower can reach the store while this daemon cannot, so that it can own
+    /// the cell instead.
     pub(super) fn is_store_up_for_follower(&self, now: time::Timestamp) -> bool {
+        let last_success = self.node.store_health().last_success;
         let followers = self.followers.borrow();
         followers.values().any(|heartbeat| {
-            heartbeat.is_store_up && now.since(heartbeat.at) < election::HEARTBEAT_VALIDITY
+            heartbeat.is_store_up
+                && now.since(heartbeat.at) < election::HEARTBEAT_VALIDITY
+                && election::has_reached_store_since(last_success, heartbeat.at)
         })
     }
 
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -38,8 +38,6 @@
 /// Number of consecutive failed calls at which the store counts as down; a single one may be a lost
 /// reply.
 const STORE_DOWN_FAILURES: u32 = 2;
-/// Time without a successful call after which the store counts as down.
-const STORE_DOWN_TIMEOUT: time::Span = time::Span::millis(1_500);
 
 /// State that a daemon keeps between two reads of the cell's rows.
 #[derive(Debug, Default)]
@@ -296,7 +294,8 @@
 /// fewer than `STORE_DOWN_FAILURES` calls have failed since.
 pub fn is_store_up(node: &node::Node, now: time::Timestamp) -> bool {
     let health = node.store_health();
-    health.failures < STORE_DOWN_FAILURES && now.since(health.last_success) < STORE_DOWN_TIMEOUT
+    health.failures < STORE_DOWN_FAILURES
+        && now.since(health.last_success) < election::STORE_DOWN_TIMEOUT
 }
 
 /// Renews the lease on the cell until the ownership ends.
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -191,6 +191,20 @@
 /// The age up to which a follower's heartbeat counts as current; covers two heartbeats.
 pub const HEARTBEAT_VALIDITY: time::Span = time::Span::millis(1_200);
 
+/// Time without a successful call after which the store counts as down.
+pub const STORE_DOWN_TIMEOUT: time::Span = time::Span::millis(1_500);
+/// The longest time that a heartbeat takes; later ones are not confirmed.
+const HEARTBEAT_TRANSIT: time::Span = time::Span::millis(300);
+/// The longest time between two calls of an owner to the store: the interval of its renewals.
+const CALL_INTERVAL: time::Span = time::Span::millis(500);
+
+/// Returns whether a heartbeat received at `reported`, by which the store is up, shows that its sender
+/// has reached the store since the owner was cut off from it. The owner's last call succeeded at
+/// `last_success`. Daemons notice an outage at different times, so the first heartbeats show nothing.
+pub fn has_reached_store_since(last_success: time::Timestamp, reported: time::Timestamp) -> bool {
+    reported - HEARTBEAT_TRANSIT - STORE_DOWN_TIMEOUT > last_success + CALL_INTERVAL
+}
+
 /// What an owner that cannot renew its lease knows about the reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outage {
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -123,3 +123,23 @@
     assert!(watch.claim_reason(Some(terminated), TAKEOVER, at(900), at(910)).is_some());
     assert_eq!(watch.unchanged_since(), Some(at(910)));
 }
+
+/// Guards against an owner that gives the cell up in an outage of the whole store, because a follower
+/// notices it a little later: nobody can claim the cell then, and all leases expire.
+#[test]
+fn follower_that_notices_an_outage_later_does_not_count_as_reaching_the_store() {
+    let last_success = at(30_700);
+    // The follower's last call succeeded just before the outage, at 31,000.
+    for reported in [31_500, 32_000, 32_500, 32_800] {
+        let counts = election::has_reached_store_since(last_success, at(reported));
+        assert!(!counts, "a heartbeat at {reported} ms");
+    }
+}
+
+#[test]
+fn follower_that_reaches_the_store_counts_before_it_can_claim_an_expired_lease() {
+    assert!(election::has_reached_store_since(
+        at(30_700),
+        at(30_700) + TAKEOVER + time::Span::millis(1)
+    ));
+}
