fix(gl-fleet): read the list of workers past an odd entry

Callers saw: other operators of such systems report that an entry left by another writer ended the machines that read the list of workers, or kept them from following it. Cause: here no entry ends a process. A row with content that is not base64 made the whole page unreadable, so that the list was not followed any more as long as it was there. An entry with an impossible capacity was used: it counted as a worker, and the processors that are held for short tasks are a share of those of all workers. Entries without a port or host to connect to were polled for ever. An unreadable entry left no line in the log. Class: what one writer leaves decides on what all others wrote.

--- a/geraniumlatchd/src/jobs/worker_list.rs
+++ b/geraniumlatchd/src/jobs/worker_list.rs
@@ -5,7 +5,7 @@
 use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::ownership::Ownership;
+use super::{event, ownership::Ownership};
 use crate::clock;
 
 /// Interval at which changes of the list of workers are read. It is short compared with the time for
@@ -40,6 +40,15 @@
     }
 }
 
+/// Logs an entry that cannot be decoded. It is read again only once it has changed, or with the whole
+/// list.
+fn log_unreadable(unreadable: Option<&platform::Unreadable>) {
+    if let Some(platform::Unreadable { version, detail }) = unreadable {
+        let detail = format!("version {version}: {detail}");
+        event::emit(&event::Event::Unreadable { row: "worker", detail });
+    }
+}
+
 impl Ownership {
     /// Reads the whole list of workers by a request sent at `sent`.
     async fn read_worker_list(
@@ -50,6 +59,7 @@
         let now = clock::steady();
         self.node().record_store_result(&list, now);
         let list = list?;
+        log_unreadable(list.unreadable.as_ref());
         self.owner().workers_listed(&list.workers, sent, now);
         self.list_version.set(Some(list.version));
         self.process_decisions();
@@ -66,6 +76,7 @@
         let now = clock::steady();
         self.node().record_store_result(&update, now);
         let update = update?;
+        log_unreadable(update.unreadable.as_ref());
         self.owner().workers_changed(&update.changes, sent, now);
         self.list_version.set(Some(update.version));
         self.process_decisions();
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -203,6 +203,8 @@
 pub struct WorkerList {
     /// The registrations.
     pub workers: Vec<worker::Registration>,
+    /// An entry that cannot be decoded, if there is any. It names no worker, and the others are used.
+    pub unreadable: Option<Unreadable>,
     /// The version.
     pub version: u64,
 }
@@ -210,8 +212,10 @@
 /// The changes of the registrations since a version of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerUpdate {
-    /// The changes.
+    /// The changes. A worker whose entry can no longer be decoded is among the removed ones.
     pub changes: worker::ListChanges,
+    /// A changed entry that cannot be decoded, if there is any.
+    pub unreadable: Option<Unreadable>,
     /// The version up to which changes have been read.
     pub version: u64,
 }
