feat: log why short tasks wait, how much room there is, and how large jobs are

Nothing told a job's work, a task's processors, a job's rank within its queue, or why a task waits, so that the hypotheses of the largest jobs' wait could not be told apart.

- `accepted` has the declared work and the processors of the largest task, `ordered` those of the task.
- `decided` has the work, the share of the queue's recent jobs that declared less, and the waits for room (in time and after the objective), for the window of start orders, for a rack, for anything else.
- `short-tasks-wait`, once a second while short tasks find no room: the largest waiting task, the largest room, the workers free of long-running tasks, and the starts that came before it.

No decision changes.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -234,7 +234,14 @@
                 self.notify_owner(id, Some(&job));
                 let tasks = job.phases.iter().map(|phase| phase.count).sum();
                 let id = event::Text(id);
-                event::emit(&event::Event::Accepted { job: id, queue, tasks, took_ms });
+                event::emit(&event::Event::Accepted {
+                    job: id,
+                    queue,
+                    tasks,
+                    work: event::rounded(job.work(), 10.0),
+                    cores: event::as_cores(job.widest()),
+                    took_ms,
+                });
                 Ok(())
             }
             submission::Outcome::Refused(refused) => {
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -72,7 +72,16 @@
     /// New runs were permitted or forbidden.
     Starts { allowed: bool, lease_left_ms: u64, cause: &'static str },
     /// A job was stored.
-    Accepted { job: Text<task::JobId>, queue: &'a str, tasks: u32, took_ms: u64 },
+    Accepted {
+        job: Text<task::JobId>,
+        queue: &'a str,
+        tasks: u32,
+        /// Declared work of an occurrence, in core-seconds.
+        work: f64,
+        /// Processors of its largest task.
+        cores: f64,
+        took_ms: u64,
+    },
     /// A job was refused.
     Refused { job: Text<task::JobId>, queue: &'a str, cause: &'static str, took_ms: u64 },
     /// It is not known whether a job was stored.
@@ -89,6 +98,7 @@
         worker: &'a str,
         waited_ms: u64,
         estimate_ms: u64,
+        cores: f64,
     },
     /// A task starts again elsewhere while this run continues.
     #[serde(rename = "overtaken")]
@@ -105,7 +115,34 @@
         reason: owner::StopReason,
     },
     /// A job's final state was decided.
-    Decided { job: Text<task::JobId>, state: job::State, age_ms: u64, objective_ms: u64 },
+    Decided {
+        job: Text<task::JobId>,
+        state: job::State,
+        age_ms: u64,
+        objective_ms: u64,
+        /// Declared work of an occurrence, in core-seconds.
+        work: f64,
+        /// Share of the queue's recent jobs that declared less work.
+        rank: Option<f64>,
+        /// Time that its short tasks waited for placement, summed over its phases, by cause.
+        waits: Waits,
+    },
+    /// Short tasks have found no room for some time. `overtaking` and `long_running` are the starts of
+    /// the last second that came before them: of smaller short tasks that had waited for less time,
+    /// and of long-running tasks.
+    ShortTasksWait {
+        service: &'a str,
+        tasks: u64,
+        late: u64,
+        longest_ms: u64,
+        cores: f64,
+        memory_mb: u64,
+        room_cores: f64,
+        room_memory_mb: u64,
+        free_workers: usize,
+        overtaking: u64,
+        long_running: u64,
+    },
     /// The CPU limit of a worker's best-effort tasks was changed.
     #[serde(rename = "paced")]
     Throttled {
@@ -156,12 +193,13 @@
     fn from(note: &'a owner::Note) -> Self {
         use owner::Note;
         match note {
-            Note::Ordered { task, attempt, worker, waited, estimate } => Self::RunOrdered {
+            Note::Ordered { task, attempt, worker, waited, estimate, cores } => Self::RunOrdered {
                 task: Text(*task),
                 attempt: *attempt,
                 worker: worker.as_str(),
                 waited_ms: waited.as_millis(),
                 estimate_ms: estimate.as_millis(),
+                cores: as_cores(*cores),
             },
             Note::Overtaken { task, attempt, worker } => {
                 Self::RunOvertaken { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
@@ -178,11 +216,27 @@
                 worker: worker.as_str(),
                 reason: *reason,
             },
-            Note::Decided { job, state, age, objective } => Self::Decided {
+            Note::Decided { job, state, age, objective, work, rank, waits } => Self::Decided {
                 job: Text(*job),
                 state: *state,
                 age_ms: age.as_millis(),
                 objective_ms: objective.as_millis(),
+                work: rounded(*work, 10.0),
+                rank: rank.map(|rank| rounded(rank, 100.0)),
+                waits: waits.into(),
+            },
+            Note::ShortTasksWait(shortage) => Self::ShortTasksWait {
+                service: &shortage.service,
+                tasks: shortage.tasks,
+                late: shortage.late,
+                longest_ms: shortage.longest.as_millis(),
+                cores: as_cores(shortage.largest.cores),
+                memory_mb: shortage.largest.memory,
+                room_cores: as_cores(shortage.room.cores),
+                room_memory_mb: shortage.room.memory,
+                free_workers: shortage.free_workers,
+                overtaking: shortage.overtaking,
+                long_running: shortage.long_running,
             },
             Note::Throttled { worker, percent, tail_ratio } => Self::Throttled {
                 worker: worker.as_str(),
@@ -233,6 +287,38 @@
     }
 }
 
+/// The waits of a job, in milliseconds.
+#[derive(serde::Serialize)]
+pub struct Waits {
+    room_ms: u64,
+    late_room_ms: u64,
+    orders_ms: u64,
+    rack_ms: u64,
+    other_ms: u64,
+}
+
+impl From<&owner::Waits> for Waits {
+    fn from(waits: &owner::Waits) -> Self {
+        Self {
+            room_ms: waits.room.as_millis(),
+            late_room_ms: waits.late_room.as_millis(),
+            orders_ms: waits.orders.as_millis(),
+            rack_ms: waits.rack.as_millis(),
+            other_ms: waits.other.as_millis(),
+        }
+    }
+}
+
+/// Converts thousandths of a core to cores.
+pub const fn as_cores(millicores: u64) -> f64 {
+    millicores as f64 / 1_000.0
+}
+
+/// Rounds to a fraction of one, as logs need no more digits.
+pub fn rounded(value: f64, parts: f64) -> f64 {
+    (value * parts).round() / parts
+}
+
 /// A value that is logged as the text that `Display` gives.
 pub struct Text<T>(pub T);
 
--- a/gl-cost/src/ledger.rs
+++ b/gl-cost/src/ledger.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Returns the share of the newest jobs of a queue that have less work than this; `None` if too few
+    /// are known.
+    pub fn rank(&self, queue: &str, work: f64) -> Option<f64> {
+        self.queues.get(queue)?.sizes.rank(work)
+    }
+
     /// Records a completed job.
     pub fn completed(&mut self, id: u64, queue: &str, work: f64) {
         let had_turn = self.open.remove(&id);
--- a/gl-cost/src/turns.rs
+++ b/gl-cost/src/turns.rs
@@ -74,6 +74,12 @@
         self.threshold.is_some_and(|threshold| work >= threshold)
     }
 
+    /// Returns the share of the kept jobs that have less work than this; `None` if too few are kept.
+    pub fn rank(&self, work: f64) -> Option<f64> {
+        let smaller = self.newest.iter().filter(|other| **other < work).count();
+        (self.newest.len() >= MIN_SIZES).then(|| smaller as f64 / self.newest.len() as f64)
+    }
+
     fn find_threshold(&self) -> Option<f64> {
         if self.newest.len() < MIN_SIZES {
             return None;
--- a/gl-jobs/src/job.rs
+++ b/gl-jobs/src/job.rs
@@ -102,8 +102,20 @@
         let cores = if self.best_effort { 0 } else { self.size.cores };
         size::Size { cores, ..self.size }
     }
+
+    /// Returns the declared work of one of its tasks, in core-seconds.
+    pub fn task_work(&self) -> f64 {
+        self.size.cores as f64 / MILLICORES_PER_CORE * self.estimate.as_seconds()
+    }
+
+    /// Returns whether its tasks are short: they reserve processors, and release them soon.
+    pub const fn is_short(&self) -> bool {
+        !self.best_effort && !self.long_running
+    }
 }
 
+const MILLICORES_PER_CORE: f64 = 1_000.0;
+
 /// The schedule of a job that runs repeatedly.
 #[gl_derive::domain]
 #[derive(Copy)]
@@ -157,6 +169,16 @@
         chain.scaled(self.policy.slack_factor) + self.policy.target_latency
     }
 
+    /// Returns the declared work of an occurrence, in core-seconds.
+    pub fn work(&self) -> f64 {
+        self.phases.iter().map(|phase| f64::from(phase.count) * phase.task_work()).sum()
+    }
+
+    /// Returns the largest number of processors that a task needs, in thousandths of a core.
+    pub fn widest(&self) -> u64 {
+        self.phases.iter().map(|phase| phase.size.cores).max().unwrap_or_default()
+    }
+
     /// Returns whether any of the tasks runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.phases.iter().any(|phase| phase.long_running)
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use crate::owner::Impact;
+use crate::owner::{Impact, Shortage, Waits};
 use crate::{job, task, worker};
 
 /// A decision that the caller has to carry out.
@@ -66,6 +66,8 @@
         waited: time::Span,
         /// The declared duration of the run.
         estimate: time::Span,
+        /// The processors that the task declares, in thousandths of a core.
+        cores: u64,
     },
     /// A task is started again elsewhere while this run continues, as its worker is slow or silent.
     Overtaken {
@@ -108,7 +110,15 @@
         age: time::Span,
         /// The latency objective.
         objective: time::Span,
+        /// The declared work of an occurrence, in core-seconds.
+        work: f64,
+        /// The share of the queue's recent jobs that declared less work; `None` if too few are known.
+        rank: Option<f64>,
+        /// The time that its short tasks have waited for placement, summed over its phases.
+        waits: Waits,
     },
+    /// Short tasks of a service find no room.
+    ShortTasksWait(Shortage),
     /// The CPU limits of a worker's best-effort tasks were changed, or such tasks were stopped in
     /// order to move them.
     Throttled {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -42,12 +42,14 @@
 pub use runs::{Kind, Run, Stage, Stopping};
 pub use settings::{Colocation, LossOrder, PhaseOrder, Settings};
 pub use store_clock::StoreClock;
+pub use waits::{Shortage, Waits};
 pub use workers::Worker;
 
 use colocation::{impact, interference, pressure, throttle, untested};
 use pacing::{in_flight, poll_times};
 use placement::{
     advice, copies, distance, drain, gang, headroom, order, preference, search, spread, trials,
+    waits,
 };
 use recovery::{store_clock, timeouts};
 use state::{estimate, jobs, runs, workers};
@@ -125,6 +127,8 @@
     demand_at: time::Timestamp,
     /// The load of the services.
     scarcity: scarcity::Services,
+    /// What is reported of short tasks that wait.
+    short_waits: waits::Monitor,
     /// The time at which the load was last sampled.
     sampled_at: time::Timestamp,
     /// The latest time to which leases of workers may be extended.
@@ -194,6 +198,7 @@
             impact_at: now,
             demand_at: time::Timestamp::default(),
             scarcity: scarcity::Services::new(),
+            short_waits: waits::Monitor::default(),
             sampled_at: time::Timestamp::default(),
             actions: Vec::new(),
         }
@@ -352,6 +357,9 @@
             state,
             age: now.since(entry.accepted_at),
             objective: entry.objective,
+            work: entry.job.work(),
+            rank: self.size_rank(&entry.job),
+            waits: entry.waits,
         };
         self.note(note);
     }
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -12,6 +12,7 @@
 pub(in crate::owner) mod spread;
 pub(in crate::owner) mod trials;
 pub(in crate::owner) mod unplaced;
+pub(in crate::owner) mod waits;
 
 use gl_model::time;
 
@@ -30,69 +31,74 @@
     crashes::run(owner, now);
     trials::run(owner, now);
     scarcity::update(owner, now);
+    waits::start_pass(owner, now);
     let mut skip = unplaced::Unplaced::new(owner, now);
     let mut racks = distance::Racks::default();
     for entry in order::sorted(owner, now) {
-        start_phase(owner, entry, &mut skip, &mut racks, now);
+        let cause = start_phase(owner, entry, &mut skip, &mut racks, now);
+        waits::record(owner, entry.phase, cause, now);
     }
     owner.pass_ended();
 }
 
+/// Starts the waiting tasks of a part of a phase, and returns why some of them were not started.
 fn start_phase(
     owner: &mut Owner,
     order::Entry { phase, part }: order::Entry,
     skip: &mut unplaced::Unplaced,
     racks: &mut distance::Racks,
     now: time::Timestamp,
-) {
+) -> Option<waits::Cause> {
     let entry = owner.jobs.get(&phase.job);
     let Some((job, spec)) = entry.and_then(|e| Some((&e.job, e.spec(phase.phase)?))) else {
         owner.open_phases.remove(&phase);
-        return;
+        return None;
     };
     if skip.covers(job, spec) {
-        return;
+        return Some(waits::Cause::Room);
     }
     let spec = spec.clone();
     if !owner.admits_start(&spec) {
-        return;
+        return Some(waits::Cause::Orders);
     }
     let has_suspects =
         state::state_of(owner, phase).is_some_and(|state| !state.suspects.is_empty());
     if next_waiting(owner, phase, part).is_none() && !has_suspects {
-        return close_if_started(owner, phase);
+        close_if_started(owner, phase);
+        return owner.open_phases.contains(&phase).then_some(waits::Cause::Other);
     }
     if !advice::has_advice(owner, phase, now) {
-        return;
+        return Some(waits::Cause::Other);
     }
     if spec.gang {
         if !has_unseen(owner, phase) {
             start_gang(owner, phase, now);
         }
-        return;
+        return owner.open_phases.contains(&phase).then_some(waits::Cause::Room);
     }
     let mut candidates = search::Candidates::new(part);
     if distance::should_wait(owner, racks, phase, None, now) {
-        return;
+        return Some(waits::Cause::Rack);
     }
     while let Some(index) = next_waiting(owner, phase, part) {
         if !owner.admits_start(&spec) {
-            return;
+            return Some(waits::Cause::Orders);
         }
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
                 skip.add(&entry.job, &spec);
             }
-            return;
+            return Some(waits::Cause::Room);
         };
         if distance::should_wait(owner, racks, phase, Some(&worker), now) {
-            return;
+            return Some(waits::Cause::Rack);
         }
         owner.last_attempt += 1;
         start(owner, phase, index, &worker, owner.last_attempt, now);
     }
     trials::plan(owner, phase, now);
     close_if_started(owner, phase);
+    owner.open_phases.contains(&phase).then_some(waits::Cause::Other)
 }
 
 /// Removes a phase from the open ones if none of its tasks waits.
@@ -177,16 +183,18 @@
     let checkpoint = state.checkpoints.get(&shared).cloned().unwrap_or_default();
     let ticket = state.tickets.get(worker.0.as_str()).cloned();
     let waited = now.since(state.since);
+    let cores = description.size.cores;
     let image = description.image.as_deref().map(|name| owner.interference.intern(name));
     let order =
         runs::RunOrder { worker: worker.clone(), attempt, deadline, stage: Stage::Starting, image };
+    waits::count_start(owner, phase, &description);
     let mut run = runs::make_run(&description, order, now);
     run.checkpoint.clone_from(&checkpoint);
     run.is_partial = !checkpoint.is_empty();
     impact::count_start(owner, &run);
     owner.add_run(task, run);
     let estimate = description.estimate;
-    owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate });
+    owner.note(Note::Ordered { task, attempt, worker: worker.clone(), waited, estimate, cores });
     let order = worker::StartOrder { task, attempt, spec, checkpoint, deadline, ticket };
     owner.send_start(worker.clone(), order);
 }
--- a/gl-jobs/src/owner/placement/order.rs
+++ b/gl-jobs/src/owner/placement/order.rs
@@ -199,19 +199,7 @@
     let left = |(number, spec): (u32, &job::Phase)| {
         let state = entry.phases.get(&(phase.occurrence, number));
         let done = state.map_or(0, |state| state.done.count());
-        f64::from(spec.count.saturating_sub(done)) * task_work(spec)
+        f64::from(spec.count.saturating_sub(done)) * spec.task_work()
     };
     (0..).zip(&entry.job.phases).map(left).sum()
 }
-
-/// Returns the declared work of a task, in core-seconds.
-pub(in crate::owner) fn task_work(spec: &job::Phase) -> f64 {
-    spec.size.cores as f64 / MILLICORES_PER_CORE * spec.estimate.as_seconds()
-}
-
-/// Returns the declared work of a job's occurrence, in core-seconds.
-pub(in crate::owner) fn job_work(job: &job::Job) -> f64 {
-    job.phases.iter().map(|spec| f64::from(spec.count) * task_work(spec)).sum()
-}
-
-const MILLICORES_PER_CORE: f64 = 1_000.0;
--- a/gl-jobs/src/owner/scarcity.rs
+++ b/gl-jobs/src/owner/scarcity.rs
@@ -122,8 +122,7 @@
             continue;
         }
         if let Some(service) = services.get_mut(&entry.job.service) {
-            service.flow_mut(spec).sample.backlog +=
-                state.waiting.len() as f64 * order::task_work(spec);
+            service.flow_mut(spec).sample.backlog += state.waiting.len() as f64 * spec.task_work();
         }
     }
 }
@@ -171,7 +170,7 @@
             id: phase.job.0,
             queue: &entry.job.queue,
             priority: entry.job.policy.priority,
-            work: order::job_work(&entry.job),
+            work: entry.job.work(),
             since: order::due(entry, state),
         });
     }
@@ -206,7 +205,7 @@
             return;
         };
         for spec in &entry.job.phases {
-            let work = f64::from(spec.count) * order::task_work(spec);
+            let work = f64::from(spec.count) * spec.task_work();
             service.flow_mut(spec).arrived.add(work, now);
         }
     }
@@ -225,10 +224,16 @@
         };
         if let Some(spec) = entry.job.phases.first() {
             let ledger = &mut service.flow_mut(spec).ledger;
-            ledger.arrived(&entry.job.queue, order::job_work(&entry.job));
+            ledger.arrived(&entry.job.queue, entry.job.work());
         }
     }
 
+    /// Returns the share of the recent jobs of its queue that declared less work than a job.
+    pub(in crate::owner) fn size_rank(&self, job: &job::Job) -> Option<f64> {
+        let flow = self.scarcity.get(&job.service)?.flow(job.phases.first()?);
+        flow.ledger.rank(&job.queue, job.work())
+    }
+
     /// Counts the work of `tasks` completed tasks.
     pub(in crate::owner) fn count_done(
         &mut self,
@@ -241,7 +246,7 @@
         };
         let service = self.scarcity.get_mut(&entry.job.service);
         if let Some((service, spec)) = service.zip(entry.spec(phase.phase)) {
-            service.flow_mut(spec).completed.add(f64::from(tasks) * order::task_work(spec), now);
+            service.flow_mut(spec).completed.add(f64::from(tasks) * spec.task_work(), now);
         }
     }
 
@@ -259,7 +264,7 @@
         };
         let flow = service.flow_mut(spec);
         if is_complete && flow.is_scarce() {
-            flow.ledger.completed(id.0, &entry.job.queue, order::job_work(&entry.job));
+            flow.ledger.completed(id.0, &entry.job.queue, entry.job.work());
         }
         self.end_turn(id);
     }
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -4,7 +4,7 @@
 
 use gl_model::time;
 
-use crate::owner::Moment;
+use crate::owner::{Moment, Waits, waits};
 use crate::{bitset, job, record, task};
 
 /// A job and its progress.
@@ -31,6 +31,8 @@
     pub is_inherited: bool,
     /// The phases of the occurrences that are due, by occurrence and phase number.
     pub phases: collections::BTreeMap<(u32, u32), PhaseState>,
+    /// The time that its short tasks have waited for placement, by cause.
+    pub(in crate::owner) waits: Waits,
     next_occurrence: u32,
 }
 
@@ -58,6 +60,8 @@
     /// The time since which tasks have waited for capacity in their rack although other racks have
     /// some; `None` if none has.
     pub rack_wait: Option<time::Timestamp>,
+    /// Why the last placement pass has left short tasks waiting, if it has.
+    pub(in crate::owner) wait: Option<waits::Wait>,
     /// The time by which the occurrence should be complete.
     pub deadline: time::Timestamp,
     /// The tickets of the workers that the queue's policy allows.
@@ -91,6 +95,7 @@
             ended_at: time::Timestamp::default(),
             is_inherited: false,
             phases: collections::BTreeMap::new(),
+            waits: Waits::default(),
             next_occurrence: 0,
         }
     }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -29,4 +29,5 @@
 mod routing;
 mod throttle;
 mod uneven;
+mod waits;
 mod windows;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -104,6 +104,7 @@
             owner::Note::Emptied { .. } => self.event("domain-emptied"),
             owner::Note::Restored { .. } => self.event("domain-restored"),
             owner::Note::Impact { service, impact, .. } => self.impact(service, impact),
+            owner::Note::ShortTasksWait(_) => self.event("short-tasks-wait"),
             owner::Note::Ordered { .. }
             | owner::Note::Recovering { .. }
             | owner::Note::Recovered { .. } => {}
