fix(gl-jobs): keep a held worker held when an interrupted long-running task takes it

Cause: a worker counted as held for short tasks only while it had no long-running task. An interrupted one, which may take a held worker, therefore opened all of it to the long-running tasks that wait, and another worker was not held instead.

Now the workers with the most room beside long-running tasks are held, as many as before. One with an interrupted task stays among them, further interrupted tasks prefer it to an empty one, and its room comes back as its long-running tasks end.

Evidence: the new test fails on the code before (two tasks that had not run start on the worker as well). The largest tasks are still served least; that has another cause.

--- a/gl-jobs/src/owner/placement/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -1,8 +1,10 @@
-//! Workers that are held free of long-running tasks for the short tasks that arrive.
+//! Workers that are held for the short tasks that arrive.
 //!
 //! Long-running tasks hold their capacity for long. Where they fill a service, no worker has enough
 //! free processors in one piece for a large short task, which is worth far more per processor and
-//! second. So long-running tasks that have not run yet wait while the free workers are needed.
+//! second. So some workers are held, and long-running tasks that have not run yet do not start there.
+
+use std::cmp;
 
 use gl_model::time;
 
@@ -38,8 +40,6 @@
     Ample,
     /// Free workers are taken only if no others have capacity.
     Scarce,
-    /// Free workers are held for short tasks.
-    Held,
 }
 
 /// Updates the recorded demand of all services, once per interval.
@@ -60,6 +60,7 @@
             None => owner.demands.push(needed),
         }
     }
+    hold(owner);
 }
 
 /// Returns the processors that short tasks use or wait for now.
@@ -100,24 +101,43 @@
     is_counted.then(|| (entry.job.service.as_str(), spec.size.cores * state.waiting.len() as u64))
 }
 
-/// Returns whether the workers of a service that are free of long-running tasks suffice.
+/// Holds the workers with the most room beside long-running tasks, as many as short tasks need. One
+/// that an interrupted long-running task has to take stays held, so that the others of its kind do not
+/// fill it up and its room comes back as they end.
+fn hold(owner: &mut Owner) {
+    for worker in owner.workers.values_mut() {
+        worker.is_held = false;
+    }
+    for demand in &owner.demands {
+        let mut workers: Vec<_> =
+            owner.workers.values_mut().filter(|w| is_usable(w, &demand.service)).collect();
+        let total = workers.len() as f64;
+        let cores: u64 = workers.iter().map(|w| w.registration.size.cores).sum();
+        let needed = demand.peak * PEAK_RATIO * total / (cores as f64).max(1.0);
+        let limit = needed.min(total * FREE_SHARE);
+        workers.sort_by_key(|w| cmp::Reverse(room_beside(w)));
+        for (n, worker) in (1..).zip(workers) {
+            worker.is_held = f64::from(n) <= limit;
+        }
+    }
+}
+
+/// Returns the processors of a worker that long-running tasks have not reserved.
+fn room_beside(worker: &Worker) -> u64 {
+    worker.registration.size.cores.saturating_sub(worker.long_running_cores)
+}
+
+fn is_usable(worker: &Worker, service: &str) -> bool {
+    worker.registration.service == service && !worker.is_domain_emptied
+}
+
+/// Returns whether a service has many workers that are free of long-running tasks.
 pub(in crate::owner) fn room(owner: &Owner, service: &str) -> Room {
-    let is_usable = |w: &&Worker| w.registration.service == service && !w.is_domain_emptied;
-    let of_service = owner.workers.values().filter(is_usable);
-    let (mut total, mut free, mut cores) = (0_usize, 0_usize, 0_u64);
+    let of_service = owner.workers.values().filter(|worker| is_usable(worker, service));
+    let (mut total, mut free) = (0_usize, 0_usize);
     for worker in of_service {
         total += 1;
-        cores += worker.registration.size.cores;
         free += usize::from(worker.long_running_cores == 0);
     }
-    let share = total as f64 * FREE_SHARE;
-    let peak = owner.demands.iter().find(|d| d.service == service).map_or(0.0, |d| d.peak);
-    let needed = peak * PEAK_RATIO * total as f64 / (cores as f64).max(1.0);
-    if free as f64 <= share.min(needed) {
-        Room::Held
-    } else if free as f64 <= share {
-        Room::Scarce
-    } else {
-        Room::Ample
-    }
+    if free as f64 <= total as f64 * FREE_SHARE { Room::Scarce } else { Room::Ample }
 }
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -49,6 +49,8 @@
     pub crowded: Vec<interference::ImageId>,
     /// Whether the task may crash the worker.
     pub is_trial: bool,
+    /// Whether the task has run before and was interrupted, so that it has to run again soon.
+    pub is_interrupted: bool,
 }
 
 impl Candidates {
@@ -74,8 +76,8 @@
         let spec = entry.spec(phase.phase)?;
         let state = state::state_of(owner, phase)?;
         let common = conditions(owner, entry, phase, now)?;
-        let room = room_for(owner, entry, spec, self.is_interrupted);
-        let conditions = Conditions { is_trial: self.is_trial, room, ..common };
+        let (is_trial, is_interrupted) = (self.is_trial, self.is_interrupted);
+        let conditions = Conditions { is_trial, is_interrupted, ..common };
         let request = Request { phase, entry, spec, state, conditions: &conditions };
         if self.conditions.as_ref() == Some(&conditions) {
             let changed = self.found.and_then(|n| Some((n, owner.workers.values().nth(n)?)));
@@ -111,9 +113,10 @@
         rack: shared_rack(owner, phase, spec, now),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
         ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
-        room: room_for(owner, entry, spec, false),
+        room: room_for(owner, entry, spec),
         crowded: untested::crowded(owner, &entry.job.service, spec),
         is_trial: false,
+        is_interrupted: false,
     })
 }
 
@@ -135,19 +138,11 @@
     is_possible().unwrap_or_default()
 }
 
-fn room_for(
-    owner: &Owner,
-    entry: &JobEntry,
-    spec: &job::Phase,
-    is_interrupted: bool,
-) -> headroom::Room {
-    if !spec.long_running {
-        return headroom::Room::Ample;
-    }
-    match headroom::room(owner, &entry.job.service) {
-        // Interrupted tasks have to run again soon.
-        headroom::Room::Held if is_interrupted => headroom::Room::Scarce,
-        room => room,
+fn room_for(owner: &Owner, entry: &JobEntry, spec: &job::Phase) -> headroom::Room {
+    if spec.long_running {
+        headroom::room(owner, &entry.job.service)
+    } else {
+        headroom::Room::Ample
     }
 }
 
@@ -250,12 +245,33 @@
 /// bonuses but that of a rack.
 const LAST_FREE_MALUS: f64 = 8.0;
 
+/// The malus of a held worker that has long-running tasks. It outweighs any difference in free capacity,
+/// and is less than that of a worker without any.
+const HELD_MALUS: f64 = 4.0;
+
 /// The malus of a worker with long-running tasks for a task that may crash it.
 const TRIAL_MALUS: f64 = 8.0;
 
 /// The bonus of a worker on the preferred rack. It outweighs any difference in free capacity.
 const RACK_BONUS: f64 = 10.0;
 
+/// Returns the malus of a worker for a long-running task, as short tasks need its room; `None` if it is
+/// held for them.
+fn room_malus(request: &Request<'_>, w: &Worker) -> Option<f64> {
+    let conditions = request.conditions;
+    if w.is_held && !conditions.is_interrupted {
+        return None;
+    }
+    let is_free = w.long_running_cores == 0;
+    Some(if is_free && (w.is_held || conditions.room == headroom::Room::Scarce) {
+        LAST_FREE_MALUS
+    } else if w.is_held {
+        HELD_MALUS
+    } else {
+        0.0
+    })
+}
+
 fn score(owner: &Owner, request: &Request<'_>, w: &Worker, now: time::Timestamp) -> Option<f64> {
     let spec = request.spec;
     let total = (w.registration.size.cores as f64).max(1.0);
@@ -263,12 +279,7 @@
     let capacity = if spec.best_effort {
         colocation::best_effort_score(owner, request, w)?
     } else if spec.long_running {
-        let malus = match request.conditions.room {
-            headroom::Room::Held if w.long_running_cores == 0 => return None,
-            headroom::Room::Scarce if w.long_running_cores == 0 => LAST_FREE_MALUS,
-            _ => 0.0,
-        };
-        left / total + colocation::image_affinity(request, w) - malus
+        left / total + colocation::image_affinity(request, w) - room_malus(request, w)?
     } else if request.conditions.is_trial {
         left / total
     } else {
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -76,6 +76,8 @@
     pub cold_until: time::Timestamp,
     /// The worker gets no new tasks before this time.
     pub suspect_until: time::Timestamp,
+    /// Whether it is held for short tasks, so that no long-running task starts on it for the first time.
+    pub is_held: bool,
     /// The task that is tried on the worker, as it may crash it. The worker gets no other tasks.
     pub held_for: Option<task::TaskId>,
     /// The time at which it was last polled for the outcome of a start that may have crashed it.
@@ -200,6 +202,7 @@
             is_unproven: false,
             cold_until: time::Timestamp::default(),
             suspect_until: time::Timestamp::default(),
+            is_held: false,
             held_for: None,
             probed_at: time::Timestamp::default(),
             throttled_at: time::Timestamp::default(),
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -9,9 +9,13 @@
 use crate::cell::{self, Cell};
 
 fn placements(actions: &[owner::Action]) -> collections::BTreeMap<worker::WorkerId, usize> {
+    placements_of(&cell::starts(actions))
+}
+
+fn placements_of(starts: &[cell::Started]) -> collections::BTreeMap<worker::WorkerId, usize> {
     let mut placements = collections::BTreeMap::new();
-    for start in cell::starts(actions) {
-        *placements.entry(start.worker).or_default() += 1;
+    for start in starts {
+        *placements.entry(start.worker.clone()).or_default() += 1;
     }
     placements
 }
@@ -247,6 +251,11 @@
 
 /// Fills a service with long-running tasks some time after a short job, and returns their starts.
 fn starts_after_a_short_job(cell: &mut Cell, after: u64) -> Vec<cell::Started> {
+    starts_of_size(cell, after, 32_000)
+}
+
+/// Does the same with tasks that need this many thousandths of a core.
+fn starts_of_size(cell: &mut Cell, after: u64, cores: u64) -> Vec<cell::Started> {
     let short = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(2, 64_000)])));
     cell.now += 200;
     cell.tick();
@@ -259,7 +268,8 @@
     for n in 0..25 {
         cell.poll(n, &[]);
     }
-    let phase = job::Phase { long_running: true, ..cell::phase(50, 32_000) };
+    let count = u32::try_from(25 * 64_000 / cores).unwrap();
+    let phase = job::Phase { long_running: true, ..cell::phase(count, cores) };
     cell::starts(&cell.submit(2, cell::job(vec![phase])))
 }
 
@@ -293,14 +303,18 @@
     cell.poll(n, &[]);
 }
 
+/// Returns the change of the list that removes a worker.
+fn removal(n: usize) -> worker::ListChanges {
+    worker::ListChanges { removed: vec![cell::worker(n)], ..worker::ListChanges::default() }
+}
+
 /// A task that has run before must run again soon, wherever there is capacity.
 #[test]
 fn interrupted_long_running_task_takes_a_worker_that_is_held_free() {
     let mut cell = Cell::new(25);
     let starts = starts_after_a_short_job(&mut cell, 100);
     lose(&mut cell, &starts[0]);
-    let removed = vec![starts[0].worker.clone()];
-    let changes = worker::ListChanges { removed, ..worker::ListChanges::default() };
+    let changes = removal(cell::index(&starts[0].worker));
     cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
     let again = cell::starts(&cell.tick());
     assert!(again.iter().any(|start| start.task == starts[0].task), "{}", again.len());
@@ -314,14 +328,35 @@
     let starts = starts_after_a_short_job(&mut cell, 100);
     assert_eq!(starts.len(), 46, "four tasks wait");
     lose(&mut cell, &starts[0]);
-    let removed = vec![starts[0].worker.clone()];
-    let changes = worker::ListChanges { removed, ..worker::ListChanges::default() };
+    let changes = removal(cell::index(&starts[0].worker));
     cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
     let again = cell::starts(&cell.tick());
     assert_eq!(again[0].task, starts[0].task);
     assert!(again.iter().all(|start| start.worker == again[0].worker), "one of two held workers");
 }
 
+/// Guards against held workers that are used up one after the other: each that an interrupted
+/// long-running task had to take was filled by those that wait, and the largest tasks of short jobs
+/// found no room for the rest of the day.
+#[test]
+fn held_worker_with_an_interrupted_long_running_task_keeps_its_other_room_for_short_tasks() {
+    let mut cell = Cell::new(25);
+    let starts = starts_of_size(&mut cell, 100, 16_000);
+    assert_eq!(starts.len(), 92, "two workers are held, and eight tasks wait");
+    let lost: Vec<_> = starts.iter().filter(|s| s.worker == starts[0].worker).take(2).collect();
+    for start in &lost {
+        lose(&mut cell, start);
+    }
+    let changes = removal(cell::index(&starts[0].worker));
+    cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
+    let again = cell::starts(&cell.tick());
+    let tasks: Vec<_> = again.iter().map(|start| start.task).collect();
+    assert_eq!(tasks, [lost[0].task, lost[1].task], "no task starts for the first time");
+    assert_eq!(placements_of(&again).len(), 1, "they share one of the held workers");
+    let next = cell::starts(&cell.submit(3, cell::job(vec![cell::phase(1, 64_000)])));
+    assert_eq!(next.len(), 1, "the other one has room for the largest task");
+}
+
 /// Guards against interrupted tasks that have to take a held worker, as tasks that wait for longer have
 /// taken the capacity that they left.
 #[test]
