fix(gl-jobs): tell a stalled task from a worker that is silent

Callers' short tasks were stopped and started elsewhere although they made progress, and their workers got no tasks for 4 s.

Cause: a run counted as stalled if its progress was last seen to change 1.8 s ago, and its worker as responsive until 2 s after its last reply. A worker whose reply was 1.8 to 2 s late therefore had stalled tasks. Now a run is stalled if replies that are 1.8 s apart show the same progress.

Evidence: the first new test fails on the code before (stopped 1,810 ms after the last reply); the second one holds before and after: a task that stands still is still stopped.

--- a/gl-jobs/src/owner/recovery/timeouts.rs
+++ b/gl-jobs/src/owner/recovery/timeouts.rs
@@ -62,7 +62,7 @@
             && r.kind != runs::Kind::LongRunning
             && r.cpu_limit == runs::NO_LIMIT
             && r.wanted_limit == runs::NO_LIMIT
-            && now.since(r.progressed_at) > settings.stall_timeout
+            && r.reported_at.since(r.progressed_at) > settings.stall_timeout
             && is_responsive()
     };
     let stalled: Vec<_> =
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -27,6 +27,7 @@
 mod retry_after;
 mod roster;
 mod routing;
+mod silence;
 mod throttle;
 mod uneven;
 mod waits;
