fix(gl-jobs): start tasks on a worker as soon as it replies again

Callers' large short tasks waited while workers with room for them were idle. The workers with most short tasks are polled most and lose one nearly always: at second 12 a quarter to a half of the workers without long-running tasks had short ones, with 150 and more waiting.

Cause: after a poll without a reply a worker got no tasks for another 2.5 s, also when it had replied to the next poll within milliseconds. Now it gets none until it replies. That it was silent is kept in its record, which makes it a second choice for tasks that would be lost with it, as before.

Evidence: the new test fails on the code before.

--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -135,8 +135,8 @@
         worker: worker::WorkerId,
         /// The reason, as text for the log.
         reason: &'static str,
-        /// The time until which it receives no new tasks.
-        until: time::Timestamp,
+        /// The time until which it receives no new tasks; `None` if that is until it replies.
+        until: Option<time::Timestamp>,
     },
     /// A worker has crashed soon after it started a task. The task is started apart from others
     /// until it has run for longer.
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -253,7 +253,7 @@
             self.note(Note::Suspected {
                 worker: id.clone(),
                 reason: "most of its recent runs failed",
-                until,
+                until: Some(until),
             });
         }
     }
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -128,7 +128,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.suspect_until = worker.suspect_until.max(until);
         }
-        self.note(Note::Suspected { worker: id.clone(), reason, until });
+        self.note(Note::Suspected { worker: id.clone(), reason, until: Some(until) });
         self.actions.push(Action::Poll { worker: id.clone() });
     }
 
@@ -163,21 +163,17 @@
 
     /// Records that a worker could not be reached or did not reply to a poll in time.
     pub fn poll_failed(&mut self, id: &worker::WorkerId, now: time::Timestamp) {
-        let timeout = self.settings.reply_timeout;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if !worker.is_unresponsive && worker.incarnation.is_some() {
-            worker.record.add_flap(now);
-        }
+        let is_first = !worker.is_unresponsive && worker.incarnation.is_some();
         worker.is_unresponsive = true;
-        let until = now + timeout;
-        if worker.suspect_until < now && worker.incarnation.is_some() {
-            worker.suspect_until = until;
+        if is_first {
+            worker.record.add_flap(now);
             self.note(Note::Suspected {
                 worker: id.clone(),
                 reason: "did not reply to a poll",
-                until,
+                until: None,
             });
         }
     }
--- a/gl-jobs/src/owner/recovery/timeouts.rs
+++ b/gl-jobs/src/owner/recovery/timeouts.rs
@@ -82,7 +82,8 @@
     if let Some(worker) = owner.workers.get_mut(&id) {
         worker.suspect_until = worker.suspect_until.max(until);
     }
-    owner.note(Note::Suspected { worker: id, reason: "a task makes no progress", until });
+    let reason = "a task makes no progress";
+    owner.note(Note::Suspected { worker: id, reason, until: Some(until) });
 }
 
 /// Removes workers that are no longer listed and have no runs.
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -272,6 +272,7 @@
             && self.incarnation == Some(self.registration.incarnation)
             && self.unknown_runs == 0
             && self.clock.is_some()
+            && !self.is_unresponsive
             && now >= self.suspect_until
             && now.since(self.polled_at) <= settings.reply_timeout
     }
--- a/gl-jobs/tests/jobs/silence.rs
+++ b/gl-jobs/tests/jobs/silence.rs
@@ -38,3 +38,14 @@
     assert_eq!(cell::stops(&actions), [start.task]);
     assert!(actions.iter().any(is_suspected));
 }
+
+/// Guards against a worker with room that gets no tasks for seconds, although it has replied again.
+#[test]
+fn worker_that_replies_after_a_lost_poll_gets_tasks_at_once() {
+    let (mut cell, start) = running();
+    cell.owner.poll_failed(&cell::worker(0), cell::at(cell.now));
+    let next = cell.submit(2, cell::job(vec![cell::phase(1, 8_000)]));
+    assert!(cell::starts(&next).is_empty(), "it does not reply");
+    cell.poll(0, &[cell::running(&start, 60.0, 8_000.0)]);
+    assert_eq!(cell::starts(&cell.tick()).len(), 1);
+}
