fix(gl-jobs): give interrupted long-running tasks their room back before short tasks take it

Cause: short tasks come before interrupted long-running ones and fill the smallest gap, so the room of a task that fails is taken at once. The interrupted task then has to take a held worker, which is lost to large short tasks for as long as it runs, although there is as much room in the service as before.

Now, while workers are held, interrupted tasks come first on those that are not. Where none are held the order is as before.

Evidence: the new test fails on the code before (the short task that waits starts in the place of the interrupted one).

--- a/gl-jobs/src/owner/placement/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -31,6 +31,8 @@
     /// The peak of the processors in use or waited for, in thousandths of a core.
     peak: f64,
     at: time::Timestamp,
+    /// Whether workers are held for it.
+    has_held: bool,
 }
 
 /// The workers of a service that are free of long-running tasks.
@@ -72,9 +74,12 @@
         }
         match needed.iter_mut().find(|demand| demand.service == service) {
             Some(demand) => demand.peak += cores as f64,
-            None => {
-                needed.push(Demand { service: service.to_owned(), peak: cores as f64, at: now })
-            }
+            None => needed.push(Demand {
+                service: service.to_owned(),
+                peak: cores as f64,
+                at: now,
+                has_held: false,
+            }),
         }
     };
     for worker in owner.workers.values() {
@@ -108,13 +113,14 @@
     for worker in owner.workers.values_mut() {
         worker.is_held = false;
     }
-    for demand in &owner.demands {
+    for demand in &mut owner.demands {
         let mut workers: Vec<_> =
             owner.workers.values_mut().filter(|w| is_usable(w, &demand.service)).collect();
         let total = workers.len() as f64;
         let cores: u64 = workers.iter().map(|w| w.registration.size.cores).sum();
         let needed = demand.peak * PEAK_RATIO * total / (cores as f64).max(1.0);
         let limit = needed.min(total * FREE_SHARE);
+        demand.has_held = limit >= 1.0;
         workers.sort_by_key(|w| cmp::Reverse(room_beside(w)));
         for (n, worker) in (1..).zip(workers) {
             worker.is_held = f64::from(n) <= limit;
@@ -122,6 +128,11 @@
     }
 }
 
+/// Returns whether workers of a service are held for short tasks.
+pub(in crate::owner) fn holds_any(owner: &Owner, service: &str) -> bool {
+    owner.demands.iter().any(|demand| demand.service == service && demand.has_held)
+}
+
 /// Returns the processors of a worker that long-running tasks have not reserved.
 fn room_beside(worker: &Worker) -> u64 {
     worker.registration.size.cores.saturating_sub(worker.long_running_cores)
--- a/gl-jobs/src/owner/placement/order.rs
+++ b/gl-jobs/src/owner/placement/order.rs
@@ -9,7 +9,7 @@
 use gl_cost::loss;
 use gl_model::time;
 
-use crate::owner::{JobEntry, Owner, PhaseState, scarcity, settings};
+use crate::owner::{JobEntry, Owner, PhaseState, headroom, scarcity, settings};
 use crate::{job, task};
 
 /// A waiting phase with its sort key; phases are served in ascending order.
@@ -34,6 +34,8 @@
 /// The waiting tasks of a phase that are served together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::owner) enum Part {
+    /// The long-running tasks that were interrupted, on workers that are not held for short tasks.
+    Returning,
     /// The long-running tasks that were interrupted and have to run again soon. The others of their
     /// phase, which may not have run yet, have no claim to be served with them.
     Interrupted,
@@ -48,10 +50,13 @@
     Starved,
     /// Belongs to a job that is served by right while capacity is scarce; see [`gl_cost::ledger`].
     Turn,
+    /// Long-running tasks that were interrupted, while workers are held for short tasks. If short tasks
+    /// took the room that they have left, they would have to take a held worker in its place.
+    Returning,
     /// Can still meet its objective, reserves capacity, and releases it soon.
     Short,
-    /// Long-running tasks that were interrupted. They come before those that have not run yet, which
-    /// would take the capacity that they have left.
+    /// Long-running tasks that were interrupted, on any worker. They come before those that have not run
+    /// yet, which would take the capacity that they have left.
     Interrupted,
     /// Runs until it is cancelled, and keeps its capacity; its payoff grows with its running time.
     LongRunning,
@@ -67,7 +72,11 @@
 pub(in crate::owner) fn sorted(owner: &Owner, now: time::Timestamp) -> Vec<Entry> {
     let phases = owner.open_phases.iter();
     let mut ranks: Vec<_> = phases
-        .flat_map(|phase| [rank_interrupted(owner, *phase, now), rank(owner, *phase, now)])
+        .flat_map(|phase| {
+            let interrupted = rank_interrupted(owner, *phase, now);
+            let returning = interrupted.and_then(|rank| rank_returning(owner, rank));
+            [returning, interrupted, rank(owner, *phase, now)]
+        })
         .flatten()
         .collect();
     ranks.sort_unstable();
@@ -85,6 +94,16 @@
     Some(Rank { class, key: since.0, phase, part: Part::Interrupted })
 }
 
+/// Returns the rank of interrupted tasks on workers that are not held, if others are.
+fn rank_returning(owner: &Owner, interrupted: Rank) -> Option<Rank> {
+    let service = &owner.jobs.get(&interrupted.phase.job)?.job.service;
+    headroom::holds_any(owner, service).then_some(Rank {
+        class: Class::Returning,
+        part: Part::Returning,
+        ..interrupted
+    })
+}
+
 fn rank(owner: &Owner, phase: task::PhaseId, now: time::Timestamp) -> Option<Rank> {
     let entry = owner.jobs.get(&phase.job)?;
     let state = entry.phases.get(&(phase.occurrence, phase.phase))?;
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -357,6 +357,22 @@
     assert_eq!(next.len(), 1, "the other one has room for the largest task");
 }
 
+/// Guards against held workers that are used up although there is as much room as before: short tasks,
+/// which came first, took what an interrupted long-running task had left, and it took a held worker.
+#[test]
+fn interrupted_long_running_task_gets_its_room_back_while_workers_are_held() {
+    let mut cell = Cell::new(25);
+    let starts = starts_after_a_short_job(&mut cell, 100);
+    assert_eq!(starts.len(), 46, "two workers are held");
+    let next = cell::job(vec![cell::phase(5, 32_000)]);
+    let next = job::Job { submitted: cell::at(cell.now), ..next };
+    assert_eq!(cell::starts(&cell.submit(3, next)).len(), 4, "one task waits");
+    lose(&mut cell, &starts[7]);
+    let again = cell::starts(&cell.tick());
+    let [start] = &again[..] else { panic!("there is room for one task: {again:?}") };
+    assert_eq!((start.task, &start.worker), (starts[7].task, &starts[7].worker));
+}
+
 /// Guards against interrupted tasks that have to take a held worker, as tasks that wait for longer have
 /// taken the capacity that they left.
 #[test]
