fix(gl-jobs): leave held workers to the short tasks that fit nowhere else

Cause: a short task starts on the worker that it fills most. That is a held worker as often as another, so small tasks, of which some end and start at any time, split the room that only large ones need, although they fit into the gaps between long-running tasks. Now a held worker is the last choice for a short task.

Evidence: the new test fails on the code before (a small task starts on a held worker beside 23 others with room).

--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -249,6 +249,10 @@
 /// and is less than that of a worker without any.
 const HELD_MALUS: f64 = 4.0;
 
+/// The malus of a held worker for a short task, so that small ones leave its room to those that fit
+/// nowhere else. It outweighs any difference in free capacity.
+const SHORT_HELD_MALUS: f64 = 1.0;
+
 /// The malus of a worker with long-running tasks for a task that may crash it.
 const TRIAL_MALUS: f64 = 8.0;
 
@@ -283,7 +287,8 @@
     } else if request.conditions.is_trial {
         left / total
     } else {
-        -left / total
+        let malus = if w.is_held { SHORT_HELD_MALUS } else { 0.0 };
+        -left / total - malus
     };
     let has_users = request.conditions.is_trial && w.long_running_cores > 0;
     let trial_malus = if has_users { TRIAL_MALUS } else { 0.0 };
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -373,6 +373,27 @@
     assert_eq!((start.task, &start.worker), (starts[7].task, &starts[7].worker));
 }
 
+/// Guards against large short tasks that wait while small ones, which have room elsewhere, fill the
+/// workers that are held.
+#[test]
+fn small_short_tasks_leave_held_workers_to_those_that_fit_nowhere_else() {
+    let mut cell = Cell::new(25);
+    let starts = starts_of_size(&mut cell, 100, 24_000);
+    let taken: collections::BTreeSet<_> = starts.iter().map(|start| &start.worker).collect();
+    assert_eq!(
+        (starts.len(), taken.len()),
+        (46, 23),
+        "two workers are held, 23 have 16 cores left"
+    );
+    let large = cell::starts(&cell.submit(3, cell::job(vec![cell::phase(1, 52_000)])));
+    assert!(!taken.contains(&large[0].worker));
+    let small = cell::starts(&cell.submit(4, cell::job(vec![cell::phase(23, 10_000)])));
+    let elsewhere = small.iter().filter(|start| taken.contains(&start.worker)).count();
+    assert_eq!((small.len(), elsewhere), (23, 23));
+    let medium = cell::starts(&cell.submit(5, cell::job(vec![cell::phase(2, 32_000)])));
+    assert_eq!(medium.len(), 2, "they fit on held workers only");
+}
+
 /// Guards against interrupted tasks that have to take a held worker, as tasks that wait for longer have
 /// taken the capacity that they left.
 #[test]
