--- a/gl-emulate/tests/simulation/main.rs
+++ b/gl-emulate/tests/simulation/main.rs
@@ -4,4 +4,5 @@
 pub mod faults;
 mod handover;
 mod scenarios;
+mod sizes;
 mod uneven;
