fix(gl-jobs): hold workers for short tasks before the first one is seen

Cause: workers are held by the recent demand of short tasks, and a new owner knows of none. Long-running tasks that arrive first, or within the first second of short ones, took the last free workers and kept them. Unknown demand was taken for none. Now an owner holds as many workers as it may (8%) for its first 20 s. Long-running tasks that have not run wait for these only if no others have room, and only that long if no short task comes. `Settings::watch_time` is zero by default, and 20 s in `--hosted`.

Evidence: the new test starts all 50 long-running tasks and no short one with a watch time of zero, the behaviour before.

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -4,6 +4,7 @@
 
 use gl_fleet::{budget, ingress, settings};
 use gl_jobs::election;
+use gl_model::time;
 use gl_peer::rpc;
 use ntex::{http, web};
 
@@ -13,6 +14,9 @@
 /// The number of runs that a new worker gets until one of them is done. It covers one phase of short
 /// tasks.
 const UNPROVEN_RUNS: usize = 8;
+/// The time after which an owner knows how many processors short tasks need. Clients come some seconds
+/// after the first daemon has started.
+const WATCH_TIME: time::Span = time::Span::seconds(20);
 /// The factor by which tasks are expected to take longer on a cold worker. The platform states only
 /// for how long a worker is cold.
 const COLD_FACTOR: f64 = 2.0;
@@ -193,6 +197,7 @@
         drain_time: settings.drain,
         empty_time: settings.empty_time,
         retention: settings.retention + settings.retention,
+        watch_time: WATCH_TIME,
         predicts_tail: true,
         uses_estimates: true,
         unproven_runs: Some(UNPROVEN_RUNS),
--- a/gl-emulate/tests/simulation/sizes.rs
+++ b/gl-emulate/tests/simulation/sizes.rs
@@ -155,7 +155,11 @@
         workers: fleet::mixed(WORKERS),
         arrivals: arrivals.to_vec(),
         faults: crashes(),
-        owner: owner::Settings { uses_estimates: true, ..owner::Settings::default() },
+        owner: owner::Settings {
+            uses_estimates: true,
+            watch_time: time::Span::seconds(20),
+            ..owner::Settings::default()
+        },
         ..simulation::Settings::default()
     };
     simulation::Simulation::new(settings).run()
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -123,6 +123,8 @@
     impacts: collections::BTreeMap<String, Impact>,
     /// The time at which it was last reported.
     impact_at: time::Timestamp,
+    /// The time at which this owner was created.
+    started_at: time::Timestamp,
     /// The time at which the demand was last recorded.
     demand_at: time::Timestamp,
     /// The load of the services.
@@ -196,6 +198,7 @@
             backlogs: Vec::new(),
             impacts: collections::BTreeMap::new(),
             impact_at: now,
+            started_at: now,
             demand_at: time::Timestamp::default(),
             scarcity: scarcity::Services::new(),
             short_waits: waits::Monitor::default(),
--- a/gl-jobs/src/owner/placement/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -35,6 +35,12 @@
     has_held: bool,
 }
 
+impl Demand {
+    fn new(service: &str, peak: f64, at: time::Timestamp) -> Self {
+        Self { service: service.to_owned(), peak, at, has_held: false }
+    }
+}
+
 /// The workers of a service that are free of long-running tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::owner) enum Room {
@@ -56,7 +62,11 @@
         demand.at = now;
     }
     owner.demands.retain(|demand| demand.peak >= MIN_PEAK);
-    for needed in current(owner, now) {
+    let mut needed = current(owner, now);
+    if now.since(owner.started_at) < owner.settings.watch_time {
+        needed.extend(assumed(owner, now));
+    }
+    for needed in needed {
         match owner.demands.iter_mut().find(|demand| demand.service == needed.service) {
             Some(demand) => demand.peak = demand.peak.max(needed.peak),
             None => owner.demands.push(needed),
@@ -65,6 +75,21 @@
     hold(owner);
 }
 
+/// Returns the demand that needs all workers that may be held, for each service. An owner that has not
+/// watched a service for long does not know it, and long-running tasks would keep what they get.
+fn assumed(owner: &Owner, now: time::Timestamp) -> Vec<Demand> {
+    let mut assumed: Vec<Demand> = Vec::new();
+    for worker in owner.workers.values() {
+        let service = &worker.registration.service;
+        let peak = worker.registration.size.cores as f64 * FREE_SHARE / PEAK_RATIO;
+        match assumed.iter_mut().find(|demand| demand.service == *service) {
+            Some(demand) => demand.peak += peak,
+            None => assumed.push(Demand::new(service, peak, now)),
+        }
+    }
+    assumed
+}
+
 /// Returns the processors that short tasks use or wait for now.
 fn current(owner: &Owner, now: time::Timestamp) -> Vec<Demand> {
     let mut needed: Vec<Demand> = Vec::new();
@@ -74,12 +99,7 @@
         }
         match needed.iter_mut().find(|demand| demand.service == service) {
             Some(demand) => demand.peak += cores as f64,
-            None => needed.push(Demand {
-                service: service.to_owned(),
-                peak: cores as f64,
-                at: now,
-                has_held: false,
-            }),
+            None => needed.push(Demand::new(service, cores as f64, now)),
         }
     };
     for worker in owner.workers.values() {
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -147,6 +147,9 @@
     /// The predicted tail ratio above which a best-effort task does not start there; `None` for no
     /// limit. Needs `predicts_tail`.
     pub predicted_limit: Option<f64>,
+    /// The time for which a new owner holds as many workers for short tasks as it may, as it has not
+    /// seen yet how many they need.
+    pub watch_time: time::Span,
     /// The time after which a long-running phase with a task that has ended is placed before short
     /// tasks. Half of the time within which such a task has to run again if there is capacity.
     pub patience: time::Span,
@@ -258,6 +261,7 @@
             starvation_time: time::Span::millis(2_000),
             predicts_tail: false,
             predicted_limit: None,
+            watch_time: time::Span::ZERO,
             patience: time::Span::seconds(3),
             advice_retry: time::Span::seconds(2),
             failure_limit: 2.4,
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -287,6 +287,43 @@
     assert_eq!(starts_after_a_short_job(&mut Cell::new(25), 60_000).len(), 50);
 }
 
+/// Guards against a fleet that long-running tasks have filled before the first short task arrives, so
+/// that there is no room for large ones for as long as they run.
+#[test]
+fn new_owner_holds_workers_before_it_has_seen_a_short_task() {
+    let watch_time = time::Span::seconds(20);
+    let settings = owner::Settings { watch_time, ..owner::Settings::default() };
+    let mut cell = Cell::with_settings(25, settings);
+    let phase = job::Phase { long_running: true, ..cell::phase(50, 32_000) };
+    assert_eq!(cell::starts(&cell.submit(1, cell::job(vec![phase]))).len(), 46);
+    let short = cell::starts(&cell.submit(2, cell::job(vec![cell::phase(2, 64_000)])));
+    assert_eq!(short.len(), 2, "the first short job finds room");
+}
+
+#[test]
+fn new_owner_holds_no_workers_for_long_without_short_tasks() {
+    let watch_time = time::Span::seconds(20);
+    let settings = owner::Settings { watch_time, ..owner::Settings::default() };
+    let mut cell = Cell::with_settings(25, settings);
+    let phase = job::Phase { long_running: true, ..cell::phase(50, 32_000) };
+    let started = cell::starts(&cell.submit(1, cell::job(vec![phase])));
+    assert_eq!(started.len(), 46);
+    for start in &started {
+        cell.start_replied(start, worker::OrderReply::Done);
+    }
+    let mut later = Vec::new();
+    for _ in 0..50 {
+        cell.now += 1_000;
+        for n in 0..25 {
+            let here = started.iter().filter(|start| cell::index(&start.worker) == n);
+            let running: Vec<_> = here.map(|start| cell::running(start, 100.0, 30.0)).collect();
+            cell.poll(n, &running);
+        }
+        later.extend(cell::starts(&cell.tick()));
+    }
+    assert_eq!(later.len(), 4);
+}
+
 /// A short task that fits on no worker waits for ever, and must not hold workers all that time.
 #[test]
 fn short_task_that_fits_on_no_worker_holds_none_after_its_deadline() {
