--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -129,10 +129,10 @@
     demand_at: time::Timestamp,
     /// The load of the services.
     scarcity: scarcity::Services,
-    /// What is reported of short tasks that wait.
-    short_waits: waits::Monitor,
     /// The time at which the load was last sampled.
     sampled_at: time::Timestamp,
+    /// What is reported of short tasks that wait.
+    short_waits: waits::Monitor,
     /// The latest time to which leases of workers may be extended.
     horizon: time::Timestamp,
     /// The time until which it is certain that no other daemon has taken over the cell.
--- a/gl-jobs/src/owner/placement/waits.rs
+++ b/gl-jobs/src/owner/placement/waits.rs
@@ -2,7 +2,7 @@
 
 use gl_model::{size, time};
 
-use crate::owner::{Note, Owner, state};
+use crate::owner::{Note, Owner, Worker, state};
 use crate::{job, task};
 
 /// The interval at which waiting tasks are reported.
@@ -183,43 +183,16 @@
     let counts = std::mem::take(&mut owner.short_waits.counts);
     let mut shortages: Vec<Shortage> = Vec::new();
     for blocked in &owner.short_waits.blocked {
-        let wait = now.since(blocked.since);
-        if wait < MIN_WAIT {
-            continue;
-        }
-        let Some(shortage) = shortage_of(&mut shortages, &blocked.service) else {
-            continue;
-        };
-        let Some(entry) = owner.jobs.get(&blocked.phase.job) else {
-            continue;
-        };
-        let Some(spec) = entry.spec(blocked.phase.phase) else {
-            continue;
-        };
-        let Some(state) = state::state_of(owner, blocked.phase) else {
-            continue;
-        };
-        let tasks = state.waiting.len() as u64;
-        shortage.tasks += tasks;
-        if now + entry.critical_path(blocked.phase.phase) > state.deadline {
-            shortage.late += tasks;
-        }
-        shortage.longest = shortage.longest.max(wait);
-        if spec.size.cores > shortage.largest.cores {
-            shortage.largest = spec.size;
-        }
+        let service = &blocked.service;
+        let position = shortages.iter().position(|shortage| shortage.service == *service);
+        let position = position.unwrap_or_else(|| {
+            shortages.push(Shortage { service: service.clone(), ..Shortage::default() });
+            shortages.len() - 1
+        });
+        add_waiting(owner, &mut shortages[position], blocked, now);
     }
-    for mut shortage in shortages {
-        for worker in owner.workers.values() {
-            if worker.registration.service != shortage.service {
-                continue;
-            }
-            shortage.free_workers += usize::from(worker.long_running_cores == 0);
-            let free = worker.free();
-            if worker.is_eligible(&owner.settings, now) && free.cores > shortage.room.cores {
-                shortage.room = free;
-            }
-        }
+    for mut shortage in shortages.into_iter().filter(|shortage| shortage.tasks > 0) {
+        add_room(owner, &mut shortage, now);
         if let Some(counts) = counts.iter().find(|counts| counts.service == shortage.service) {
             shortage.overtaking = counts.overtaking;
             shortage.long_running = counts.long_running;
@@ -228,10 +201,34 @@
     }
 }
 
-/// Returns the entry of a service, which is added if there is none.
-fn shortage_of<'a>(shortages: &'a mut Vec<Shortage>, service: &str) -> Option<&'a mut Shortage> {
-    if !shortages.iter().any(|shortage| shortage.service == service) {
-        shortages.push(Shortage { service: service.to_owned(), ..Shortage::default() });
+/// Adds the waiting tasks of a phase, if they have waited for some time.
+fn add_waiting(owner: &Owner, shortage: &mut Shortage, blocked: &Blocked, now: time::Timestamp) {
+    let Blocked { phase, since, .. } = *blocked;
+    let Some(entry) = owner.jobs.get(&phase.job).filter(|_| now.since(since) >= MIN_WAIT) else {
+        return;
+    };
+    let Some((spec, state)) = entry.spec(phase.phase).zip(state::state_of(owner, phase)) else {
+        return;
+    };
+    let tasks = state.waiting.len() as u64;
+    shortage.tasks += tasks;
+    if now + entry.critical_path(phase.phase) > state.deadline {
+        shortage.late += tasks;
+    }
+    shortage.longest = shortage.longest.max(now.since(since));
+    if spec.size.cores > shortage.largest.cores {
+        shortage.largest = spec.size;
+    }
+}
+
+/// Adds the room that the workers of the service have.
+fn add_room(owner: &Owner, shortage: &mut Shortage, now: time::Timestamp) {
+    let of_service = |w: &&Worker| w.registration.service == shortage.service;
+    for worker in owner.workers.values().filter(of_service) {
+        shortage.free_workers += usize::from(worker.long_running_cores == 0);
+        let free = worker.free();
+        if worker.is_eligible(&owner.settings, now) && free.cores > shortage.room.cores {
+            shortage.room = free;
+        }
     }
-    shortages.iter_mut().find(|shortage| shortage.service == service)
 }
