fix(gl-jobs): hold only workers that get tasks

Cause: workers that drain or have left the list have the most room beside long-running tasks, as theirs have moved away. They were counted as free, and held, in place of workers that accept tasks. Those were filled by long-running tasks. Now a worker is held or counted only if it gets tasks: listed, enrolled, not draining, its failure domain not emptied.

Evidence: the new test fails on the code before (50 long-running tasks start where 46 may).

--- a/gl-jobs/src/owner/placement/headroom.rs
+++ b/gl-jobs/src/owner/placement/headroom.rs
@@ -159,7 +159,7 @@
 }
 
 fn is_usable(worker: &Worker, service: &str) -> bool {
-    worker.registration.service == service && !worker.is_domain_emptied
+    worker.registration.service == service && worker.is_in_use()
 }
 
 /// Returns whether a service has many workers that are free of long-running tasks.
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -262,13 +262,19 @@
         Some(reading.at + left + left.scaled(settings.clock_drift) + settings.clock_margin)
     }
 
-    /// Returns whether new tasks may be started on the worker.
-    pub fn is_eligible(&self, settings: &Settings, now: time::Timestamp) -> bool {
+    /// Returns whether the worker is one of those that get tasks: it is listed and enrolled, and neither
+    /// drains nor has an emptied failure domain. It may still be suspect or silent at the moment.
+    pub const fn is_in_use(&self) -> bool {
         self.is_listed
             && self.is_enrolled
             && self.draining_since.is_none()
             && !self.registration.draining
             && !self.is_domain_emptied
+    }
+
+    /// Returns whether new tasks may be started on the worker.
+    pub fn is_eligible(&self, settings: &Settings, now: time::Timestamp) -> bool {
+        self.is_in_use()
             && self.incarnation == Some(self.registration.incarnation)
             && self.unknown_runs == 0
             && self.clock.is_some()
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -300,6 +300,24 @@
     assert_eq!(short.len(), 2, "the first short job finds room");
 }
 
+/// Guards against short tasks that find no room while workers are replaced: those that leave run no
+/// long-running task any more, and were held in place of workers that accept tasks.
+#[test]
+fn workers_that_drain_are_not_held() {
+    let watch_time = time::Span::seconds(20);
+    let settings = owner::Settings { watch_time, ..owner::Settings::default() };
+    let mut cell = Cell::with_settings(27, settings);
+    let entry = |n| worker::Registration { draining: n < 2, ..cell::registration(n) };
+    let entries: Vec<_> = (0..27).map(entry).collect();
+    let now = cell::at(cell.now);
+    cell.owner.workers_listed(&entries, now, now);
+    cell.now += 100;
+    cell.tick();
+    let phase = job::Phase { long_running: true, ..cell::phase(50, 32_000) };
+    let started = cell::starts(&cell.submit(1, cell::job(vec![phase])));
+    assert_eq!(started.len(), 46, "two of 25 are held");
+}
+
 #[test]
 fn new_owner_holds_no_workers_for_long_without_short_tasks() {
     let watch_time = time::Span::seconds(20);
