--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -3,8 +3,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::http;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -61,11 +61,8 @@
 impl Rows {
     fn render(&self, key: &Key) -> Json {
         let (table, part, name) = key;
-        let mut fields = vec![
-            ("Table", Json::str(table)),
-            ("part", Json::str(part)),
-            ("Key", Json::str(name)),
-        ];
+        let mut fields =
+            vec![("Table", Json::str(table)), ("part", Json::str(part)), ("Key", Json::str(name))];
         match self.rows.get(key) {
             Some((value, version)) => {
                 fields.push(("Value", Json::str(value)));
@@ -185,7 +182,11 @@
         };
         let late = {
             let mut late = self.late.lock().unwrap();
-            if late.as_ref().is_some_and(is_named) { late.take() } else { None }
+            if late.as_ref().is_some_and(is_named) {
+                late.take()
+            } else {
+                None
+            }
         };
         if let Some(late) = late {
             let delay = late.delay;
@@ -209,9 +210,8 @@
     fn apply(&self, body: &Json) -> Reply {
         let entries = ["ExpectedRev", "Writes", "Remove"].map(|name| body.list(name));
         let part = entries.iter().flat_map(|list| list.iter()).next().map(|e| e.text("part"));
-        let lock = Arc::clone(
-            self.parts.lock().unwrap().entry(part.unwrap_or_default()).or_default(),
-        );
+        let lock =
+            Arc::clone(self.parts.lock().unwrap().entry(part.unwrap_or_default()).or_default());
         let _turn = lock.lock().unwrap();
         std::thread::sleep(TX_TIME);
         let mut rows = self.rows.lock().unwrap();
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -14,14 +14,8 @@
 const PAGE_ENDS: usize = 500;
 const CHECKPOINT_MS: u64 = 2_000;
 const STOP_MS: u64 = 100;
-/// The work of a task that lasts.
-const LASTING: u64 = u64::MAX / 2;
-/// The time after which a task that lasts is at work.
-const STARTUP_MS: u64 = 300;
 
 struct Run {
-    /// Whether it is to fail now.
-    is_failing: bool,
     started: u64,
     work: u64,
     stop_at: Option<u64>,
@@ -82,13 +76,10 @@
     record: Arc<Record>,
 }
 
-/// The work of a task: its `Spec` is `LOW HIGH` or `LOW HIGH saving`, in milliseconds, or `lasting`. The
-/// tasks of a step are spread evenly over that range.
+/// The work of a task: its `Spec` is `LOW HIGH` or `LOW HIGH saving`, in milliseconds. The tasks of a
+/// step are spread evenly over that range.
 fn work_of(spec: &str, task: &str) -> (u64, bool) {
     let words: Vec<&str> = spec.split(' ').collect();
-    if words.contains(&"lasting") {
-        return (LASTING, false);
-    }
     let number = |n: usize| words.get(n).and_then(|word| word.parse::<u64>().ok()).unwrap_or(200);
     let (low, high) = (number(0), number(1));
     let index: u64 = task.rsplit('.').next().and_then(|index| index.parse().ok()).unwrap_or(0);
@@ -193,8 +184,6 @@
             .filter_map(|(key, run)| {
                 let how = if clock >= run.started + run.work {
                     "done"
-                } else if run.is_failing {
-                    "failed"
                 } else if run.stop_at.is_some_and(|at| clock >= at) {
                     "stopped"
                 } else if has_lapsed {
@@ -275,13 +264,7 @@
                     return refuse(&state, "old");
                 }
                 let (work, is_checkpointing) = work_of(&body.text("Spec"), &task);
-                let run = Run {
-                    is_failing: false,
-                    started: state.clock(),
-                    work,
-                    stop_at: None,
-                    is_checkpointing,
-                };
+                let run = Run { started: state.clock(), work, stop_at: None, is_checkpointing };
                 state.runs.insert((task.clone(), attempt), run);
                 let at = self.record.now();
                 let worker = self.id.clone();
@@ -322,14 +305,12 @@
         let clock = state.clock();
         let running = state.runs.iter().map(|((task, attempt), run)| {
             let worked = clock.saturating_sub(run.started) as f64;
-            let work = if run.work == LASTING { STARTUP_MS } else { run.work.max(1) };
-            let percent = (worked * 10_000.0 / work as f64).floor() / 100.0;
-            let most = if run.work == LASTING { 100.0 } else { 99.0 };
+            let percent = (worked * 10_000.0 / run.work.max(1) as f64).floor() / 100.0;
             Json::Arr(vec![
                 Json::str(task),
                 Json::num(*attempt),
                 Json::str(saved(run, clock)),
-                Json::Num(percent.min(most)),
+                Json::Num(percent.min(99.0)),
                 Json::num(0),
             ])
         });
