--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -25,12 +25,24 @@
 
 pub type Failure = Box<dyn std::error::Error>;
 
+/// The processes that run, so that they can be ended from any thread.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+/// Ends all processes that the case has started.
+pub fn end_all() {
+    let mut children = CHILDREN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    for mut child in children.drain(..) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 pub struct Daemon {
     name: String,
     settings: PathBuf,
     clients: SocketAddr,
     ready: SocketAddr,
-    child: Option<Child>,
+    pid: Option<u32>,
 }
 
 pub struct Deployment {
@@ -158,7 +170,7 @@
         let text = settings(&name, number, clients, ready, pair, store);
         let settings = self.dir.join(format!("{name}.json"));
         std::fs::write(&settings, text)?;
-        Ok(Daemon { name, settings, clients, ready, child: None })
+        Ok(Daemon { name, settings, clients, ready, pid: None })
     }
 
     pub fn start_daemon(&mut self, number: usize) -> Result<(), Failure> {
@@ -178,13 +190,20 @@
             .stderr(log)
             .spawn()?;
         self.record.tell(&format!("{} is started", daemon.name));
-        daemon.child = Some(child);
+        daemon.pid = Some(child.id());
+        CHILDREN.lock().unwrap().push(child);
         Ok(())
     }
 
     pub fn kill_daemon(&mut self, number: usize) {
         let daemon = &mut self.daemons[number];
-        if let Some(mut child) = daemon.child.take() {
+        let Some(pid) = daemon.pid.take() else { return };
+        let child = {
+            let mut children = CHILDREN.lock().unwrap();
+            let found = children.iter().position(|child| child.id() == pid);
+            found.map(|n| children.swap_remove(n))
+        };
+        if let Some(mut child) = child {
             let _ = child.kill();
             let _ = child.wait();
             self.record.tell(&format!("{} is killed", daemon.name));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,9 @@
 
 const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
+/// The longest time that a case may take.
+const LIMIT: std::time::Duration = std::time::Duration::from_secs(110);
+
 /// Encodes bytes as base64.
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::with_capacity(bytes.len().div_ceil(3) * 4);
@@ -34,8 +37,17 @@
         eprintln!("usage: standin CASE DIR");
         std::process::exit(2);
     };
+    std::thread::spawn(|| {
+        std::thread::sleep(LIMIT);
+        deployment::end_all();
+        eprintln!("the case could not run: it takes longer than {LIMIT:?}");
+        std::process::exit(2);
+    });
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let outcome = cases::run(&case, std::path::Path::new(&dir), has_trouble);
+    let run = || cases::run(&case, std::path::Path::new(&dir), has_trouble);
+    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
+    let outcome = outcome.unwrap_or_else(|_| Err("the stand-in has panicked".into()));
+    deployment::end_all();
     let code = match outcome {
         Ok(true) => 0,
         Ok(false) => 1,
