test(gl-emulate): count no failed run whose end is lost with its worker

The check of attempts counted a failed run at its end on the worker. A worker that crashes before any owner has acknowledged the end takes it along, so no owner can know of it.

The check of the final state still counts all failed runs, and ends that are acknowledged later count as before.

--- a/gl-emulate/src/simulation/checks.rs
+++ b/gl-emulate/src/simulation/checks.rs
@@ -1,5 +1,7 @@
 //! Checks of the guarantees during and after a run.
 
+use std::collections;
+
 use gl_jobs::{job, owner, record, task, worker as model};
 use gl_model::time;
 
@@ -49,6 +51,14 @@
         }
     }
 
+    /// Counts the failed runs whose ends are lost with a worker, so that no owner acknowledges them.
+    pub(super) fn count_lost_failures(&mut self, n: usize) {
+        let is_failed = |end: &&model::Ended| end.outcome == model::Outcome::Failed;
+        for end in self.workers[n].unacknowledged().iter().filter(is_failed) {
+            *self.lost_failures.entry(end.task).or_default() += 1;
+        }
+    }
+
     /// Counts a start of a task that crashes its workers.
     fn check_crash_limit(&mut self, task: task::TaskId) {
         let Some(count) = self.crash_counts.get_mut(&task).filter(|c| c.crashes >= CRASHES) else {
@@ -98,7 +108,10 @@
                 !self.completed.contains(&task::TaskId { phase, index })
             })
         });
-        let failures = self.failures.get(&task).copied().unwrap_or_default();
+        let count = |failures: &collections::BTreeMap<_, u32>| {
+            failures.get(&task).copied().unwrap_or_default()
+        };
+        let failures = count(&self.failures) - count(&self.lost_failures);
         // Further runs of a speculative task may start until the owner has learned of the failure.
         if failures >= arrival.job.policy.max_attempts && !spec.long_running && !is_speculative {
             self.record_violation(report::Guarantee::AttemptLimit, &task);
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -96,6 +96,7 @@
             }
             Fault::CrashWorker(n, span) => {
                 self.count_crash(*n);
+                self.count_lost_failures(*n);
                 self.workers[*n].is_down = true;
                 self.workers[*n].runs.clear();
                 self.restarts.push((now + *span, *n));
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -55,6 +55,8 @@
     terminations: Vec<(time::Timestamp, usize)>,
     unlisted: Vec<(time::Timestamp, usize)>,
     failures: collections::BTreeMap<task::TaskId, u32>,
+    /// Those of them whose ends were lost with their worker.
+    lost_failures: collections::BTreeMap<task::TaskId, u32>,
     /// The times at which tasks crash their workers, with the worker and the task.
     crashes: Vec<(time::Timestamp, usize, task::TaskId)>,
     /// The workers that have crashed under each task, and the starts after the third crash.
@@ -111,6 +113,7 @@
             terminations: Vec::new(),
             unlisted: Vec::new(),
             failures: collections::BTreeMap::new(),
+            lost_failures: collections::BTreeMap::new(),
             crashes: Vec::new(),
             crash_counts: collections::BTreeMap::new(),
             roster: collections::BTreeMap::new(),
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns the ends that were not acknowledged.
+    pub fn unacknowledged(&self) -> &[worker::Ended] {
+        &self.ended
+    }
+
     /// Ends this incarnation with all its runs and starts the next.
     pub fn restart(&mut self, now: time::Timestamp) {
         self.incarnation = worker::Incarnation(now.0 / 1_000 + 1);
