--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -47,6 +47,9 @@
         }
         let request = mesh::Request::Store { id, job: Box::new(job.clone()) };
         match followed.connection.request(request, OWNER_STORE_TIMEOUT).await {
+            Some(mesh::Response::Store(submission::Outcome::Stored)) => {
+                submission::Outcome::Duplicate
+            }
             Some(mesh::Response::Store(outcome)) => outcome,
             _ => submission::Outcome::Unsettled(submission::Cause::OwnerUnresponsive),
         }
@@ -54,6 +57,9 @@
 
     /// Notifies the owner of a stored job, or of a stored cancellation if `job` is `None`. If the
     /// message is lost, the owner finds the row when it next reads the changes of the work table.
+    ///
+    /// Each job is announced once, by the call that has stored it: an owner that gets the announcement
+    /// relies on it that no other owner does.
     fn notify_owner(&self, id: task::JobId, job: Option<&job::Job>) {
         match self.node.role() {
             node::Role::Owner(ownership) => match job {
@@ -230,8 +236,10 @@
         let queue = job.queue.as_str();
         self.node.metrics.submit(outcome.as_str(), took);
         match outcome {
-            submission::Outcome::Stored => {
-                self.notify_owner(id, Some(&job));
+            submission::Outcome::Stored | submission::Outcome::Duplicate => {
+                if outcome == submission::Outcome::Stored {
+                    self.notify_owner(id, Some(&job));
+                }
                 let tasks = job.phases.iter().map(|phase| phase.count).sum();
                 let id = event::Text(id);
                 event::emit(&event::Event::Accepted {
--- a/geraniumlatchd/src/jobs/cell_rows.rs
+++ b/geraniumlatchd/src/jobs/cell_rows.rs
@@ -1,7 +1,6 @@
 //! The rows that say who owns the cell, and the transaction that changes them.
 
-use gl_jobs::{owner, record};
-use gl_model::time;
+use gl_jobs::{election, owner, record};
 use gl_platform::cell as platform;
 
 use super::{event, rows};
@@ -46,21 +45,25 @@
     CellRows { owner: find(read, rows::OWNER), lease: find(read, rows::LEASE) }
 }
 
-/// Returns the transaction that makes `owner` the cell's owner if the cell's rows are unchanged. The
-/// leases that earlier owners have extended last for `outstanding` at most, if that is known.
+/// Returns the transaction that makes `owner` the cell's owner if the cell's rows are unchanged.
 pub(super) fn claim(
     cell: &CellRows,
     owner: &record::Owner,
     settings: &owner::Settings,
-    outstanding: Option<time::Span>,
+    predecessors: election::Predecessors,
 ) -> Result<platform::Transaction, record::Error> {
     let version_of = |version: Option<u64>| version.unwrap_or_default();
     let check = |name, version| platform::Check { key: rows::cell_row(name), version };
     let write = |name, value| platform::Write { key: rows::cell_row(name), value };
     let horizon = settings.horizon;
-    let outstanding = Some(outstanding.unwrap_or(horizon).max(settings.lease));
-    let workers = cell.workers();
-    let lease = record::Lease { renewals: 0, released: false, horizon, outstanding, workers };
+    let lease = record::Lease {
+        renewals: 0,
+        released: false,
+        horizon,
+        outstanding: Some(predecessors.outstanding.unwrap_or(horizon).max(settings.lease)),
+        earlier_starts: Some(predecessors.starts),
+        workers: cell.workers(),
+    };
     Ok(platform::Transaction {
         checks: vec![
             check(rows::OWNER, version_of(cell.owner.as_ref().map(|row| row.version))),
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -1,6 +1,6 @@
 //! The lease on the cell. A daemon watches the owner's lease, claims the cell once that lease has
-//! expired or was released or the owner's process has terminated, and renews the lease while it
-//! owns the cell. The version of the owner's row is the owner's fencing token.
+//! expired or was released, the owner's process has terminated or its address refuses connections, and
+//! renews the lease while it owns the cell. The version of the owner's row is the owner's fencing token.
 
 use std::rc;
 
@@ -70,6 +70,7 @@
     match node.role() {
         node::Role::Follower(followed) => {
             followed.former_since.get().is_none()
+                && !followed.connection.is_refused()
                 && now.since(followed.confirmed_at.get()) < CONFIRMATION_VALIDITY
         }
         _ => false,
@@ -84,8 +85,6 @@
     /// Version of the owner's row that the claim checks.
     checked_version: u64,
     sent: time::Timestamp,
-    /// See [`owner::Takeover::outstanding`].
-    outstanding: Option<time::Span>,
 }
 
 impl OwnerWatch {
@@ -98,19 +97,20 @@
     async fn check_owner(&mut self, node: &rc::Rc<node::Node>) {
         let sent = clock::steady();
         let read = node.platform.store.range(&rows::all_claims()).await;
-        let now = clock::steady();
-        node.record_store_result(&read, now);
+        node.record_store_result(&read, clock::steady());
         let Ok(read) = read else {
             self.lease_watch.reset();
             return;
         };
-        self.read_at = now;
+        self.read_at = clock::steady();
         let cell = cell_rows::decode(&read.rows);
         if let Some(owner) = &cell.owner {
             self.resolve_claim(node, owner);
             follow(node, owner);
         }
-        let cause = self.claim_reason(node, &cell, sent, now);
+        let refused = refusal(node, &cell).await;
+        let now = clock::steady();
+        let cause = self.claim_reason(node, &cell, refused, sent, now);
         self.claimable_since = cause.and(self.claimable_since.or(Some(now)));
         let is_backoff_over = now >= node.claim_after.get();
         let may_claim = is_backoff_over && !node.is_draining.get() && node.ownership().is_none();
@@ -133,6 +133,7 @@
         &mut self,
         node: &node::Node,
         cell: &cell_rows::CellRows,
+        refused: Option<time::Timestamp>,
         sent: time::Timestamp,
         now: time::Timestamp,
     ) -> Option<&'static str> {
@@ -143,6 +144,7 @@
                 .owner
                 .as_ref()
                 .is_some_and(|owner| outstanding::former_since(node, owner.version).is_some()),
+            refused,
         });
         self.lease_watch.claim_reason(observation, TAKEOVER_TIMEOUT, sent, now)
     }
@@ -157,8 +159,8 @@
         let settings = &node.settings;
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
         let sent = clock::steady();
-        let outstanding = outstanding::at_claim(node, cell, &self.lease_watch, sent);
-        let txn = match cell_rows::claim(cell, &owner, &settings.owner, outstanding) {
+        let predecessors = outstanding::at_claim(node, cell, &self.lease_watch, sent);
+        let txn = match cell_rows::claim(cell, &owner, &settings.owner, predecessors) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
         };
@@ -168,7 +170,7 @@
         let is_lost = matches!(result, Err(platform::StoreError::Lost { .. }));
         match result {
             Ok(platform::Outcome::Committed(token)) => {
-                ownership::start(node, ownership::Claim { token, sent, outstanding, cause });
+                ownership::start(node, ownership::Claim { token, sent, predecessors, cause });
             }
             Ok(platform::Outcome::Conflict(_)) => {
                 log_claim_failure(cause, "another daemon claimed the cell first".to_owned());
@@ -176,7 +178,7 @@
             Err(error) => log_claim_failure(cause, error.to_string()),
         }
         let checked_version = cell.owner.as_ref().map_or(0, |owner| owner.version);
-        let open = OpenClaim { claim, checked_version, sent, outstanding };
+        let open = OpenClaim { claim, checked_version, sent };
         self.open_claim = is_lost.then_some(open);
         node.has_open_claim.set(is_lost);
     }
@@ -198,7 +200,7 @@
             let claim = ownership::Claim {
                 token: owner.version,
                 sent: open.sent,
-                outstanding: open.outstanding,
+                predecessors: outstanding::UNKNOWN,
                 cause: "the reply to its claim was lost, and the claim took effect",
             };
             ownership::start(node, claim);
@@ -225,11 +227,12 @@
     event::emit(&event::Event::Following { owner: &owner.value.daemon, token });
     let connection = rpc::Client::new(owner.value.mesh);
     let confirmed_at = std::cell::Cell::new(time::Timestamp::default());
-    let former_since = std::cell::Cell::new(None);
+    let (refused_since, former_since) = (std::cell::Cell::new(None), std::cell::Cell::new(None));
     let followed = node::FollowedOwner {
         token,
         connection,
         confirmed_at,
+        refused_since,
         former_since,
         load: std::cell::RefCell::default(),
     };
@@ -238,7 +241,19 @@
     ntex::rt::spawn(send_heartbeats(rc::Rc::clone(node), rc::Rc::downgrade(&followed)));
 }
 
-/// Sends heartbeats to an owner for as long as this daemon follows it.
+/// Returns the time at which the owner last confirmed a heartbeat, if its address refuses connections
+/// after the cell's rows were read. A daemon that was cut off finds the refusals of before outdated.
+async fn refusal(node: &node::Node, cell: &cell_rows::CellRows) -> Option<time::Timestamp> {
+    let node::Role::Follower(followed) = node.role() else {
+        return None;
+    };
+    let owner = cell.owner.as_ref().filter(|owner| owner.version == followed.token)?;
+    let is_refused = followed.connection.is_refused() && rpc::is_refused(owner.value.mesh).await;
+    is_refused.then(|| followed.confirmed_at.get())
+}
+
+/// Sends heartbeats to an owner for as long as this daemon follows it, at an interval and when the
+/// connection has ended.
 async fn send_heartbeats(node: rc::Rc<node::Node>, followed: rc::Weak<node::FollowedOwner>) {
     loop {
         let Some(followed) = followed.upgrade() else {
@@ -258,25 +273,26 @@
         }
         followed.keep_summary(reply.as_ref(), sent);
         handle_heartbeat_reply(&node, &followed, reply.as_ref());
+        let disconnected = followed.connection.disconnected();
         drop(followed);
-        ntex::time::sleep(HEARTBEAT_INTERVAL).await;
+        // A heartbeat follows both the end of the connection and the time-out.
+        let _ = ntex::time::timeout(HEARTBEAT_INTERVAL, disconnected.notified()).await;
     }
 }
 
 /// Evaluates the reply to a heartbeat.
 ///
-/// A reply that denies ownership under the token, or a refused connection, proves that the owner's
-/// process has terminated or given the cell up. A missing reply proves nothing.
+/// A reply that denies ownership under the token proves that the owner's process has terminated or
+/// given the cell up. A missing reply proves nothing, nor does a refused connection.
 fn handle_heartbeat_reply(
     node: &node::Node,
     followed: &node::FollowedOwner,
     reply: Option<&super::mesh::Response>,
 ) {
-    let is_former = match reply {
-        Some(super::mesh::Response::NotOwner) => true,
-        Some(_) => false,
-        None => followed.connection.is_refused(),
-    };
+    let refused_since = followed.refused_since.get().unwrap_or_else(clock::steady);
+    let is_refused = reply.is_none() && followed.connection.is_refused();
+    followed.refused_since.set(is_refused.then_some(refused_since));
+    let is_former = matches!(reply, Some(super::mesh::Response::NotOwner));
     if reply.is_some() && !is_former {
         let now = clock::steady();
         followed.confirmed_at.set(now);
@@ -330,8 +346,9 @@
 ) -> Result<platform::Outcome, platform::StoreError> {
     let horizon = node.settings.owner.horizon;
     let outstanding = Some(ownership.outstanding_lease(clock::steady()));
+    let earlier_starts = Some(ownership.earlier_starts(clock::steady()));
     let workers = ownership.is_loaded.get().then(|| ownership.owner().workers().count());
-    let lease = record::Lease { renewals, released, horizon, outstanding, workers };
+    let lease = record::Lease { renewals, released, horizon, outstanding, earlier_starts, workers };
     let row = record::encode("lease", &lease);
     let value = row.map_err(|e| platform::StoreError::Refused {
         operation: "renew the lease",
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -116,7 +116,11 @@
     if let (submission::Outcome::Stored, Some(ownership)) = (outcome, node.ownership()) {
         ownership.add_job(id, job.clone());
     }
-    outcome
+    match outcome {
+        // Earlier versions do not know the other one.
+        submission::Outcome::Duplicate => submission::Outcome::Stored,
+        outcome => outcome,
+    }
 }
 
 fn handle_now(node: &rc::Rc<node::Node>, request: Request) -> Response {
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -62,6 +62,8 @@
     pub connection: rpc::Client<mesh::Protocol>,
     /// Time at which it last confirmed that it owns the cell.
     pub confirmed_at: cell::Cell<time::Timestamp>,
+    /// Time since which its address has refused connections.
+    pub refused_since: cell::Cell<Option<time::Timestamp>>,
     /// Time since which the process that held the token is known to have terminated or given the cell
     /// up.
     pub former_since: cell::Cell<Option<time::Timestamp>>,
--- a/geraniumlatchd/src/jobs/outages.rs
+++ b/geraniumlatchd/src/jobs/outages.rs
@@ -54,7 +54,7 @@
         use submission::{Cause, Outcome};
         match outcome {
             Outcome::Refused(Cause::QueueFull) => record(&self.queue, false, now, now),
-            Outcome::Stored => record(&self.queue, true, now, now),
+            Outcome::Stored | Outcome::Duplicate => record(&self.queue, true, now, now),
             _ => {}
         }
     }
--- a/geraniumlatchd/src/jobs/outstanding.rs
+++ b/geraniumlatchd/src/jobs/outstanding.rs
@@ -1,31 +1,43 @@
-//! How long leases of workers may last that earlier owners of the cell have extended.
+//! What earlier owners of the cell may still do: how long the leases of workers may last that they have
+//! extended, and how long they may order starts.
 
 use gl_jobs::{election, owner};
 use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::{cell_rows, node, ownership};
+use super::{cell_rows, lease, node, ownership};
 use crate::clock;
 
-/// Returns the longest time for which leases of workers that earlier owners have extended may last
-/// at `now`, if it is known.
+/// What earlier owners may still do after a claim that took effect at an unknown time: the last owner
+/// may have gone on until then.
+pub(super) const UNKNOWN: election::Predecessors =
+    election::Predecessors { outstanding: None, starts: lease::DURATION };
+
+/// Returns what earlier owners may still do after a claim at `now`.
 pub(super) fn at_claim(
     node: &node::Node,
     cell: &cell_rows::CellRows,
     watch: &election::LeaseWatch,
     now: time::Timestamp,
-) -> Option<time::Span> {
-    let lease = &cell.lease.as_ref()?.value;
-    let token = cell.owner.as_ref()?.version;
-    let ended_at = former_since(node, token).or(lease.released.then_some(now));
+) -> election::Predecessors {
+    let (Some(row), Some(owner)) = (&cell.lease, &cell.owner) else {
+        return election::Predecessors::default();
+    };
+    let (row, token) = (&row.value, owner.version);
+    let ended_at = former_since(node, token).or(row.released.then_some(now));
     let last = election::LastOwner {
-        ended: ended_at
-            .zip(lease.outstanding)
-            .map(|(at, outstanding)| election::Ended { at, outstanding }),
+        ended: ended_at.map(|at| election::Ended { at, outstanding: row.outstanding }),
+        renewal_read: watch.renewal_read().unwrap_or(now),
+        earlier_starts: row.earlier_starts.unwrap_or_default(),
+        refused_since: refused_since(node, token),
         unrenewed_since: watch.unchanged_since().filter(|_| has_followed(node, token)),
         outage_reported: node.outage_reported.get(),
     };
-    election::outstanding(&last, lease.horizon, node.settings.owner.clock_drift, now)
+    let drift = node.settings.owner.clock_drift;
+    election::Predecessors {
+        outstanding: election::outstanding(&last, row.horizon, drift, now),
+        starts: election::starts_left(&last, lease::DURATION, drift, now),
+    }
 }
 
 /// Returns the time since which the process that claimed the cell with `token` is known not to own it
@@ -37,6 +49,15 @@
     }
 }
 
+/// Returns the time since which the owner with `token` has refused the connections of this daemon, if it
+/// has confirmed a heartbeat before.
+fn refused_since(node: &node::Node, token: u64) -> Option<time::Timestamp> {
+    match node.role() {
+        node::Role::Follower(followed) if has_followed(node, token) => followed.refused_since.get(),
+        _ => None,
+    }
+}
+
 /// Returns whether the owner with `token` has confirmed a heartbeat of this daemon.
 fn has_followed(node: &node::Node, token: u64) -> bool {
     match node.role() {
@@ -59,7 +80,12 @@
     /// Returns the longest time for which the leases that earlier owners have extended may last at
     /// `now`, if that was known at the claim.
     pub(super) fn inherited_lease(&self, now: time::Timestamp) -> Option<time::Span> {
-        self.outstanding.map(|left| (self.started_at + left).since(now))
+        self.predecessors.outstanding.map(|left| (self.started_at + left).since(now))
+    }
+
+    /// Returns the longest time for which earlier owners may order starts at `now`.
+    pub(super) fn earlier_starts(&self, now: time::Timestamp) -> time::Span {
+        (self.started_at + self.predecessors.starts).since(now)
     }
 
     /// Returns the longest time for which leases of workers may last at `now` if this owner extends
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -34,8 +34,8 @@
     starts_allowed: cell::Cell<bool>,
     lease_until: cell::Cell<time::Timestamp>,
     pub(super) started_at: time::Timestamp,
-    /// See [`owner::Takeover::outstanding`].
-    pub(super) outstanding: Option<time::Span>,
+    /// What earlier owners may still do, from `started_at` on.
+    pub(super) predecessors: election::Predecessors,
     /// Times of day of all daemons.
     pub(super) wall_clock: cell::RefCell<wall_clock::WallClock>,
     pub(super) followers: cell::RefCell<collections::BTreeMap<String, followers::Heartbeat>>,
@@ -78,15 +78,15 @@
     pub token: u64,
     /// The time at which it was sent.
     pub sent: time::Timestamp,
-    /// See [`owner::Takeover::outstanding`].
-    pub outstanding: Option<time::Span>,
+    /// What earlier owners may still do.
+    pub predecessors: election::Predecessors,
     /// The reason for the claim.
     pub cause: &'static str,
 }
 
 /// Starts the ownership after a claim, which renews the lease as any renewal does.
 pub fn start(node: &rc::Rc<node::Node>, claim: Claim) {
-    let Claim { token, sent, outstanding, cause } = claim;
+    let Claim { token, sent, predecessors, cause } = claim;
     let now = clock::steady();
     let ownership = rc::Rc::new(Ownership {
         node: rc::Rc::clone(node),
@@ -97,7 +97,7 @@
         starts_allowed: cell::Cell::new(false),
         lease_until: cell::Cell::new(sent + lease::DURATION),
         started_at: now,
-        outstanding,
+        predecessors,
         wall_clock: cell::RefCell::new(wall_clock::WallClock::new(node.agreed.get(), now)),
         followers: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -45,6 +45,10 @@
         let work = work?;
         self.store_clock_read(&work, sent);
         let stored = self.join_rows(&work.rows, &progress?);
+        if stored.iter().any(|job| !job.is_inherited) && !self.is_confirmed().await {
+            let detail = "the ownership is not confirmed".to_owned();
+            return Err(platform::StoreError::Refused { operation: "load the cell", detail });
+        }
         let roster = decode_all("worker", &roster?);
         let vacating = decode_all("vacating worker", &vacating?);
         let model: Vec<record::ModelSnapshot> = decode_all("learnt", &model?);
@@ -55,7 +59,8 @@
             let mut owner = self.owner.borrow_mut();
             owner.workers_listed(&list.workers, listed_at, moment.now);
             let outstanding = self.inherited_lease(moment.now);
-            let takeover = owner::Takeover { jobs: stored, roster, vacating, outstanding };
+            let starts = self.earlier_starts(moment.now);
+            let takeover = owner::Takeover { jobs: stored, roster, vacating, outstanding, starts };
             owner.recover(takeover, &moment);
             for model in &model {
                 owner.restore_model(model);
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -189,10 +189,13 @@
         ceiling: window.ceiling.min(starts),
         ..window
     };
+    let worker_lease = defaults.lease.min(settings.max_lease);
     gl_jobs::owner::Settings {
         order_window,
-        lease: defaults.lease.min(settings.max_lease),
-        horizon: settings.max_lease,
+        lease: worker_lease,
+        // A new owner waits for the leases of workers that it cannot reach, and long-running tasks for
+        // the new owner.
+        horizon: settings.max_lease.min(lease::DURATION + worker_lease),
         stop_time: settings.stop_timeout,
         drain_time: settings.drain,
         empty_time: settings.empty_time,
--- a/geraniumlatchd/src/jobs/submission.rs
+++ b/geraniumlatchd/src/jobs/submission.rs
@@ -31,8 +31,10 @@
 /// Result of storing a job.
 #[gl_derive::tag]
 pub enum Outcome {
-    /// The job is stored.
+    /// The job is stored, by this call and no other one.
     Stored,
+    /// The job is stored, by an earlier call or by another daemon.
+    Duplicate,
     /// The job is not stored and never will be.
     Refused(Cause),
     /// The job may be stored already or later; the outcome is unknown.
@@ -82,7 +84,7 @@
     /// Returns the outcome as a metric label.
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::Stored => "stored",
+            Self::Stored | Self::Duplicate => "stored",
             Self::Refused(_) => "refused",
             Self::Unsettled(_) => "unsettled",
         }
@@ -179,7 +181,11 @@
     node.record_store_result(&result, now);
     match result {
         Ok(platform::Outcome::Committed(_)) => {
-            group.into_iter().for_each(|s| finish(s, Outcome::Stored));
+            let mut stored = collections::BTreeSet::new();
+            for submission in group {
+                let is_new = stored.insert(submission.id);
+                finish(submission, if is_new { Outcome::Stored } else { Outcome::Duplicate });
+            }
             Vec::new()
         }
         Ok(platform::Outcome::Conflict(found)) => {
@@ -188,7 +194,7 @@
                 found.iter().any(|f| f.row.name == name && f.row.version > 0)
             };
             let (stored, left): (Vec<_>, Vec<_>) = group.into_iter().partition(is_stored);
-            stored.into_iter().for_each(|s| finish(s, Outcome::Stored));
+            stored.into_iter().for_each(|s| finish(s, Outcome::Duplicate));
             left
         }
         Err(platform::StoreError::Lost { .. }) => {
--- a/geraniumlatchd/src/jobs/work_feed.rs
+++ b/geraniumlatchd/src/jobs/work_feed.rs
@@ -6,7 +6,7 @@
 use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::{ownership, rows};
+use super::{cell_rows, ownership, rows};
 use crate::clock;
 
 /// Interval at which changes of the work table are read, as a daemon's message about a stored row
@@ -27,6 +27,9 @@
             other => other,
         };
         let Ok(changes) = changes else { continue };
+        if ownership.has_new_jobs(&changes.rows) && !ownership.is_confirmed().await {
+            continue;
+        }
         ownership.store_clock_read(&changes, sent);
         ownership.apply_work(&changes.rows);
         ownership.feed_read.set(sent);
@@ -37,6 +40,28 @@
 }
 
 impl ownership::Ownership {
+    fn has_new_jobs(&self, work: &[platform::Row]) -> bool {
+        let owner = self.owner.borrow();
+        let mut ids = work.iter().filter_map(|row| row.name.split_once('/')?.0.parse().ok());
+        ids.any(|id| !owner.has_job(id))
+    }
+
+    /// Returns whether no other daemon has claimed the cell until now. Jobs that were stored after a
+    /// claim are the new owner's, which does not wait for an earlier one to notice the claim.
+    pub(super) async fn is_confirmed(&self) -> bool {
+        let read = self.node.platform.store.range(&rows::all_claims()).await;
+        self.node.record_store_result(&read, clock::steady());
+        let Ok(read) = read else {
+            return false;
+        };
+        let owner = cell_rows::decode(&read.rows).owner;
+        let is_own = owner.is_some_and(|owner| owner.version == self.token);
+        if !is_own {
+            self.step_down("another daemon claimed the cell");
+        }
+        is_own
+    }
+
     /// Applies changed rows of the work table: jobs first, then cancellations. New jobs were stored
     /// after the last read of these rows was sent.
     fn apply_work(&self, work: &[platform::Row]) {
@@ -45,7 +70,7 @@
         let mut cancelled = Vec::new();
         for row in work.iter().filter_map(rows::read_work) {
             match row.work {
-                record::Work::Job(job) => owner.add_job_after(row.id, *job, after, &moment),
+                record::Work::Job(job) => owner.add_read_job(row.id, *job, after, &moment),
                 record::Work::Cancel => cancelled.push(row.id),
             }
         }
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -5,7 +5,7 @@
 use super::{Fault, Simulation};
 use crate::worker;
 
-/// The time after which other daemons notice that a process has terminated.
+/// The time after which other daemons notice that a process refuses connections.
 const NOTICE_DELAY: time::Span = time::Span::millis(300);
 /// The time for which a worker is down that a task has crashed.
 const CRASH_DOWNTIME: time::Span = time::Span::seconds(3);
@@ -71,7 +71,12 @@
             Fault::KillOwner => {
                 for ownership in &mut self.ownerships {
                     ownership.is_killed = true;
-                    ownership.ended_at.get_or_insert(now + NOTICE_DELAY);
+                    ownership.refused_since.get_or_insert(now + NOTICE_DELAY);
+                }
+            }
+            Fault::RefuseOwner => {
+                if let Some(ownership) = self.ownerships.last_mut() {
+                    ownership.refused_since.get_or_insert(now);
                 }
             }
             Fault::ReleaseOwner => self.release_owner(),
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -68,6 +68,8 @@
     last_renewal: time::Timestamp,
     /// How long leases may last once the last owner has ended, as it has stored it.
     outstanding: Option<time::Span>,
+    /// How long earlier owners could order starts after the last renewal.
+    earlier_starts: time::Span,
     /// The end of the latest disturbance that was not planned.
     disturbed_until: time::Timestamp,
     /// The time at which each long-running task last had a run.
@@ -122,6 +124,7 @@
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
             outstanding: None,
+            earlier_starts: time::Span::ZERO,
             disturbed_until: now,
             last_runs: collections::BTreeMap::new(),
             completed: collections::BTreeSet::new(),
@@ -202,8 +205,12 @@
             self.jobs.insert(arrival.id, stored);
             self.submitted += 1;
             let moment = self.moment();
-            for ownership in self.ownerships.iter_mut().filter(|o| is_active(o, moment.now)) {
-                ownership.owner.add_job(arrival.id, arrival.job.clone(), &moment);
+            let active = self.ownerships.iter_mut().filter(|o| is_active(o, moment.now));
+            let mut active: Vec<_> = active.collect();
+            // One daemon announces the job, to the owner that it follows.
+            let followed = usize::try_from(version).unwrap_or_default() % active.len().max(1);
+            if let Some(ownership) = active.get_mut(followed) {
+                ownership.owner.add_job(arrival.id, arrival.job, &moment);
             }
         }
         self.cancel();
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -34,8 +34,12 @@
     pub is_released: bool,
     /// Whether the owner was ever partitioned from everything else.
     pub was_split: bool,
-    /// The time at which other daemons notice that the process has terminated or released the cell.
+    /// The time since which its address refuses the connections of other daemons, alive or not.
+    pub refused_since: Option<time::Timestamp>,
+    /// The time at which it released the cell.
     pub ended_at: Option<time::Timestamp>,
+    /// The time from which on no earlier owner orders starts.
+    pub superseded_at: time::Timestamp,
     pub paused_until: time::Timestamp,
     pub renewed_at: time::Timestamp,
     pub is_committing: bool,
@@ -45,6 +49,8 @@
     pub polling: collections::BTreeSet<usize>,
     /// The version of the store up to which the owner has read new jobs.
     pub feed_version: u64,
+    /// The time of that read.
+    pub feed_read: time::Timestamp,
     /// Whether the owner was paused and has not read the store since.
     pub is_stale: bool,
 }
@@ -58,13 +64,17 @@
 }
 
 impl Simulation {
-    /// Starts the first owner, or a new one if the store has been available without a renewal for
-    /// the takeover time-out.
+    /// Starts the first owner, or a new one if the last one has released the cell or refuses
+    /// connections, or if the store has been available without a renewal for the takeover time-out.
     pub(super) fn claim(&mut self) {
         let unrenewed_since = self.last_renewal.max(self.outage_end);
         let is_expired = self.now.since(unrenewed_since) >= TAKEOVER_TIMEOUT;
         let is_released = self.ownerships.last().is_some_and(|ownership| ownership.is_released);
-        let is_claimable = self.ownerships.is_empty() || is_expired || is_released;
+        let is_refusing = self
+            .ownerships
+            .last()
+            .is_some_and(|ownership| !ownership.is_killed && ownership.refused_since.is_some());
+        let is_claimable = self.ownerships.is_empty() || is_expired || is_released || is_refusing;
         if !self.is_store_up() || !is_claimable {
             return;
         }
@@ -85,20 +95,25 @@
         });
         let ended_at = self.ownerships.last().and_then(|ownership| ownership.ended_at);
         let last = election::LastOwner {
-            ended: ended_at
-                .zip(self.outstanding)
-                .map(|(at, outstanding)| election::Ended { at, outstanding }),
+            ended: ended_at.map(|at| election::Ended { at, outstanding: self.outstanding }),
+            renewal_read: last_renewal.unwrap_or_default(),
+            earlier_starts: self.earlier_starts,
+            refused_since: self.ownerships.last().and_then(|ownership| ownership.refused_since),
             unrenewed_since: last_renewal,
             outage_reported: self.outage_end,
         };
         let settings = &self.settings.owner;
         let outstanding =
             election::outstanding(&last, settings.horizon, settings.clock_drift, self.now);
+        let starts = election::starts_left(&last, LEASE_DURATION, settings.clock_drift, self.now);
+        let starts = if skips_recovery { time::Span::ZERO } else { starts };
+        self.earlier_starts = starts;
         let takeover = owner::Takeover {
             jobs: stored.collect(),
             roster: self.roster.values().cloned().collect(),
             vacating: self.vacating.values().cloned().collect(),
             outstanding,
+            starts,
         };
         owner.store_clock_read(store_clock(self.now));
         owner.recover(takeover, &moment);
@@ -112,13 +127,16 @@
             is_killed: false,
             is_released: false,
             was_split: false,
+            refused_since: None,
             ended_at: None,
+            superseded_at: self.now + starts,
             paused_until: time::Timestamp::default(),
             renewed_at: self.now,
             is_committing: false,
             backlog: Vec::new(),
             polling: collections::BTreeSet::new(),
             feed_version: token,
+            feed_read: self.now,
             is_stale: false,
         });
     }
@@ -251,6 +269,7 @@
                     ownership.renewed_at = now;
                     ownership.owner.lease_renewed(now);
                     self.outstanding = Some(ownership.owner.outstanding(now));
+                    self.earlier_starts = ownership.superseded_at.since(now);
                     self.last_renewal = now;
                 }
             }
@@ -281,11 +300,18 @@
     pub(super) fn read_feed(&mut self, n: usize) {
         let moment = self.moment();
         let newest = self.version;
+        let owner = self.ownerships.iter().map(|ownership| ownership.token).max();
         let ownership = &mut self.ownerships[n];
+        ownership.is_ended |= Some(ownership.token) != owner;
+        if ownership.is_ended {
+            return;
+        }
+        let after = ownership.feed_read;
+        ownership.feed_read = moment.now;
         for (id, stored) in &self.jobs {
             if stored.version > ownership.feed_version {
                 let job = self.settings.arrivals[stored.arrival].job.clone();
-                ownership.owner.add_job(*id, job, &moment);
+                ownership.owner.add_read_job(*id, job, after, &moment);
             }
             if stored.cancelled.is_some() {
                 ownership.owner.cancel_job(*id, moment.now);
--- a/gl-emulate/src/simulation/settings.rs
+++ b/gl-emulate/src/simulation/settings.rs
@@ -10,6 +10,9 @@
 pub enum Fault {
     /// The owner's process is killed.
     KillOwner,
+    /// The owner's address refuses the connections of the other daemons, as in a network that rejects
+    /// them, and one of them claims the cell; the owner is not disturbed.
+    RefuseOwner,
     /// The owner's daemon stops: it stores its decisions and releases the cell.
     ReleaseOwner,
     /// The owner's process is suspended for the given time, and resumes with its state unchanged.
@@ -43,7 +46,9 @@
     /// Returns the time for which the fault lasts, or after which its last effects occur.
     pub(super) const fn length(&self) -> time::Span {
         match self {
-            Self::KillOwner | Self::ReleaseOwner | Self::StartWorker(_) => time::Span::ZERO,
+            Self::KillOwner | Self::RefuseOwner | Self::ReleaseOwner | Self::StartWorker(_) => {
+                time::Span::ZERO
+            }
             Self::DelayOrders(span, _) => time::Span(span.0 + MAX_ORDER_DELAY.0),
             Self::PauseOwner(span)
             | Self::SplitOwner(span)
@@ -96,7 +101,10 @@
             workers: Vec::new(),
             arrivals: Vec::new(),
             faults: Vec::new(),
-            owner: owner::Settings::default(),
+            owner: owner::Settings {
+                horizon: time::Span::seconds(8),
+                ..owner::Settings::default()
+            },
             remote_factor: 1.0,
             disabled: Disabled::default(),
             trace: None,
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -59,12 +59,18 @@
     pub released: bool,
     /// Whether the owner's process is known to have terminated or to have given the cell up.
     pub terminated: bool,
+    /// The time at which the owner last confirmed a heartbeat, if its address has refused a connection
+    /// since the lease was read. A network that rejects connections refuses them as well, so the owner
+    /// may be alive.
+    pub refused: Option<time::Timestamp>,
 }
 
 /// Watches the owner's lease for renewals.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LeaseWatch {
     last_change: Option<LastChange>,
+    /// The same, also while the store is unavailable.
+    last_renewal: Option<LastChange>,
 }
 
 /// A version of the lease row, and the time at which it was first read.
@@ -91,13 +97,22 @@
         let last_change = self.last_change.filter(|change| change.version == observation.version);
         let since = last_change.map_or(now, |change| change.since);
         self.last_change = Some(LastChange { version: observation.version, since });
+        let last_renewal = self.last_renewal.filter(|last| last.version == observation.version);
+        self.last_renewal = last_renewal.or(self.last_change);
         if observation.released {
             return Some("the owner released the cell");
         }
         if observation.terminated {
             return Some("the owner's process has terminated");
         }
-        (sent.since(since) >= takeover).then_some("the owner's lease has expired")
+        let unchanged = sent.since(since);
+        let is_refused = |confirmed: time::Timestamp| {
+            now.since(confirmed) < HEARTBEAT_VALIDITY || unchanged >= MISSED_RENEWAL
+        };
+        if observation.refused.is_some_and(is_refused) {
+            return Some("the owner's address refuses connections");
+        }
+        (unchanged >= takeover).then_some("the owner's lease has expired")
     }
 
     /// Returns the time since which the lease is known to be unchanged, if it was read. A lease that
@@ -106,6 +121,11 @@
         self.last_change.map(|change| change.since)
     }
 
+    /// Returns the time at which the newest renewal was first read.
+    pub fn renewal_read(&self) -> Option<time::Timestamp> {
+        self.last_renewal.map(|renewal| renewal.since)
+    }
+
     /// Restarts the observation after a failed read. While the store is unavailable, the owner
     /// cannot renew its lease either, so the absence of renewals proves nothing.
     pub const fn reset(&mut self) {
@@ -118,8 +138,17 @@
 pub struct Ended {
     /// The time since which the owner is known to have terminated or released the cell.
     pub at: time::Timestamp,
-    /// The longest time for which leases of workers last from then on.
-    pub outstanding: time::Span,
+    /// The longest time for which leases of workers last from then on, if the owner has stored it.
+    pub outstanding: Option<time::Span>,
+}
+
+/// What earlier owners of the cell may still do after a claim.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Predecessors {
+    /// The longest time for which leases of workers may last that they have extended, if it is known.
+    pub outstanding: Option<time::Span>,
+    /// See [`starts_left()`].
+    pub starts: time::Span,
 }
 
 /// What a daemon that claims the cell knows about its last owner.
@@ -127,6 +156,13 @@
 pub struct LastOwner {
     /// The end of the ownership, if it is known.
     pub ended: Option<Ended>,
+    /// The time at which its newest renewal was first read.
+    pub renewal_read: time::Timestamp,
+    /// The longest time for which owners before it could order starts after that renewal.
+    pub earlier_starts: time::Span,
+    /// The time since which its address has refused the connections of this daemon, if this daemon has
+    /// followed it.
+    pub refused_since: Option<time::Timestamp>,
     /// The time since which the owner has not renewed its lease, if this daemon has followed it.
     pub unrenewed_since: Option<time::Timestamp>,
     /// The last time at which this daemon reported to the owner that it could not reach the store. The
@@ -143,13 +179,32 @@
     clock_drift: f64,
     now: time::Timestamp,
 ) -> Option<time::Span> {
-    let after =
-        |at: time::Timestamp, span: time::Span| (at + span + span.scaled(clock_drift)).since(now);
-    let ended = last.ended.map(|ended| after(ended.at, ended.outstanding));
+    let after = |at, span| left(at, span, clock_drift, now);
+    let ended = last.ended.and_then(|ended| Some(after(ended.at, ended.outstanding?)));
     let unrenewed =
         last.unrenewed_since.filter(|at| last.outage_reported + HEARTBEAT_VALIDITY < *at);
     let unrenewed = unrenewed.map(|at| after(at, horizon));
-    ended.into_iter().chain(unrenewed).min()
+    // No report of an outage has reached the owner since.
+    let unreported = last.refused_since.map(|at| after(at.max(last.renewal_read), horizon));
+    ended.into_iter().chain(unrenewed).chain(unreported).min()
+}
+
+/// Returns the longest time for which earlier owners may order starts at `now` on workers that have
+/// not seen a later owner's fencing token. An owner orders none after its end, nor later than `lease`
+/// after its last renewal.
+pub fn starts_left(
+    last: &LastOwner,
+    lease: time::Span,
+    clock_drift: f64,
+    now: time::Timestamp,
+) -> time::Span {
+    let own = if last.ended.is_some() { time::Span::ZERO } else { lease };
+    left(last.renewal_read, own.max(last.earlier_starts), clock_drift, now)
+}
+
+/// Returns the rest at `now` of a time span that began at `at`, by a clock that may be slow.
+fn left(at: time::Timestamp, span: time::Span, drift: f64, now: time::Timestamp) -> time::Span {
+    (at + span + span.scaled(drift)).since(now)
 }
 
 /// The time within which a new owner has to read the stored rows. Over the slow link of a small
@@ -190,6 +245,8 @@
 
 /// The age up to which a follower's heartbeat counts as current; covers two heartbeats.
 pub const HEARTBEAT_VALIDITY: time::Span = time::Span::millis(1_200);
+/// The time without a renewal after which an owner that reaches the store has missed one.
+const MISSED_RENEWAL: time::Span = time::Span::millis(1_200);
 
 /// Time without a successful call after which the store counts as down.
 pub const STORE_DOWN_TIMEOUT: time::Span = time::Span::millis(1_500);
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -113,6 +113,8 @@
     recovery: Option<recovery::Recovery>,
     /// The longest time for which leases that earlier owners have extended may last from the takeover.
     inherited_lease: time::Span,
+    /// The time from which on no earlier owner orders starts; `None` if they had ended before the claim.
+    superseded_at: Option<time::Timestamp>,
     /// The newest reading of the store's clock.
     store_clock: Option<StoreClock>,
     /// The recent demand of short tasks, one entry for each service that has any.
@@ -193,6 +195,7 @@
             unstored_vacating: collections::BTreeSet::new(),
             recovery: None,
             inherited_lease: settings.horizon,
+            superseded_at: None,
             store_clock: None,
             demands: Vec::new(),
             backlogs: Vec::new(),
@@ -273,6 +276,9 @@
 
     /// Adds a job that was stored after `after`, by the owner's steady clock; a job that is announced
     /// by the daemon that stored it, just now. Its age does not depend on clocks that jump then.
+    ///
+    /// No earlier owner knows the job: it was announced to this owner only, and an owner that reads it
+    /// in the store confirms its ownership before it uses the job.
     pub fn add_job_after(
         &mut self,
         id: task::JobId,
@@ -280,10 +286,33 @@
         after: time::Timestamp,
         moment: &Moment,
     ) {
-        if self.jobs.contains_key(&id) {
-            return;
+        if !self.jobs.contains_key(&id) {
+            self.insert_job(id, JobEntry::new(job, after, moment), moment);
+        }
+    }
+
+    /// Adds a job that was read in the store, and stored after `after`. It may have been announced to an
+    /// earlier owner.
+    pub fn add_read_job(
+        &mut self,
+        id: task::JobId,
+        job: job::Job,
+        after: time::Timestamp,
+        moment: &Moment,
+    ) {
+        if !self.jobs.contains_key(&id) {
+            let mut entry = JobEntry::new(job, after, moment);
+            entry.is_inherited = self.may_precede(after);
+            self.insert_job(id, entry, moment);
         }
-        let entry = JobEntry::new(job, after, moment);
+    }
+
+    /// Returns whether the owner has a job.
+    pub fn has_job(&self, id: task::JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    fn insert_job(&mut self, id: task::JobId, entry: JobEntry, moment: &Moment) {
         if entry.job.schedule.is_some() {
             self.scheduled_jobs.insert(id);
         }
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -41,6 +41,8 @@
     /// The longest time for which leases of workers may last, if the last owner is known to extend
     /// none any more.
     pub outstanding: Option<time::Span>,
+    /// The longest time for which earlier owners may order starts; see [`crate::election::starts_left()`].
+    pub starts: time::Span,
 }
 
 /// The state of a recovery that is not complete. Until then the owner starts no task of an earlier
@@ -98,6 +100,8 @@
         let settings = self.settings;
         let outstanding = takeover.outstanding.unwrap_or(settings.horizon);
         self.inherited_lease = outstanding.min(settings.horizon);
+        let is_unended = takeover.starts > time::Span::ZERO;
+        self.superseded_at = is_unended.then(|| moment.now + takeover.starts);
         for entry in takeover.roster {
             self.add_enrolled(entry, moment.now);
         }
@@ -169,7 +173,7 @@
 
     fn restore(&mut self, row: StoredJob, moment: &Moment) {
         let mut entry = crate::owner::JobEntry::new(row.job, time::Timestamp::default(), moment);
-        entry.is_inherited = row.is_inherited;
+        entry.is_inherited = row.is_inherited || self.may_precede(moment.now);
         entry.restore(row.progress.unwrap_or_default());
         if entry.final_state.is_none() && row.is_cancelled {
             entry.final_state = Some(job::State::Cancelled);
@@ -194,6 +198,12 @@
         self.recovery.is_some()
     }
 
+    /// Returns whether an earlier owner may have started tasks of a job that was accepted at `accepted`
+    /// or later, on workers that have not replied to this owner.
+    pub(in crate::owner) fn may_precede(&self, accepted: time::Timestamp) -> bool {
+        self.is_recovering() && self.superseded_at.is_some_and(|at| accepted < at)
+    }
+
     /// Returns the longest time for which leases may last that this owner and earlier ones have
     /// granted, if this owner extends none after `now`.
     pub fn outstanding(&self, now: time::Timestamp) -> time::Span {
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -111,6 +111,9 @@
     /// The longest time that they may last once the owner extends none any more; `None` if an earlier
     /// version of the program wrote the row.
     pub outstanding: Option<time::Span>,
+    /// The longest time for which earlier owners may order starts after a renewal; `None` if an earlier
+    /// version of the program wrote the row.
+    pub earlier_starts: Option<time::Span>,
     /// The number of workers of the cell; `None` if the owner has not read it or an earlier version
     /// of the program wrote the row.
     pub workers: Option<usize>,
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -9,7 +9,7 @@
 const TAKEOVER: time::Span = time::Span::millis(2_300);
 
 fn observation(version: u64) -> Option<Observation> {
-    Some(Observation { version, released: false, terminated: false })
+    Some(Observation { version, released: false, terminated: false, refused: None })
 }
 
 #[test]
@@ -46,9 +46,9 @@
 fn released_cell_or_cell_of_a_terminated_owner_can_be_claimed_at_once() {
     let mut watch = LeaseWatch::default();
     assert!(watch.claim_reason(None, TAKEOVER, at(0), at(10)).is_some());
-    let released = Some(Observation { version: 1, released: true, terminated: false });
+    let released = observation(1).map(|seen| Observation { released: true, ..seen });
     assert!(watch.claim_reason(released, TAKEOVER, at(0), at(10)).is_some());
-    let terminated = Some(Observation { version: 1, released: false, terminated: true });
+    let terminated = observation(1).map(|seen| Observation { terminated: true, ..seen });
     assert!(watch.claim_reason(terminated, TAKEOVER, at(0), at(10)).is_some());
 }
 
@@ -101,7 +101,7 @@
     let none = election::LastOwner::default();
     assert_eq!(left(&none, 50_000), None);
 
-    let ended = election::Ended { at: at(20_000), outstanding: time::Span::seconds(6) };
+    let ended = election::Ended { at: at(20_000), outstanding: Some(time::Span::seconds(6)) };
     let terminated = election::LastOwner { ended: Some(ended), ..none };
     assert_eq!(left(&terminated, 21_000), Some(time::Span::seconds(5)));
     assert_eq!(left(&terminated, 30_000), Some(time::Span::ZERO));
@@ -114,13 +114,55 @@
     assert_eq!(left(&earlier, 22_500), Some(time::Span::millis(7_500)), "it has renewed since");
 }
 
+fn refused(version: u64, confirmed: u64) -> Option<Observation> {
+    observation(version).map(|seen| Observation { refused: Some(at(confirmed)), ..seen })
+}
+
+#[test]
+fn owner_that_refuses_connections_just_after_it_was_alive_can_be_replaced_at_once() {
+    let mut watch = LeaseWatch::default();
+    assert!(watch.claim_reason(refused(4, 9_700), TAKEOVER, at(10_000), at(10_010)).is_some());
+}
+
+/// Guards against a daemon that was cut off, and takes the cell from a live owner on its return.
+#[test]
+fn daemon_that_was_cut_off_does_not_replace_an_owner_that_renews_its_lease() {
+    let mut watch = LeaseWatch::default();
+    for n in 0..20 {
+        let sent = 10_000 + n * 300;
+        let seen = refused(4 + n * 3 / 5, 7_000);
+        assert_eq!(watch.claim_reason(seen, TAKEOVER, at(sent), at(sent + 5)), None, "{sent} ms");
+    }
+}
+
+#[test]
+fn owner_that_refuses_connections_and_misses_its_renewals_can_be_replaced() {
+    let mut watch = LeaseWatch::default();
+    assert_eq!(watch.claim_reason(refused(4, 7_000), TAKEOVER, at(10_000), at(10_010)), None);
+    assert!(watch.claim_reason(refused(4, 7_000), TAKEOVER, at(11_250), at(11_260)).is_some());
+}
+
+/// Guards against second runs of tasks that an owner has started which was believed to have ended.
+#[test]
+fn owner_may_order_starts_for_the_lease_of_its_last_renewal_unless_it_has_ended() {
+    let lease = time::Span::seconds(2);
+    let left = |last: &election::LastOwner| election::starts_left(last, lease, 0.0, at(20_500));
+    let silent = election::LastOwner { renewal_read: at(20_000), ..election::LastOwner::default() };
+    assert_eq!(left(&silent), time::Span::millis(1_500));
+    let ended = election::Ended { at: at(20_400), outstanding: None };
+    let ended = election::LastOwner { ended: Some(ended), ..silent };
+    assert_eq!(left(&ended), time::Span::ZERO);
+    let after_another = election::LastOwner { earlier_starts: time::Span::millis(900), ..ended };
+    assert_eq!(left(&after_another), time::Span::millis(400), "the owner before it may be alive");
+}
+
 #[test]
 fn renewal_before_the_end_of_an_owner_counts_as_a_change_of_its_lease() {
     let mut watch = LeaseWatch::default();
     watch.claim_reason(observation(4), TAKEOVER, at(0), at(10));
     assert_eq!(watch.unchanged_since(), Some(at(10)));
-    let terminated = Observation { version: 5, released: false, terminated: true };
-    assert!(watch.claim_reason(Some(terminated), TAKEOVER, at(900), at(910)).is_some());
+    let terminated = observation(5).map(|seen| Observation { terminated: true, ..seen });
+    assert!(watch.claim_reason(terminated, TAKEOVER, at(900), at(910)).is_some());
     assert_eq!(watch.unchanged_since(), Some(at(910)));
 }
 
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -98,6 +98,41 @@
     assert_eq!(started(&mut owner, 5_050), 3);
 }
 
+/// Guards against second runs of a job that was accepted after a claim: the last owner, which refused
+/// connections, may be alive and has started it too.
+#[test]
+fn jobs_read_that_were_accepted_while_an_earlier_owner_may_order_starts_wait_for_all_workers() {
+    let mut owner = owner::Owner::new(owner::Settings::default(), 9, cell::at(5_000));
+    let listed = [cell::registration(0), cell::registration(1)];
+    owner.workers_listed(&listed, cell::at(5_000), cell::at(5_000));
+    let jobs = vec![owner::StoredJob {
+        is_inherited: false,
+        ..cell::stored(1, cell::job(vec![cell::phase(1, 1_000)]), record::Progress::default())
+    }];
+    let takeover = owner::Takeover {
+        jobs,
+        roster: listed.to_vec(),
+        starts: time::Span::millis(1_900),
+        ..owner::Takeover::default()
+    };
+    owner.recover(takeover, &cell::moment(5_000));
+    let add = |owner: &mut owner::Owner, n: u64, accepted: u64| {
+        let job = cell::job(vec![cell::phase(1, 1_000)]);
+        owner.add_read_job(cell::id(n), job, cell::at(accepted), &cell::moment(accepted));
+    };
+    add(&mut owner, 2, 6_800);
+    let announced = cell::job(vec![cell::phase(1, 1_000)]);
+    owner.add_job_after(cell::id(4), announced, cell::at(6_800), &cell::moment(6_800));
+    poll_replied(&mut owner, 0, &empty(6_850), 6_850);
+    let orders = started(&mut owner, 6_860);
+    assert_eq!(orders, 1, "w-1 may run two tasks; the announced one is known to this owner only");
+    add(&mut owner, 3, 6_910);
+    assert_eq!(started(&mut owner, 6_920), 1, "no earlier owner starts it");
+    poll_replied(&mut owner, 0, &empty(6_950), 6_950);
+    poll_replied(&mut owner, 1, &empty(6_960), 6_960);
+    assert_eq!(started(&mut owner, 6_970), 2, "w-1 has seen the fencing token");
+}
+
 #[test]
 fn failure_reported_again_counts_once() {
     let failures = [(0, vec![3, 4])].into();
@@ -190,6 +225,7 @@
         roster: (0..workers).map(cell::registration).collect(),
         vacating,
         outstanding: Some(time::Span::seconds(6)),
+        ..owner::Takeover::default()
     };
     owner.recover(takeover, &cell::moment(5_000));
     poll_replied(&mut owner, 0, &empty(5_010), 5_010);
--- a/gl-peer/src/rpc.rs
+++ b/gl-peer/src/rpc.rs
@@ -8,7 +8,7 @@
 
 use futures_util::{SinkExt as _, StreamExt as _, stream};
 use serde::de;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_tungstenite::tungstenite;
 
 use crate::error;
@@ -70,6 +70,7 @@
     next: cell::Cell<u64>,
     unanswered: rc::Rc<cell::Cell<u32>>,
     refused: rc::Rc<cell::Cell<bool>>,
+    disconnected: rc::Rc<Notify>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -81,22 +82,29 @@
         let pending: Pending<T::Response> = rc::Rc::default();
         let unanswered = rc::Rc::new(cell::Cell::new(0));
         let refused = rc::Rc::new(cell::Cell::new(false));
+        let disconnected = rc::Rc::new(Notify::new());
         let connector = Connector {
             address,
             pending: rc::Rc::clone(&pending),
             unanswered: rc::Rc::clone(&unanswered),
             refused: rc::Rc::clone(&refused),
+            disconnected: rc::Rc::clone(&disconnected),
         };
         let task = tokio::task::spawn_local(connector.run(requests));
-        Self { queue, pending, next: cell::Cell::new(0), unanswered, refused, task }
+        Self { queue, pending, next: cell::Cell::new(0), unanswered, refused, disconnected, task }
     }
 
-    /// Returns whether no process listens at the address: the last attempt to connect was refused,
-    /// rather than lost or unanswered.
+    /// Returns whether the last attempt to connect was refused, rather than lost or unanswered. See
+    /// [`is_refused()`] for what that shows.
     pub fn is_refused(&self) -> bool {
         self.refused.get()
     }
 
+    /// Returns what is notified when the connection ends.
+    pub fn disconnected(&self) -> rc::Rc<Notify> {
+        rc::Rc::clone(&self.disconnected)
+    }
+
     /// Sends a request and waits at most `limit` for the response.
     pub async fn request(&self, message: T::Request, limit: time::Duration) -> Option<T::Response> {
         let number = self.next_number();
@@ -148,6 +156,7 @@
     pending: Pending<R>,
     unanswered: rc::Rc<cell::Cell<u32>>,
     refused: rc::Rc<cell::Cell<bool>>,
+    disconnected: rc::Rc<Notify>,
 }
 
 impl<R: de::DeserializeOwned> Connector<R> {
@@ -165,6 +174,9 @@
             self.pending.borrow_mut().clear();
             while requests.try_recv().is_ok() {}
             let is_first = std::mem::take(&mut was_connected);
+            if is_first {
+                self.disconnected.notify_one();
+            }
             tokio::time::sleep(if is_first { FIRST_RETRY_DELAY } else { RETRY_DELAY }).await;
         }
     }
@@ -175,7 +187,7 @@
         let connected = tokio_tungstenite::connect_async_with_config(url, Some(limits), true);
         let connected = tokio::time::timeout(SEND_TIMEOUT, connected).await;
         let connected = connected.map_err(|_| Disconnect::TimedOut)?;
-        self.refused.set(connected.as_ref().is_err_and(is_refused));
+        self.refused.set(connected.as_ref().is_err_and(is_refusal));
         let (socket, _) = connected.map_err(|_| Disconnect::Failed)?;
         Ok(socket)
     }
@@ -222,11 +234,21 @@
     }
 }
 
-fn is_refused(error: &tungstenite::Error) -> bool {
+fn is_refusal(error: &tungstenite::Error) -> bool {
     let refused = std::io::ErrorKind::ConnectionRefused;
     matches!(error, tungstenite::Error::Io(error) if error.kind() == refused)
 }
 
+/// Returns whether a connection to `address` is refused now, rather than accepted, lost or unanswered.
+/// That does not show that no process listens there: a network that rejects connections refuses them
+/// too.
+pub async fn is_refused(address: net::SocketAddr) -> bool {
+    let connected = tokio::net::TcpStream::connect(address);
+    let connected = tokio::time::timeout(SEND_TIMEOUT, connected).await;
+    let refused = std::io::ErrorKind::ConnectionRefused;
+    matches!(connected, Ok(Err(error)) if error.kind() == refused)
+}
+
 fn limits() -> tungstenite::protocol::WebSocketConfig {
     tungstenite::protocol::WebSocketConfig::default()
         .max_message_size(Some(MAX_MESSAGE_BYTES))
--- a/gl-peer/tests/peer/rpc.rs
+++ b/gl-peer/tests/peer/rpc.rs
@@ -81,6 +81,23 @@
     });
 }
 
+#[test]
+fn end_of_a_connection_is_notified_at_once() {
+    run(async {
+        let (socket, address) = socket();
+        let client = rpc::Client::<Doubling>::new(address);
+        let disconnected = client.disconnected();
+        let (stream, _) = {
+            socket.set_nonblocking(true).unwrap();
+            tokio::net::TcpListener::from_std(socket).unwrap().accept().await.unwrap()
+        };
+        let server = tokio_tungstenite::accept_async(stream).await.unwrap();
+        drop(server);
+        assert!(tokio::time::timeout(LIMIT, disconnected.notified()).await.is_ok());
+        assert!(rpc::is_refused(address).await, "nothing listens any more");
+    });
+}
+
 #[test]
 fn client_reconnects_after_unanswered_requests() {
     run(async {
