fix: store the progress of a job in pages that the store takes

After a power loss of all daemons while a job of 1,500 tasks with checkpoints ran, no task of any job started, and no job was shown as complete.

Cause: a job's progress was one row without a limit of length. The checkpoints of the ended runs, and the starts that a new owner stores before it orders them, made it longer than the 65,536 bytes that the store takes; the commit was repeated without end. A job of 1,400 occurrences, or one with many tasks that fail, got there without any disruption.

Change: the progress is divided into pages of 128 tasks, counted over phases and occurrences, and only changed pages are written. The first page keeps the name of the old row and has the final state; the others are removed once that is stored. A row that an earlier version wrote is read as before, and replaced only after the other pages are stored. Commits are limited in bytes as well as in rows. A page that is too long is stored without its checkpoints, and if that is not enough, its job fails and no other one.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -106,14 +106,15 @@
         if !has_job {
             return Ok(None);
         }
-        let progress = store.range(&rows::single(rows::progress(id))).await;
+        let progress = store.range(&rows::progress_of_job(id)).await;
         self.node.record_store_result(&progress, clock::steady());
-        let stored = progress?.rows.first().and_then(|row| row.value.clone());
-        let progress: Option<record::Progress> =
-            stored.and_then(|value| record::decode("progress", &value).ok());
+        let progress = progress?;
+        let values = progress.rows.iter().filter_map(|row| row.value.as_deref());
+        let pages: Vec<record::Progress> =
+            values.filter_map(|value| record::decode("progress", value).ok()).collect();
         let is_cancelled = work.iter().any(|row| row.work == record::Work::Cancel);
-        let final_state = progress.as_ref().and_then(|p| p.final_state);
-        let has_started = progress.is_some_and(|p| !p.phases.is_empty());
+        let final_state = pages.iter().find_map(|page| page.final_state);
+        let has_started = pages.iter().any(|page| !page.phases.is_empty());
         let open = if has_started { job::State::Running } else { job::State::Queued };
         let state = if is_cancelled { job::State::Cancelled } else { open };
         Ok(Some(final_state.unwrap_or(state)))
--- a/geraniumlatchd/src/jobs/commit.rs
+++ b/geraniumlatchd/src/jobs/commit.rs
@@ -145,8 +145,8 @@
     ) -> Result<platform::Transaction, record::Error> {
         let mut writes = Vec::new();
         for row in &commit.rows {
-            let value = record::encode("progress", &row.progress)?;
-            writes.push(platform::Write { key: rows::progress(row.job), value });
+            let key = rows::progress(row.job, row.page);
+            writes.push(platform::Write { key, value: row.value.clone() });
         }
         for entry in &commit.enrolled {
             let value = record::encode("worker", entry)?;
@@ -163,14 +163,15 @@
         let last = record::Commit { token, number: self.number };
         let value = record::encode("commit", &last)?;
         writes.push(platform::Write { key: rows::last_commit(), value });
-        let progress = commit.removed_jobs.iter().map(|id| rows::progress(*id));
+        let first = commit.removed_jobs.iter().map(|id| rows::progress(*id, 0));
+        let pages = commit.removed_pages.iter().map(|(id, page)| rows::progress(*id, *page));
         let removed = commit.removed_workers.iter();
         let removed = removed.flat_map(|id| [rows::enrolled(id), rows::vacating(id)]);
         let reopened = commit.reopened.iter().map(rows::vacating);
         Ok(platform::Transaction {
             checks: vec![platform::Check { key: rows::last_commit(), version: self.version }],
             writes,
-            removals: progress.chain(removed).chain(reopened).collect(),
+            removals: first.chain(pages).chain(removed).chain(reopened).collect(),
         })
     }
 }
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -185,6 +185,8 @@
     Restored { domain: &'a str, workers: usize, runs: usize },
     /// A commit was not stored at once.
     CommitRetried { number: u64, detail: String },
+    /// A job has failed, as a row of its progress is longer than the store takes.
+    Unstorable { job: Text<task::JobId>, page: u32 },
     /// A row cannot be decoded.
     Unreadable { row: &'a str, detail: String },
 }
@@ -280,6 +282,7 @@
                 worker: worker.as_str(),
                 crashes: *crashes,
             },
+            Note::Unstorable { job, page } => Self::Unstorable { job: Text(*job), page: *page },
             Note::GivenUp { task, crashes } => {
                 Self::GivenUp { task: Text(*task), crashes: *crashes }
             }
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -25,6 +25,36 @@
     rows.iter().filter_map(read).collect()
 }
 
+/// The stored progress of a job.
+#[derive(Default)]
+struct StoredProgress {
+    pages: Vec<u32>,
+    progress: record::Progress,
+}
+
+/// Joins the pages of each job's progress. A row that cannot be decoded is logged and left out.
+fn join_pages(rows: &[platform::Row]) -> collections::BTreeMap<task::JobId, StoredProgress> {
+    let mut by_job = collections::BTreeMap::<_, StoredProgress>::new();
+    for row in rows {
+        let Some((id, page)) = rows::parse_progress(&row.name) else { continue };
+        let Some(value) = row.value.as_deref() else { continue };
+        match record::decode::<record::Progress>("progress", value) {
+            Ok(decoded) => {
+                let stored = by_job.entry(id).or_default();
+                stored.pages.push(page);
+                let progress = &mut stored.progress;
+                progress.final_state = progress.final_state.or(decoded.final_state);
+                progress.phases.extend(decoded.phases);
+            }
+            Err(error) => {
+                let detail = error.to_string();
+                event::emit(&event::Event::Unreadable { row: &row.name, detail });
+            }
+        }
+    }
+    by_job
+}
+
 impl Ownership {
     /// Loads the stored state and the list of workers, and fences off earlier owners' commits.
     pub(super) async fn load_state(&self, cause: &'static str) -> Result<(), platform::StoreError> {
@@ -118,31 +148,24 @@
                 }
             }
         }
-        let mut by_job = collections::BTreeMap::new();
-        for row in progress {
-            let id = row.name.parse::<task::JobId>();
-            let decoded = row.value.as_deref().map(|value| record::decode("progress", value));
-            match (id, decoded) {
-                (Ok(id), Some(Ok(decoded))) => {
-                    by_job.insert(id, decoded);
-                }
-                (_, Some(Err(error))) => {
-                    let detail = error.to_string();
-                    event::emit(&event::Event::Unreadable { row: &row.name, detail });
-                }
-                _ => {}
+        let mut by_job = join_pages(progress);
+        let join = |(id, (job, version)): (task::JobId, (job::Job, u64))| {
+            let stored = by_job.remove(&id);
+            owner::StoredJob {
+                id,
+                job,
+                pages: stored.iter().flat_map(|stored| &stored.pages).copied().collect(),
+                progress: stored.map(|stored| stored.progress),
+                is_cancelled: cancelled.contains(&id),
+                is_inherited: version < self.token,
             }
-        }
-        let join = |(id, (job, version)): (task::JobId, (job::Job, u64))| owner::StoredJob {
-            id,
-            job,
-            progress: by_job.remove(&id),
-            is_cancelled: cancelled.contains(&id),
-            is_inherited: version < self.token,
         };
         let stored = jobs.into_iter().map(join).collect();
         // Progress remains without its job if an owner ended between the two removals.
-        self.owner.borrow_mut().add_orphans(by_job.into_keys());
+        let orphans = by_job.into_iter();
+        let orphans =
+            orphans.flat_map(|(id, stored)| stored.pages.into_iter().map(move |page| (id, page)));
+        self.owner.borrow_mut().add_orphans(orphans);
         stored
     }
 }
--- a/geraniumlatchd/src/jobs/rows.rs
+++ b/geraniumlatchd/src/jobs/rows.rs
@@ -69,9 +69,25 @@
     key_in(WORK, WORK_PARTITIONS[work_partition(id)], format!("{id}/{CANCEL}"))
 }
 
-/// Returns the key of the row of a job's progress.
-pub fn progress(id: task::JobId) -> cell::Key {
-    key_in(PROGRESS, COMMITS_PARTITION, id.to_string())
+/// Returns the key of a page of a job's progress. The first one is named as in earlier versions, which
+/// store all progress in it.
+pub fn progress(id: task::JobId, page: u32) -> cell::Key {
+    let name = if page == 0 { id.to_string() } else { format!("{id}/{page:06}") };
+    key_in(PROGRESS, COMMITS_PARTITION, name)
+}
+
+/// Returns the job and the number of the page whose row has this name.
+pub fn parse_progress(name: &str) -> Option<(task::JobId, u32)> {
+    match name.split_once('/') {
+        None => Some((name.parse().ok()?, 0)),
+        Some((id, page)) => Some((id.parse().ok()?, page.parse().ok()?)),
+    }
+}
+
+/// Returns the range of all pages of a job's progress.
+pub fn progress_of_job(id: task::JobId) -> cell::Range {
+    let (from, to) = (id.to_string(), Some(format!("{id}0")));
+    cell::Range { table: PROGRESS, partition: COMMITS_PARTITION.to_owned(), from, to }
 }
 
 /// Returns the key of the row of a worker in the roster.
--- a/gl-emulate/src/simulation/checks.rs
+++ b/gl-emulate/src/simulation/checks.rs
@@ -190,14 +190,12 @@
         if job.cancelled.is_some() {
             return true;
         }
-        let Some(progress) = &job.progress else {
-            return false;
-        };
-        let is_phase = |phase: &&record::Phase| {
-            phase.occurrence == task.phase.occurrence && phase.phase == task.phase.phase
+        let is_done = |phase: &record::Phase| {
+            phase.occurrence == task.phase.occurrence
+                && phase.phase == task.phase.phase
+                && phase.done.contains(task.index)
         };
-        progress.final_state.is_some()
-            || progress.phases.iter().find(is_phase).is_some_and(|p| p.done.contains(task.index))
+        job.final_state().is_some() || job.pages.values().flat_map(|page| &page.phases).any(is_done)
     }
 
     pub(super) fn record_violation(
@@ -228,10 +226,10 @@
         let Some(job) = self.jobs.get_mut(&row.job) else {
             return;
         };
-        let previous = job.progress.as_ref().and_then(|p| p.final_state);
-        job.progress = Some(row.progress.clone());
+        let previous = job.final_state();
+        job.pages.insert(row.page, row.progress.clone());
         let Some(state) = row.progress.final_state else {
-            if previous.is_some() {
+            if previous.is_some() && row.page == 0 {
                 self.record_violation(report::Guarantee::CorrectState, &row.job);
             }
             return;
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -153,7 +153,7 @@
     fn all_ended(&self) -> bool {
         let is_unfinished = |job: &&StoredJob| {
             let arrival = &self.settings.arrivals[job.arrival];
-            let has_end = job.progress.as_ref().is_some_and(|p| p.final_state.is_some());
+            let has_end = job.final_state().is_some();
             !has_end && job.cancelled.is_none() && !arrival.job.is_long_running()
         };
         self.submitted >= self.settings.arrivals.len()
@@ -200,8 +200,8 @@
             }
             self.version += 1;
             let version = self.version;
-            let stored =
-                StoredJob { arrival: self.submitted, version, cancelled: None, progress: None };
+            let pages = collections::BTreeMap::new();
+            let stored = StoredJob { arrival: self.submitted, version, cancelled: None, pages };
             self.jobs.insert(arrival.id, stored);
             self.submitted += 1;
             let moment = self.moment();
@@ -221,7 +221,7 @@
         let arrivals = &self.settings.arrivals;
         for (id, job) in &mut self.jobs {
             let is_requested = arrivals[job.arrival].cancelled.is_some_and(|at| at <= now);
-            let has_end = job.progress.as_ref().is_some_and(|p| p.final_state.is_some());
+            let has_end = job.final_state().is_some();
             if !is_requested || has_end || job.cancelled.is_some() {
                 continue;
             }
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use gl_jobs::{election, owner, record, worker as model};
+use gl_jobs::{election, job, owner, record, worker as model};
 use gl_model::time;
 
 use super::messages::{Delivery, Message};
@@ -60,7 +60,22 @@
     pub arrival: usize,
     pub version: u64,
     pub cancelled: Option<time::Timestamp>,
-    pub progress: Option<record::Progress>,
+    /// The stored pages of its progress.
+    pub pages: collections::BTreeMap<u32, record::Progress>,
+}
+
+impl StoredJob {
+    /// Returns the final state.
+    pub fn final_state(&self) -> Option<job::State> {
+        self.pages.get(&0)?.final_state
+    }
+
+    /// Returns the progress of all pages, if there is any.
+    fn progress(&self) -> Option<record::Progress> {
+        let phases = self.pages.values().flat_map(|page| page.phases.iter().cloned()).collect();
+        let final_state = self.final_state();
+        (!self.pages.is_empty()).then_some(record::Progress { final_state, phases })
+    }
 }
 
 impl Simulation {
@@ -89,7 +104,8 @@
         let stored = self.jobs.iter().map(|(id, job)| owner::StoredJob {
             id: *id,
             job: self.settings.arrivals[job.arrival].job.clone(),
-            progress: job.progress.clone(),
+            progress: job.progress(),
+            pages: job.pages.keys().copied().collect(),
             is_cancelled: job.cancelled.is_some(),
             is_inherited: !skips_recovery && job.version < token,
         });
@@ -249,6 +265,11 @@
         for row in &commit.rows {
             self.store_progress(row);
         }
+        for (id, page) in &commit.removed_pages {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.pages.remove(page);
+            }
+        }
     }
 
     pub(super) fn advance_owners(&mut self) {
--- a/gl-jobs/src/bitset.rs
+++ b/gl-jobs/src/bitset.rs
@@ -1,5 +1,7 @@
 //! A compact set of task numbers.
 
+use std::ops;
+
 /// The number of members that one word of the set can hold.
 const WORD_BITS: u32 = u64::BITS;
 
@@ -29,6 +31,21 @@
         is_new
     }
 
+    /// Adds the members of another set.
+    pub fn insert_all(&mut self, other: &Self) {
+        self.words.resize(self.words.len().max(other.words.len()), 0);
+        for (word, added) in self.words.iter_mut().zip(&other.words) {
+            *word |= added;
+        }
+    }
+
+    /// Returns the members in a range.
+    pub fn members(&self, range: ops::Range<u32>) -> impl Iterator<Item = u32> {
+        let words = u32::try_from(self.words.len()).unwrap_or(u32::MAX);
+        let end = range.end.min(words.saturating_mul(WORD_BITS));
+        (range.start..end).filter(|n| self.contains(*n))
+    }
+
     /// Returns the number of members.
     pub fn count(&self) -> u32 {
         self.words.iter().map(|word| word.count_ones()).sum()
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -89,6 +89,13 @@
         /// The cause of the end.
         cause: Cause,
     },
+    /// A job has failed because a row of its progress is longer than the store takes.
+    Unstorable {
+        /// The job.
+        job: task::JobId,
+        /// The page of its progress.
+        page: u32,
+    },
     /// A run was ordered to stop.
     Stopping {
         /// The task.
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -90,7 +90,8 @@
                 }
                 state.waiting.clear();
                 self.open_phases.remove(&phase);
-                self.dirty_jobs.insert(phase.job);
+                let members = (0..spec.count).map(|index| task::TaskId { phase, index });
+                members.for_each(|task| self.mark_dirty(task));
                 self.count_done(phase, spec.count, now);
                 self.phase_progressed(phase, now);
             }
@@ -99,7 +100,7 @@
                 state.done.insert(index);
                 state.waiting.remove(&index);
                 state.checkpoints.remove(&index);
-                self.dirty_jobs.insert(phase.job);
+                self.mark_dirty(end.task);
                 self.count_done(phase, u32::from(is_first), now);
                 if self.runs.contains_key(&end.task) {
                     self.stop(end.task, StopReason::AlreadyDone, now);
@@ -113,7 +114,7 @@
                     failures.push(end.attempt);
                 }
                 let has_failed = failures.len() >= attempts as usize;
-                self.dirty_jobs.insert(phase.job);
+                self.mark_dirty(task::TaskId { phase, index });
                 if has_failed {
                     self.end_job(phase.job, job::State::Failed, now);
                 }
@@ -143,7 +144,7 @@
             return;
         }
         state.checkpoints.insert(index, checkpoint.to_owned());
-        self.dirty_jobs.insert(phase.job);
+        self.mark_dirty(task::TaskId { phase, index });
     }
 
     /// Opens the phases that depend on `phase`, and ends the job, once all tasks of `phase` are
@@ -180,7 +181,7 @@
         }
         entry.final_state = Some(state);
         entry.ended_at = now;
-        self.dirty_jobs.insert(id);
+        self.dirty_pages.insert((id, 0));
         self.count_end(id, state);
         self.note_decided(id, now);
         self.close_job(id, now);
--- a/gl-jobs/src/owner/crashes.rs
+++ b/gl-jobs/src/owner/crashes.rs
@@ -149,7 +149,7 @@
         } else {
             self.suspects.insert(task);
         }
-        self.dirty_jobs.insert(task.phase.job);
+        self.mark_dirty(task);
     }
 
     fn clear_suspect(&mut self, task: task::TaskId) {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -52,7 +52,7 @@
     waits,
 };
 use recovery::{store_clock, timeouts};
-use state::{estimate, jobs, runs, workers};
+use state::{estimate, jobs, pages, runs, workers};
 use view::{domains, roster, unread};
 
 use crate::{job, record, task, worker};
@@ -91,8 +91,12 @@
     has_hidden_crashes: bool,
     /// Jobs with occurrences that are not due yet.
     scheduled_jobs: collections::BTreeSet<task::JobId>,
-    /// Jobs whose progress has changed since it was last stored.
-    dirty_jobs: collections::BTreeSet<task::JobId>,
+    /// The pages of jobs' progress that have changed since they were last stored.
+    dirty_pages: collections::BTreeSet<(task::JobId, u32)>,
+    /// The largest number of rows in the next commit, while a row is sought that the store refuses.
+    commit_rows: Option<usize>,
+    /// Stored pages that are not needed any more.
+    removed_pages: collections::BTreeSet<(task::JobId, u32)>,
     /// Jobs of which only the progress is still stored.
     orphans: collections::BTreeSet<task::JobId>,
     /// Listed workers that have to be stored in the roster before they get tasks.
@@ -185,7 +189,9 @@
             reviewed_at: now,
             has_hidden_crashes: false,
             scheduled_jobs: collections::BTreeSet::new(),
-            dirty_jobs: collections::BTreeSet::new(),
+            dirty_pages: collections::BTreeSet::new(),
+            commit_rows: None,
+            removed_pages: collections::BTreeSet::new(),
             orphans: collections::BTreeSet::new(),
             unenrolled: collections::BTreeSet::new(),
             unstored: collections::BTreeSet::new(),
@@ -338,6 +344,7 @@
         self.count_end(id, job::State::Cancelled);
         self.note_decided(id, now);
         self.close_job(id, now);
+        self.remove_pages_of_ended(id);
     }
 
     /// Restores the interference model that earlier owners have stored.
@@ -345,9 +352,15 @@
         self.interference.restore(model);
     }
 
-    /// Adds jobs of which only the progress is stored; their rows are removed by later commits.
-    pub fn add_orphans(&mut self, orphans: impl Iterator<Item = task::JobId>) {
-        self.orphans.extend(orphans);
+    /// Adds stored pages of jobs of which only the progress is stored; they are removed by later commits.
+    pub fn add_orphans(&mut self, orphans: impl Iterator<Item = (task::JobId, u32)>) {
+        for (job, page) in orphans {
+            if page == 0 {
+                self.orphans.insert(job);
+            } else {
+                self.removed_pages.insert((job, page));
+            }
+        }
     }
 
     /// Sets whether the time of day is agreed on well enough to start occurrences that are due.
@@ -434,9 +447,4 @@
             self.stop(task, StopReason::JobEnded, now);
         }
     }
-
-    /// Returns the record of a job's progress.
-    fn progress(&self, id: task::JobId) -> Option<record::Progress> {
-        self.jobs.get(&id).map(JobEntry::progress)
-    }
 }
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -19,8 +19,10 @@
     pub id: task::JobId,
     /// The job as it was submitted.
     pub job: job::Job,
-    /// The stored progress, if there is any.
+    /// The stored progress, if there is any: that of all pages.
     pub progress: Option<record::Progress>,
+    /// The numbers of the stored pages.
+    pub pages: collections::BTreeSet<u32>,
     /// Whether its cancellation is stored.
     pub is_cancelled: bool,
     /// Whether the job was accepted before this owner's claim, so that some of its tasks may
@@ -174,7 +176,7 @@
     fn restore(&mut self, row: StoredJob, moment: &Moment) {
         let mut entry = crate::owner::JobEntry::new(row.job, time::Timestamp::default(), moment);
         entry.is_inherited = row.is_inherited || self.may_precede(moment.now);
-        entry.restore(row.progress.unwrap_or_default());
+        entry.restore(row.progress.unwrap_or_default(), row.pages);
         if entry.final_state.is_none() && row.is_cancelled {
             entry.final_state = Some(job::State::Cancelled);
             entry.stored_state = entry.final_state;
@@ -184,7 +186,12 @@
         if is_open && entry.job.schedule.is_some() {
             self.scheduled_jobs.insert(row.id);
         }
+        if entry.is_unsplit {
+            let pages = entry.pages_in_use().into_iter().chain([0]);
+            self.dirty_pages.extend(pages.map(|page| (row.id, page)));
+        }
         self.jobs.insert(row.id, entry);
+        self.remove_pages_of_ended(row.id);
         self.index_suspects(row.id);
         if is_open {
             self.record_size(row.id);
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -80,6 +80,8 @@
     /// The maximum time from the last renewal of the owner's own lease to the end of a worker's
     /// lease.
     pub horizon: time::Span,
+    /// The length of the longest row that the store takes, in bytes.
+    pub max_row: usize,
     /// The maximum fraction by which a worker's clock may run slower than the owner's.
     pub clock_drift: f64,
     /// The margin added to all waits for a worker's clock; covers the granularity of timers.
@@ -237,6 +239,7 @@
             lease: time::Span::millis(6_000),
             draining_lease: time::Span::millis(2_500),
             horizon: time::Span::millis(10_000),
+            max_row: 65_536,
             clock_drift: 0.02,
             clock_margin: time::Span::millis(150),
             start_window: time::Span::millis(1_500),
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -4,7 +4,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Moment, Waits, waits};
+use crate::owner::{Moment, Waits, pages, waits};
 use crate::{bitset, job, record, task};
 
 /// A job and its progress.
@@ -16,6 +16,12 @@
     pub objective: time::Span,
     /// The critical path from each phase on, kept for the same reason.
     critical_paths: Vec<time::Span>,
+    /// The numbers of its tasks, which decide in which row their progress is stored.
+    pub(in crate::owner) numbering: pages::Numbering,
+    /// The stored rows of its progress.
+    pub(in crate::owner) stored_pages: collections::BTreeSet<u32>,
+    /// Whether the first of them has progress of other pages too, as earlier versions store it.
+    pub(in crate::owner) is_unsplit: bool,
     /// The time of acceptance, by the owner's steady clock.
     pub accepted_at: time::Timestamp,
     /// Whether any task has started.
@@ -87,6 +93,9 @@
         Self {
             objective: job.objective(),
             critical_paths: job.critical_paths(),
+            numbering: pages::Numbering::new(job.phases.iter().map(|phase| phase.count)),
+            stored_pages: collections::BTreeSet::new(),
+            is_unsplit: false,
             job,
             accepted_at: (moment.now - age).max(after.min(moment.now)),
             has_started: false,
@@ -209,36 +218,25 @@
             && self.phases.keys().all(|(occurrence, phase)| self.is_phase_done(*occurrence, *phase))
     }
 
-    pub(in crate::owner) fn progress(&self) -> record::Progress {
-        let has_progress = |state: &&PhaseState| {
-            state.done.count() > 0
-                || !state.failures.is_empty()
-                || !state.checkpoints.is_empty()
-                || !state.suspects.is_empty()
-        };
-        let phases = self.phases.iter().filter(|(_, state)| has_progress(state));
-        let phases = phases.map(|(&(occurrence, phase), state)| record::Phase {
-            occurrence,
-            phase,
-            done: state.done.clone(),
-            failures: state.failures.clone(),
-            checkpoints: state.checkpoints.clone(),
-            suspects: state.suspects.clone(),
-        });
-        record::Progress { final_state: self.final_state, phases: phases.collect() }
-    }
-
-    /// Restores stored progress. This has to happen before any phase is opened.
-    pub(in crate::owner) fn restore(&mut self, progress: record::Progress) {
+    /// Restores the progress in the stored rows, with the numbers of these. This has to happen before
+    /// any phase is opened.
+    pub(in crate::owner) fn restore(
+        &mut self,
+        progress: record::Progress,
+        pages: collections::BTreeSet<u32>,
+    ) {
         self.final_state = progress.final_state;
         self.stored_state = progress.final_state;
+        self.stored_pages = pages;
         for phase in progress.phases {
             let state = self.phases.entry((phase.occurrence, phase.phase)).or_default();
             self.has_started |= phase.done.count() > 0;
-            state.done = phase.done;
-            state.failures = phase.failures;
-            state.checkpoints = phase.checkpoints;
-            state.suspects = phase.suspects;
+            state.done.insert_all(&phase.done);
+            state.failures.extend(phase.failures);
+            state.checkpoints.extend(phase.checkpoints);
+            state.suspects.extend(phase.suspects);
         }
+        self.is_unsplit = self.final_state.is_none()
+            && self.pages_in_use().iter().any(|page| !self.stored_pages.contains(page));
     }
 }
--- a/gl-jobs/src/owner/state/mod.rs
+++ b/gl-jobs/src/owner/state/mod.rs
@@ -3,6 +3,7 @@
 
 pub(in crate::owner) mod estimate;
 pub(in crate::owner) mod jobs;
+pub(in crate::owner) mod pages;
 pub(in crate::owner) mod runs;
 pub(in crate::owner) mod workers;
 
--- a/gl-jobs/src/owner/view/roster.rs
+++ b/gl-jobs/src/owner/view/roster.rs
@@ -8,6 +8,10 @@
 use crate::owner::{Owner, Worker};
 use crate::{record, worker};
 
+/// The largest number of tasks that are stored of a worker; a row has to fit into the store. With more,
+/// any task may run there.
+const MAX_STORED_TASKS: usize = 200;
+
 /// A change of what the roster says of a worker.
 enum Change {
     /// The worker leaves the roster.
@@ -44,15 +48,19 @@
     if !has_replied {
         return None;
     }
+    let is_short = worker.runs.len() <= MAX_STORED_TASKS;
     let row = record::Vacating {
         worker: worker.registration.id.clone(),
-        tasks: Some(worker.runs.iter().copied().collect()),
+        tasks: is_short.then(|| worker.runs.iter().copied().collect()),
         until: None,
     };
     if worker.is_unresponsive {
         let until = worker.expiry(&owner.settings).filter(|_| !worker.has_stored_end)?;
         return bound(owner, row, until.max(now));
     }
+    if !is_short {
+        return None;
+    }
     let is_stored = worker.vacating.as_ref().is_some_and(|row| row.tasks.is_some());
     (worker.has_stored_end || !is_stored).then_some(Change::Vacate(row))
 }
--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -240,6 +240,7 @@
         id: id(n),
         job,
         progress: Some(progress),
+        pages: [0].into(),
         is_cancelled: false,
         is_inherited: true,
     }
--- a/gl-jobs/tests/jobs/fleet.rs
+++ b/gl-jobs/tests/jobs/fleet.rs
@@ -126,6 +126,7 @@
             id: *id,
             job: job.clone(),
             progress: self.progress.get(id).cloned(),
+            pages: self.progress.contains_key(id).then_some(0).into_iter().collect(),
             is_cancelled: false,
             is_inherited: true,
         });
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -19,6 +19,7 @@
 mod leases;
 mod order;
 mod orders;
+mod pages;
 mod phases;
 mod placement;
 mod poll_times;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -101,6 +101,7 @@
             owner::Note::Overtaken { .. } => self.event("overtaken"),
             owner::Note::Implicated { .. } => self.event("implicated"),
             owner::Note::GivenUp { .. } => self.event("given-up"),
+            owner::Note::Unstorable { .. } => self.event("unstorable"),
             owner::Note::Emptied { .. } => self.event("domain-emptied"),
             owner::Note::Restored { .. } => self.event("domain-restored"),
             owner::Note::Impact { service, impact, .. } => self.impact(service, impact),
