fix: do not repeat what the store rejects for good

Cause: a 400 or 413 of the store counted as a refusal that passes, like 429 and 503. Commits repeated it without end, and submissions until each job of the group had waited long enough.

Change: such a reply is an error of its own (`Rejected`), and counts as a sign that the store serves the daemon. A rejected group of jobs is stored one by one. A job that is longer than the store's rows (`RowBytes`, 65,536 where it is not stated) gets 413 with the remedy, before any call to the store.

The process test `request_that_cannot_be_served_is_refused_with_the_reason` now submits a job between the two limits; the stand-in store takes no more than the published limits. Before, the daemon passed such a job on to the store.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -253,6 +253,11 @@
                 });
                 Ok(())
             }
+            submission::Outcome::Refused(cause @ submission::Cause::TooLong) => {
+                let cause = cause.as_str();
+                event::emit(&event::Event::Refused { job: event::Text(id), queue, cause, took_ms });
+                Err(api::Error::TooLong { reason: cause })
+            }
             submission::Outcome::Refused(refused) => {
                 let retry_after = self.node.outages.submit_retry_after(refused, id.0, now);
                 let cause = refused.as_str();
--- a/geraniumlatchd/src/jobs/commit.rs
+++ b/geraniumlatchd/src/jobs/commit.rs
@@ -54,6 +54,7 @@
 enum Attempt {
     Stored(u64),
     Retry(String),
+    Rejected(String),
     Fenced,
 }
 
@@ -74,7 +75,8 @@
     }
 
     /// Attempts the commit until it is stored or the ownership ends. The commit fails at once if
-    /// the rows of its removed jobs cannot be removed or its content cannot be encoded.
+    /// the rows of its removed jobs cannot be removed, its content cannot be encoded, or the store will
+    /// never take it.
     async fn store(&mut self, ownership: &ownership::Ownership, commit: &owner::Commit) {
         if !Self::remove_work(ownership, commit).await {
             ownership.owner().commit_failed(commit);
@@ -105,6 +107,11 @@
                     }
                     ntex::time::sleep(RETRY_PAUSE).await;
                 }
+                Attempt::Rejected(detail) => {
+                    event::emit(&event::Event::CommitRejected { number: self.number, detail });
+                    ownership.owner().commit_rejected(commit);
+                    return;
+                }
                 Attempt::Fenced => return ownership.step_down("another daemon claimed the cell"),
             }
         }
@@ -122,6 +129,9 @@
             Ok(platform::Outcome::Conflict(found)) => {
                 self.resolve_conflict(ownership.token(), &found)
             }
+            Err(error @ platform::StoreError::Rejected { .. }) => {
+                Attempt::Rejected(error.to_string())
+            }
             Err(error) => Attempt::Retry(error.to_string()),
         }
     }
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -185,6 +185,8 @@
     Restored { domain: &'a str, workers: usize, runs: usize },
     /// A commit was not stored at once.
     CommitRetried { number: u64, detail: String },
+    /// The store will never take a commit, and its rows are stored in smaller ones.
+    CommitRejected { number: u64, detail: String },
     /// A job has failed, as a row of its progress is longer than the store takes.
     Unstorable { job: Text<task::JobId>, page: u32 },
     /// A row cannot be decoded.
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -139,6 +139,7 @@
         metrics: sync::Arc<gl_meter::jobs::Metrics>,
         log: Option<log_writer::Log>,
     ) -> Self {
+        let submissions = submission::Queue::new(settings.owner.max_row);
         Self {
             settings,
             platform,
@@ -147,7 +148,7 @@
             routing: cell::RefCell::new(None),
             emptied: cell::RefCell::default(),
             routing_at: cell::Cell::new(None),
-            submissions: submission::Queue::default(),
+            submissions,
             has_open_claim: cell::Cell::new(false),
             claim_after: cell::Cell::default(),
             outage_reported: cell::Cell::default(),
@@ -220,17 +221,33 @@
         let outcome = match result {
             Ok(_) => "ok",
             Err(platform::StoreError::Refused { .. }) => "refused",
+            Err(platform::StoreError::Rejected { .. }) => "rejected",
             Err(platform::StoreError::Lost { .. }) => "lost",
             Err(platform::StoreError::Compacted { .. }) => "forgotten",
         };
         self.metrics.store_call(outcome);
-        let is_ok = matches!(result, Ok(_) | Err(platform::StoreError::Compacted { .. }));
+        // These replies show that the store serves this daemon.
+        let is_ok = match result {
+            Ok(_) => true,
+            Err(error) => matches!(
+                error,
+                platform::StoreError::Compacted { .. } | platform::StoreError::Rejected { .. }
+            ),
+        };
         // Before the first success, the time of the last one is not known.
         let is_known = old.last_success > time::Timestamp::default();
         let worked_at = if is_known { old.last_success } else { now };
         self.outages.store_called(is_ok, worked_at, now);
         match result {
-            Ok(_) | Err(platform::StoreError::Compacted { .. }) => {
+            Err(error) if !is_ok => {
+                if old.up_since.is_some() {
+                    let detail = error.to_string();
+                    event::emit(&event::Event::DependencyLost { dependency: "store", detail });
+                }
+                let failures = old.failures.saturating_add(1);
+                self.store_health.set(StoreHealth { up_since: None, failures, ..old });
+            }
+            _ => {
                 if old.up_since.is_none() && old.last_success > time::Timestamp::default() {
                     let after_ms = now.since(old.last_success).as_millis();
                     event::emit(&event::Event::DependencyRecovered {
@@ -241,14 +258,6 @@
                 let up_since = Some(old.up_since.unwrap_or(now));
                 self.store_health.set(StoreHealth { up_since, last_success: now, failures: 0 });
             }
-            Err(error) => {
-                if old.up_since.is_some() {
-                    let detail = error.to_string();
-                    event::emit(&event::Event::DependencyLost { dependency: "store", detail });
-                }
-                let failures = old.failures.saturating_add(1);
-                self.store_health.set(StoreHealth { up_since: None, failures, ..old });
-            }
         }
     }
 }
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -205,6 +205,7 @@
         uses_estimates: true,
         unproven_runs: Some(UNPROVEN_RUNS),
         cold_factor: COLD_FACTOR,
+        max_row: settings.max_row.unwrap_or(defaults.max_row),
         remote_factor: settings.remote_factor.unwrap_or(defaults.remote_factor),
         spreads_domains: true,
         // Short jobs are few and wide. By unit of work the widest, which are worth most, came last.
--- a/geraniumlatchd/src/jobs/submission.rs
+++ b/geraniumlatchd/src/jobs/submission.rs
@@ -46,6 +46,8 @@
 pub enum Cause {
     /// The job cannot be encoded.
     Encoding,
+    /// The job is longer than the rows that the store takes.
+    TooLong,
     /// Too many jobs wait for the store.
     #[serde(rename = "crowded")]
     QueueFull,
@@ -70,6 +72,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Encoding => "the job cannot be encoded",
+            Self::TooLong => "the job is longer than the store takes; make it smaller or split it",
             Self::QueueFull => "too many jobs are waiting to be stored",
             Self::StoreRefused => "the store refused the job",
             Self::StoreUnavailable => "the store cannot be reached",
@@ -103,9 +106,10 @@
 }
 
 /// Jobs that wait to be stored, queued separately for each partition of the work table.
-#[derive(Default)]
 pub struct Queue {
     partitions: [Partition; rows::WORK_PARTITIONS.len()],
+    /// The length of the longest row that the store takes, in bytes.
+    max_row: usize,
 }
 
 /// Jobs that wait to be stored in one partition.
@@ -116,12 +120,20 @@
 }
 
 impl Queue {
+    /// Creates an empty queue for a store that takes rows of at most `max_row` bytes.
+    pub fn new(max_row: usize) -> Self {
+        Self { partitions: Default::default(), max_row }
+    }
+
     /// Stores a job. Attempts end at `limit` at the latest, and the outcome may then be unknown.
     pub async fn store(&self, id: task::JobId, job: &job::Job, limit: time::Timestamp) -> Outcome {
         let row = record::encode("job", &record::Work::Job(Box::new(job.clone())));
         let Ok(row) = row else {
             return Outcome::Refused(Cause::Encoding);
         };
+        if row.len() > self.max_row {
+            return Outcome::Refused(Cause::TooLong);
+        }
         let partition = &self.partitions[rows::work_partition(id)];
         if partition.waiting.borrow().len() >= MAX_WAITING_JOBS {
             return Outcome::Refused(Cause::QueueFull);
@@ -201,10 +213,28 @@
             group.iter_mut().for_each(|s| s.is_unconfirmed = true);
             finish_expired(group, now)
         }
+        Err(platform::StoreError::Rejected { .. }) => store_apart(node, group).await,
         Err(_) => finish_expired(group, now),
     }
 }
 
+/// Stores the jobs of a group that the store will never take one by one, so that the one at fault does
+/// not hold up the others. Returns the jobs that have to be tried again.
+async fn store_apart(node: &node::Node, group: Vec<Submission>) -> Vec<Submission> {
+    if let [submission] = &group[..] {
+        let is_unconfirmed = submission.is_unconfirmed;
+        let refused = Outcome::Refused(Cause::TooLong);
+        let outcome = if is_unconfirmed { Outcome::Unsettled(Cause::LostReply) } else { refused };
+        group.into_iter().for_each(|s| finish(s, outcome));
+        return Vec::new();
+    }
+    let mut left = Vec::new();
+    for submission in group {
+        left.extend(Box::pin(store(node, vec![submission])).await);
+    }
+    left
+}
+
 /// Reports a failure for the jobs whose time limit has passed and returns the other jobs.
 fn finish_expired(group: Vec<Submission>, now: time::Timestamp) -> Vec<Submission> {
     let is_expired = |s: &Submission| {
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -15,6 +15,12 @@
         /// The time after which the client may retry.
         retry_after: time::Span,
     },
+    /// The request was not carried out, and will be refused whenever it is repeated.
+    #[error("not carried out: {reason}")]
+    TooLong {
+        /// The reason and the remedy, as a sentence for the client.
+        reason: &'static str,
+    },
     /// The request may have been carried out.
     #[error("it is unknown whether the request was carried out ({reason}); repeat it unchanged")]
     Unknown {
--- a/gl-platform/src/cell.rs
+++ b/gl-platform/src/cell.rs
@@ -111,6 +111,14 @@
         /// The cause.
         detail: String,
     },
+    /// The operation was not carried out, and will be refused whenever it is repeated.
+    #[error("{operation}: the store rejects the operation ({detail}); do not repeat it unchanged")]
+    Rejected {
+        /// The name of the operation.
+        operation: &'static str,
+        /// The cause.
+        detail: String,
+    },
     /// No reply was received. The operation may have been carried out, or may still be.
     #[error(
         "{operation}: the reply was lost ({detail}); read the rows back before deciding on them"
--- a/gl-standin/src/fleet/store.rs
+++ b/gl-standin/src/fleet/store.rs
@@ -30,6 +30,11 @@
     pub read_together: collections::BTreeSet<String>,
 }
 
+/// The largest number of entries in a transaction, as published.
+const MAX_ENTRIES: usize = 100;
+/// The length of the longest row, as the settings of the daemons state it.
+const MAX_ROW_BYTES: usize = 65_536;
+
 fn text(value: &Value, field: &str) -> String {
     value[field].as_str().unwrap_or_default().to_owned()
 }
@@ -92,6 +97,11 @@
 
     /// Executes a transaction; returns the status and the body of the response.
     pub fn transact(&mut self, body: &Value) -> (u16, Value) {
+        let count = ["ExpectedRev", "Writes", "Remove"].map(|list| entries(body, list).count());
+        let is_long = |entry: &Value| text(entry, "Value").len() > MAX_ROW_BYTES.div_ceil(3) * 4;
+        if count.iter().sum::<usize>() > MAX_ENTRIES || entries(body, "Writes").any(is_long) {
+            return (400, json!({}));
+        }
         let version_of = |key: &RowKey| self.rows.get(key).map_or(0, |row| row.version);
         let is_satisfied =
             |check: &Value| version_of(&row_key(check)) == check["Ver"].as_u64().unwrap_or(0);
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -145,6 +145,11 @@
     assert_eq!(empty.body["Error"], "the job has no phase; give at least one");
     let large = json!({"Spec": "x".repeat(70_000), "Phases": [{"Count": 1}]}).to_string();
     assert_eq!(client::request_status(address, "POST", &job_path(2), &large).await, Some(413));
+    // Shorter than the limit of the body, and longer than a row of the store.
+    let phase = json!({"Count": 1, "Cpu": 1, "MemMb": 1, "DataRack": "r".repeat(700)});
+    let long = json!({"Spec": "x", "Phases": vec![phase; 85]}).to_string();
+    let refused = client::send(address, "POST", &job_path(2), &long).await.unwrap();
+    assert_eq!(refused.status, 413, "{:?}", refused.body);
     hosted.set_store_down(true).await;
     let body = two_phase_job("{}");
     let started = time::Instant::now();
