fix: do not take a run for gone while a worker lists a part of its ends only

While the store was down for 4.5 s, 640 tasks ended on each worker.

Cause: a worker lists 500 ends at a time, and the next ones once these are acknowledged, which needs the store. The owner took a run that was neither among the running ones nor among the listed ends for gone, and started its task again. A new owner had the same gap: the first answer of a worker counted as all that ran there.

Change: the reply of a full list says that it is a part. Then no run ends for not being reported, and a new owner keeps waiting for the worker, also beyond the leases of earlier owners, as it extends them itself. The same on a related path: a response of the change feed that may be cut off does not show that all jobs are known.

`run_whose_end_may_not_be_listed_yet_does_not_count_as_gone` and `recovery_waits_for_a_worker_that_lists_a_part_of_its_ends` fail without the change.

--- a/geraniumlatchd/src/jobs/work_feed.rs
+++ b/geraniumlatchd/src/jobs/work_feed.rs
@@ -13,6 +13,11 @@
 /// may have been lost.
 const CHANGE_FEED_INTERVAL: std::time::Duration = std::time::Duration::from_millis(400);
 
+/// The number of rows from which on a response may be cut off: a part of the store's limit of 500.
+const COMPLETE_ROWS: usize = 250;
+/// The length of the rows, in bytes, from which on it may be: a part of the limit of 1 MB.
+const COMPLETE_BYTES: usize = 400_000;
+
 /// Reads changes of the work table at an interval until the ownership ends.
 pub async fn run(ownership: rc::Rc<ownership::Ownership>) {
     while !ownership.is_ended() {
@@ -32,7 +37,9 @@
         }
         ownership.store_clock_read(&changes, sent);
         ownership.apply_work(&changes.rows);
-        ownership.owner().work_read(sent);
+        if is_complete(&changes.rows) {
+            ownership.owner().work_read(sent);
+        }
         ownership.feed_read.set(sent);
         ownership.feed_version.set(changes.version.max(after));
         ownership.is_stale.set(false);
@@ -40,6 +47,13 @@
     }
 }
 
+/// Returns whether a response has all changes. The store cuts off long ones, and the rest follows with the
+/// next read.
+fn is_complete(rows: &[platform::Row]) -> bool {
+    let bytes: usize = rows.iter().filter_map(|row| row.value.as_ref()).map(Vec::len).sum();
+    rows.len() < COMPLETE_ROWS && bytes < COMPLETE_BYTES
+}
+
 impl ownership::Ownership {
     fn has_new_jobs(&self, work: &[platform::Row]) -> bool {
         let owner = self.owner.borrow();
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -105,6 +105,8 @@
     lease_expiry: time::Timestamp,
 }
 
+/// The number of ends that a worker lists at a time.
+const LISTED_ENDS: usize = 500;
 /// The time that a run takes to stop.
 const STOP_TIME: time::Span = time::Span::millis(200);
 /// The time that a long-running task takes to become ready.
@@ -284,7 +286,8 @@
             clock: self.clock(now),
             incarnation: self.incarnation,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
+            is_partial: self.ended.len() >= LISTED_ENDS,
         })
     }
 
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -230,6 +230,17 @@
         }
     }
 
+    /// Keeps waiting for a worker that has listed a part of its ends only. Its leases are extended
+    /// meanwhile, so that the others may be runs that were done.
+    pub(in crate::owner) fn keep_pending(&mut self, id: &worker::WorkerId, now: time::Timestamp) {
+        let lease = self.settings.lease;
+        let until = now + lease + lease.scaled(self.settings.clock_drift);
+        let pending = self.recovery.as_mut().and_then(|recovery| recovery.pending.get_mut(id));
+        if let Some(pending) = pending {
+            pending.until = pending.until.max(until + self.settings.clock_margin);
+        }
+    }
+
     pub(in crate::owner) fn mark_reported(&mut self, task: task::TaskId) {
         if let Some(recovery) = &mut self.recovery {
             recovery.reported.insert(task);
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -223,10 +223,15 @@
         self.unread.hold(id, unsettled);
         let reported = self.record_running(id, reply, now);
         let recorded = self.workers.get(id).map_or(0, |worker| worker.runs.len());
-        if reported < recorded {
-            self.end_missing(id, sent, reply, now);
+        if reply.is_partial {
+            // A run that is not reported may have ended, and its end may not be listed yet.
+            self.keep_pending(id, now);
+        } else {
+            if reported < recorded {
+                self.end_missing(id, sent, reply, now);
+            }
+            self.mark_replied(id);
         }
-        self.mark_replied(id);
         self.update_unstored(id);
         throttle::run(self, id, now);
     }
--- a/gl-jobs/src/worker.rs
+++ b/gl-jobs/src/worker.rs
@@ -120,8 +120,10 @@
     pub incarnation: Incarnation,
     /// The runs in progress.
     pub running: Vec<Running>,
-    /// The ended runs that were not acknowledged yet.
+    /// The ended runs that were not acknowledged yet, in the order of their numbers.
     pub ended: Vec<Ended>,
+    /// Whether there may be further ones, which are listed once these are acknowledged.
+    pub is_partial: bool,
 }
 
 /// The parameters of a poll.
--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -79,6 +79,8 @@
     pub is_lease_valid: bool,
     /// Whether the list of workers is read with each tick.
     pub is_list_read: bool,
+    /// Whether workers list a part of their ends only.
+    pub is_partial: bool,
     ends: Vec<Vec<worker::Ended>>,
     numbers: Vec<u64>,
 }
@@ -99,6 +101,7 @@
             now: 1_000,
             is_lease_valid: true,
             is_list_read: true,
+            is_partial: false,
             ends: vec![Vec::new(); n],
             numbers: vec![0; n],
         };
@@ -140,6 +143,7 @@
             incarnation: worker::Incarnation(1),
             running: running.to_vec(),
             ended: self.ends[n].clone(),
+            is_partial: self.is_partial,
         };
         self.owner.poll_replied(&worker(n), sent, &reply, at(self.now));
     }
--- a/gl-jobs/tests/jobs/collapse.rs
+++ b/gl-jobs/tests/jobs/collapse.rs
@@ -104,6 +104,7 @@
             incarnation: worker::Incarnation(1),
             running: running.map(|start| cell::running(start, 10.0, 1.0)).collect(),
             ended: Vec::new(),
+            ..worker::PollReply::default()
         };
         let sent = now - time::Span::millis(1);
         self.cell.owner.poll_request(&id, sent);
--- a/gl-jobs/tests/jobs/fleet.rs
+++ b/gl-jobs/tests/jobs/fleet.rs
@@ -216,6 +216,7 @@
             incarnation: registration.incarnation,
             running: running.collect(),
             ended: vm.ends.clone(),
+            ..worker::PollReply::default()
         };
         let sent = cell::at(self.now - 1);
         self.owner.poll_replied(&registration.id, sent, &reply, now);
--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -86,6 +86,7 @@
         incarnation: worker::Incarnation(2),
         running: Vec::new(),
         ended: Vec::new(),
+        ..worker::PollReply::default()
     };
     cell.now += 10;
     let now = cell::at(cell.now);
--- a/gl-jobs/tests/jobs/orders.rs
+++ b/gl-jobs/tests/jobs/orders.rs
@@ -112,6 +112,27 @@
     assert_eq!(cell::starts(&cell.tick()).len(), 1);
 }
 
+/// Guards against tasks that start again after they were done: while the store is down, more ends than a
+/// worker lists at a time wait to be stored and acknowledged.
+#[test]
+fn run_whose_end_may_not_be_listed_yet_does_not_count_as_gone() {
+    let mut cell = Cell::new(1);
+    let starts = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(3, 1)])));
+    for start in &starts {
+        cell.start_replied(start, worker::OrderReply::Done);
+    }
+    let running: Vec<_> = starts.iter().map(|start| cell::running(start, 10.0, 900.0)).collect();
+    cell.poll(0, &running);
+    cell.report_end(0, &starts[0], worker::Outcome::Done);
+    cell.is_partial = true;
+    cell.poll(0, &running[1..2]);
+    assert!(cell::starts(&cell.tick()).is_empty(), "the third one may have ended");
+    cell.is_partial = false;
+    cell.report_end(0, &starts[2], worker::Outcome::Done);
+    cell.poll(0, &running[1..2]);
+    assert!(cell::starts(&cell.tick()).is_empty());
+}
+
 #[test]
 fn stalled_task_is_stopped_and_its_worker_becomes_suspect() {
     let (mut cell, start) = one_task(2);
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -79,6 +79,29 @@
     assert_eq!(started(&mut owner, 5_150), 2);
 }
 
+/// Guards against tasks that start again after they were done: a new owner takes a worker's first 500 ends
+/// for all of them.
+#[test]
+fn recovery_waits_for_a_worker_that_lists_a_part_of_its_ends() {
+    let mut owner = after_claim(vec![cell::registration(0)], record::Progress::default());
+    let ended = |number: u64| worker::Ended {
+        number,
+        task: cell::task(1, 0, u32::try_from(number).unwrap() - 1),
+        attempt: 5,
+        outcome: worker::Outcome::Done,
+        checkpoint: String::new(),
+    };
+    for now in (5_010..25_000).step_by(1_000) {
+        let part = worker::PollReply { ended: vec![ended(1)], is_partial: true, ..empty(now) };
+        poll_replied(&mut owner, 0, &part, now);
+        assert_eq!(started(&mut owner, now + 10), 0, "the second task may be done, at {now} ms");
+    }
+    let rest = worker::PollReply { ended: vec![ended(1), ended(2)], ..empty(25_010) };
+    poll_replied(&mut owner, 0, &rest, 25_010);
+    assert_eq!(started_when_stored(&mut owner, 25_020), 0);
+    assert_eq!(owner.state(cell::id(1)), Some(job::State::Complete));
+}
+
 #[test]
 fn recovery_waits_for_an_unresponsive_worker_until_all_leases_have_expired() {
     let roster = vec![cell::registration(0), cell::registration(1)];
--- a/gl-jobs/tests/jobs/uneven.rs
+++ b/gl-jobs/tests/jobs/uneven.rs
@@ -146,7 +146,7 @@
         cell.now += 10;
         let clock = cell::at(cell.now);
         let incarnation = worker::Incarnation(1);
-        let reply = worker::PollReply { clock, incarnation, running: Vec::new(), ended };
+        let reply = worker::PollReply { clock, incarnation, ended, ..worker::PollReply::default() };
         cell.owner.poll_replied(&cell::worker(2), clock, &reply, clock);
     };
     cell.owner.workers_changed(&late, cell::at(cell.now), cell::at(cell.now));
