fix: refuse late and repeated writes of a job whose cancellation was answered

The client got 504 for the job and 410 for its cancellation; six seconds after it was sent, the write of the job took effect, and all tasks started.

Cause: for a job that was neither at the owner nor in the store, a daemon answered 410 and stored nothing, and the write of a job checked only that the job's own row does not exist. On the same path, a submission that arrives after the answer, because it was overtaken or repeated, was accepted.

Change: such a cancellation is answered once its tombstone is stored: the row of a cancellation, on the condition that the job is not stored. The row of a job is written on the condition that no cancellation is, so that a late write has no effect, and a submission gets 410. Removals check the version of the row. A group of jobs has at most 33 in place of 40, as each takes one more entry.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -6,7 +6,7 @@
 use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::{event, lease, mesh, node, rows, submission};
+use super::{event, lease, mesh, node, rows, submission, tombstones};
 use crate::clock;
 
 /// Time to wait for the owner's reply before the rows are read instead.
@@ -134,25 +134,68 @@
         result.map(|_| ())
     }
 
-    /// Attempts once to cancel a job; returns `false` if there is no such job.
-    async fn try_cancel(&self, id: task::JobId) -> Result<bool, platform::StoreError> {
-        let known = self.query_state(id).await;
-        let state = match known {
+    /// Has the owner refuse a job that is not stored, as a write of it may still be on its way.
+    async fn forget(&self, id: task::JobId) -> tombstones::Verdict {
+        match self.node.role() {
+            node::Role::Owner(ownership) => ownership.forget(id).await,
+            node::Role::Follower(followed) => {
+                let request = mesh::Request::Forget { id };
+                match followed.connection.request(request, OWNER_STORE_TIMEOUT).await {
+                    Some(mesh::Response::Forget(verdict)) => verdict,
+                    _ => tombstones::Verdict::Unsettled,
+                }
+            }
+            node::Role::OwnerUnknown => tombstones::Verdict::Unsettled,
+        }
+    }
+
+    /// Attempts once to cancel a job.
+    async fn try_cancel(&self, id: task::JobId) -> Result<CancelOutcome, platform::StoreError> {
+        let state = match self.query_state(id).await {
             Some(state) => Some(state),
-            None => self.read_state(id).await?,
+            // The owner finds out with the write, so that unknown identities cost no reads.
+            None => match self.forget(id).await {
+                tombstones::Verdict::Absent => return Ok(CancelOutcome::NoJob),
+                tombstones::Verdict::Refused => return Ok(CancelOutcome::Refused),
+                tombstones::Verdict::Unsettled => self.read_state(id).await?,
+            },
         };
         match state {
-            None => Ok(false),
-            Some(state) if state.is_final() => Ok(true),
+            None => Ok(CancelOutcome::Unsettled),
+            Some(state) if state.is_final() => Ok(CancelOutcome::Cancelled),
             Some(_) => {
                 self.store_cancel(id).await?;
                 self.notify_owner(id, None);
-                Ok(true)
+                Ok(CancelOutcome::Cancelled)
             }
         }
     }
 }
 
+/// The outcome of an attempt to cancel a job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum CancelOutcome {
+    /// The job is cancelled, or has ended.
+    Cancelled,
+    /// There is no such job, and none will be accepted for some time.
+    NoJob,
+    /// It is unknown whether there is such a job.
+    Unsettled,
+    /// There is no such job, and it cannot be ensured that none will be accepted.
+    Refused,
+}
+
+impl CancelOutcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::NoJob => "no such job",
+            Self::Unsettled => "the store did not confirm the cancellation",
+            Self::Refused => "too many jobs were cancelled that were not accepted",
+        }
+    }
+}
+
 /// Returns the time by which the outcome of a request with a time-out of `limit` must be known.
 fn deadline(limit: time::Span) -> time::Timestamp {
     let now = clock::steady();
@@ -253,6 +296,11 @@
                 });
                 Ok(())
             }
+            submission::Outcome::Cancelled => {
+                let outcome = "the job was cancelled before it was stored";
+                event::emit(&event::Event::Cancel { job: event::Text(id), outcome, took_ms });
+                Err(api::Error::Cancelled)
+            }
             submission::Outcome::Refused(cause @ submission::Cause::TooLong) => {
                 let cause = cause.as_str();
                 event::emit(&event::Event::Refused { job: event::Text(id), queue, cause, took_ms });
@@ -307,19 +355,22 @@
             let now = clock::steady();
             let took_ms = now.since(started).as_millis();
             let job = event::Text(id);
-            match result {
-                Ok(is_known) => {
-                    let outcome = if is_known { "cancelled" } else { "no such job" };
-                    event::emit(&event::Event::Cancel { job, outcome, took_ms });
-                    return Ok(is_known);
-                }
-                Err(_) if now < until => ntex::time::sleep(RETRY_PAUSE).await,
-                Err(_) => {
-                    let outcome = "the store did not confirm the cancellation";
-                    event::emit(&event::Event::Cancel { job, outcome, took_ms });
-                    return Err(api::Error::Unknown { reason: outcome });
-                }
+            let outcome = result.unwrap_or(CancelOutcome::Unsettled);
+            if outcome == CancelOutcome::Unsettled && now < until {
+                ntex::time::sleep(RETRY_PAUSE).await;
+                continue;
             }
+            let reason = outcome.as_str();
+            event::emit(&event::Event::Cancel { job, outcome: reason, took_ms });
+            return match outcome {
+                CancelOutcome::Cancelled => Ok(true),
+                CancelOutcome::NoJob => Ok(false),
+                CancelOutcome::Unsettled => Err(api::Error::Unknown { reason }),
+                CancelOutcome::Refused => {
+                    let retry_after = self.node.outages.store_retry_after(id.0, now);
+                    Err(api::Error::NotRun { reason, retry_after })
+                }
+            };
         }
     }
 
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -7,7 +7,7 @@
 use gl_model::time;
 use gl_peer::rpc;
 
-use super::{lease, node, ownership, submission};
+use super::{lease, node, ownership, submission, tombstones};
 use crate::clock;
 
 /// A request of one daemon to another.
@@ -44,6 +44,11 @@
         /// The job's identity.
         id: task::JobId,
     },
+    /// Requests that a job that is not stored be refused from now on, as it was cancelled.
+    Forget {
+        /// The job's identity.
+        id: task::JobId,
+    },
     /// Queries the state of a job.
     State {
         /// The job's identity.
@@ -73,6 +78,8 @@
     },
     /// The result of storing a job.
     Store(submission::Outcome),
+    /// The answer to the cancellation of a job that is not stored.
+    Forget(tombstones::Verdict),
     /// The job's state; `None` if the owner has no such job.
     State(Option<job::State>),
     /// The number of jobs that have not started.
@@ -101,6 +108,10 @@
     Box::pin(async move {
         match request {
             Request::Store { id, job } => Response::Store(store(&node, id, &job).await),
+            Request::Forget { id } => match node.ownership() {
+                Some(ownership) => Response::Forget(ownership.forget(id).await),
+                None => Response::NotYet,
+            },
             request => handle_now(&node, request),
         }
     })
@@ -159,8 +170,8 @@
             ownership.cancel_job(id);
             Response::Noted
         }
-        // `handle()` has handled this request already, as any daemon can store jobs.
-        Request::Store { .. } => Response::NotYet,
+        // `handle()` has handled these requests already, as they wait for the store.
+        Request::Store { .. } | Request::Forget { .. } => Response::NotYet,
         Request::State { id } => Response::State(ownership.state(id)),
         Request::Pending { queue } => {
             ownership.pending(&queue).map_or(Response::NotYet, Response::Pending)
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -32,6 +32,7 @@
 pub mod server;
 mod shutdown;
 mod submission;
+mod tombstones;
 mod work_feed;
 mod worker_client;
 mod worker_list;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -9,7 +9,7 @@
 
 use super::{
     action_queue, commit, event, followers, lease, node, ordering, pass_meter, placement_pause,
-    poll_gate, poll_pause, work_feed, worker_client, worker_list,
+    poll_gate, poll_pause, tombstones, work_feed, worker_client, worker_list,
 };
 use crate::clock;
 
@@ -65,6 +65,8 @@
     pub(super) poll_gate: rc::Rc<poll_gate::PollGate>,
     /// Use of the connections to workers.
     pub(super) connections: ordering::Connections,
+    /// Cancellations of jobs that are not stored.
+    pub(super) tombstones: tombstones::Queue,
     /// Wakes the commit loop.
     pub commit_wake: Notify,
     /// Wakes the tasks that wait for a commit.
@@ -113,6 +115,7 @@
         pending_actions: cell::RefCell::default(),
         poll_gate: poll_gate::PollGate::new(node.settings.owner.order_window),
         connections: ordering::Connections::new(node.settings.budget),
+        tombstones: tombstones::Queue::default(),
         commit_wake: Notify::new(),
         committed: Notify::new(),
     });
@@ -138,6 +141,7 @@
     ntex::rt::spawn(worker_list::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(work_feed::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(commit::run(rc::Rc::clone(&ownership)));
+    ntex::rt::spawn(tombstones::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(run_placement(rc::Rc::clone(&ownership)));
     while !ownership.is_ended() {
         ownership.tick();
@@ -224,6 +228,15 @@
         }
     }
 
+    /// Has a job that is not stored refused from now on, as it was cancelled.
+    pub async fn forget(&self, id: task::JobId) -> tombstones::Verdict {
+        let may_store = self.is_loaded.get() && !self.is_ended();
+        if !may_store || self.owner.borrow().has_job(id) {
+            return tombstones::Verdict::Unsettled;
+        }
+        self.tombstones.store(id).await
+    }
+
     /// Returns a job's state; `None` if the owner has no such job.
     pub fn state(&self, id: task::JobId) -> Option<job::State> {
         self.owner.borrow().state(id)
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -137,17 +137,21 @@
         progress: &[platform::Row],
     ) -> Vec<owner::StoredJob> {
         let mut jobs = collections::BTreeMap::new();
-        let mut cancelled = collections::BTreeSet::new();
+        let mut cancelled = collections::BTreeMap::new();
         for row in work.iter().filter_map(rows::read_work) {
             match row.work {
                 record::Work::Job(job) => {
                     jobs.insert(row.id, (*job, row.version));
                 }
                 record::Work::Cancel => {
-                    cancelled.insert(row.id);
+                    cancelled.insert(row.id, row.version);
                 }
             }
         }
+        let now = clock::steady();
+        for (id, version) in cancelled.iter().filter(|(id, _)| !jobs.contains_key(id)) {
+            self.tombstones.add(*id, *version, now);
+        }
         let mut by_job = join_pages(progress);
         let join = |(id, (job, version)): (task::JobId, (job::Job, u64))| {
             let stored = by_job.remove(&id);
@@ -156,7 +160,7 @@
                 job,
                 pages: stored.iter().flat_map(|stored| &stored.pages).copied().collect(),
                 progress: stored.map(|stored| stored.progress),
-                is_cancelled: cancelled.contains(&id),
+                is_cancelled: cancelled.contains_key(&id),
                 is_inherited: version < self.token,
             }
         };
--- a/geraniumlatchd/src/jobs/submission.rs
+++ b/geraniumlatchd/src/jobs/submission.rs
@@ -11,9 +11,9 @@
 use super::{node, rows};
 use crate::clock;
 
-/// Maximum number of jobs that one transaction stores. It stays below the store's limit, as jobs
-/// can be large.
-const MAX_GROUP_JOBS: usize = 40;
+/// Maximum number of jobs that one transaction stores. Each takes three entries of the store's limit of
+/// 100.
+const MAX_GROUP_JOBS: usize = 33;
 /// Maximum total length of the rows that one transaction stores, in bytes. The store takes calls of
 /// up to 1 MB, in which rows are a third longer.
 const MAX_GROUP_BYTES: usize = 600_000;
@@ -35,6 +35,8 @@
     Stored,
     /// The job is stored, by an earlier call or by another daemon.
     Duplicate,
+    /// The job was cancelled before it was stored, and is not stored.
+    Cancelled,
     /// The job is not stored and never will be.
     Refused(Cause),
     /// The job may be stored already or later; the outcome is unknown.
@@ -88,6 +90,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Stored | Self::Duplicate => "stored",
+            Self::Cancelled => "cancelled",
             Self::Refused(_) => "refused",
             Self::Unsettled(_) => "unsettled",
         }
@@ -201,12 +204,17 @@
             Vec::new()
         }
         Ok(platform::Outcome::Conflict(found)) => {
-            let is_stored = |s: &Submission| {
-                let name = rows::job(s.id).name;
-                found.iter().any(|f| f.row.name == name && f.row.version > 0)
-            };
-            let (stored, left): (Vec<_>, Vec<_>) = group.into_iter().partition(is_stored);
-            stored.into_iter().for_each(|s| finish(s, Outcome::Duplicate));
+            let has = |name: &str| found.iter().any(|f| f.row.name == name && f.row.version > 0);
+            let mut left = Vec::new();
+            for submission in group {
+                if has(&rows::job(submission.id).name) {
+                    finish(submission, Outcome::Duplicate);
+                } else if has(&rows::cancel(submission.id).name) {
+                    finish(submission, Outcome::Cancelled);
+                } else {
+                    left.push(submission);
+                }
+            }
             left
         }
         Err(platform::StoreError::Lost { .. }) => {
@@ -261,7 +269,7 @@
 }
 
 /// Returns the transaction that stores a group. It checks that no row of a job exists yet, so that
-/// a repeated attempt does not overwrite a job.
+/// a repeated attempt does not overwrite a job, nor one of its cancellation.
 fn transaction(group: &[Submission]) -> platform::Transaction {
     let mut txn = platform::Transaction::default();
     for submission in group {
@@ -271,6 +279,7 @@
             continue;
         }
         txn.checks.push(platform::Check { key: key.clone(), version: 0 });
+        txn.checks.push(platform::Check { key: rows::cancel(submission.id), version: 0 });
         txn.writes.push(platform::Write { key, value: submission.row.clone() });
     }
     txn
--- a/geraniumlatchd/src/jobs/work_feed.rs
+++ b/geraniumlatchd/src/jobs/work_feed.rs
@@ -86,11 +86,15 @@
         for row in work.iter().filter_map(rows::read_work) {
             match row.work {
                 record::Work::Job(job) => owner.add_read_job(row.id, *job, after, &moment),
-                record::Work::Cancel => cancelled.push(row.id),
+                record::Work::Cancel => cancelled.push((row.id, row.version)),
             }
         }
-        for id in cancelled {
-            owner.cancel_job(id, moment.now);
+        for (id, version) in cancelled {
+            if owner.has_job(id) {
+                owner.cancel_job(id, moment.now);
+            } else {
+                self.tombstones.add(id, version, moment.now);
+            }
         }
     }
 }
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -15,6 +15,9 @@
         /// The time after which the client may retry.
         retry_after: time::Span,
     },
+    /// The job was cancelled before it was accepted.
+    #[error("the job was cancelled before it was accepted; submit it under another identity")]
+    Cancelled,
     /// The request was not carried out, and will be refused whenever it is repeated.
     #[error("not carried out: {reason}")]
     TooLong {
--- a/gl-jobs/src/lib.rs
+++ b/gl-jobs/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod record;
 pub mod retry_after;
 pub mod task;
+pub mod tombstones;
 pub mod wall_clock;
 pub mod worker;
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -30,6 +30,7 @@
 mod routing;
 mod silence;
 mod throttle;
+mod tombstones;
 mod uneven;
 mod waits;
 mod windows;
--- a/gl-standin/src/fleet/server.rs
+++ b/gl-standin/src/fleet/server.rs
@@ -12,6 +12,8 @@
 
 /// The interval at which each worker renews its row in the store.
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
+/// The time after which a lost reply would be sent, longer than callers wait.
+const LOST_REPLY: time::Duration = time::Duration::from_secs(10);
 /// The interval at which a pending long poll is checked.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(4);
 
@@ -69,6 +71,7 @@
             .service(web::resource("/rows-feed").route(web::get().to(read_feed)))
             .service(web::resource("/admin/config").route(web::post().to(set_config)))
             .service(web::resource("/admin/down").route(web::post().to(set_down)))
+            .service(web::resource("/admin/late").route(web::post().to(set_late_write)))
             .service(web::resource("/admin/slow").route(web::post().to(set_read_time)))
             .service(web::resource("/admin/reads").route(web::get().to(get_read_together)))
             .service(web::resource("/admin/runs").route(web::get().to(get_runs)))
@@ -93,6 +96,17 @@
     fleet: web::types::State<Fleet>,
     body: web::types::Json<Value>,
 ) -> web::HttpResponse {
+    let delay = fleet.store.lock().take_delay(&body);
+    if let Some(delay) = delay {
+        let late = fleet.clone();
+        ntex::rt::spawn(async move {
+            ntex::time::sleep(delay).await;
+            late.store.lock().transact(&body);
+        });
+        // Longer than any caller waits.
+        ntex::time::sleep(LOST_REPLY).await;
+        return unavailable();
+    }
     let mut store = fleet.store.lock();
     if store.is_down {
         return unavailable();
@@ -171,6 +185,15 @@
     web::HttpResponse::Ok().finish()
 }
 
+/// Sets the time after which the next write of a job is carried out, in milliseconds.
+async fn set_late_write(
+    fleet: web::types::State<Fleet>,
+    body: web::types::Json<u64>,
+) -> web::HttpResponse {
+    fleet.store.lock().late_write = Some(time::Duration::from_millis(*body));
+    web::HttpResponse::Ok().finish()
+}
+
 /// Sets the time that a read of a range takes, in milliseconds.
 async fn set_read_time(
     fleet: web::types::State<Fleet>,
--- a/gl-standin/src/fleet/store.rs
+++ b/gl-standin/src/fleet/store.rs
@@ -22,6 +22,8 @@
     version: u64,
     /// True during an outage: all requests are refused.
     pub is_down: bool,
+    /// The time after which the next write of a job is carried out. It gets no reply.
+    pub late_write: Option<time::Duration>,
     /// The time that a read of a range takes.
     pub read_time: time::Duration,
     /// The tables of the reads in progress, one entry for each read.
@@ -95,6 +97,12 @@
         }
     }
 
+    /// Returns the time after which a transaction is carried out, if it is to be late.
+    pub fn take_delay(&mut self, body: &Value) -> Option<time::Duration> {
+        let is_job = |entry: &Value| text(entry, "Key").ends_with("/job");
+        self.late_write.take_if(|_| entries(body, "Writes").any(is_job))
+    }
+
     /// Executes a transaction; returns the status and the body of the response.
     pub fn transact(&mut self, body: &Value) -> (u16, Value) {
         let count = ["ExpectedRev", "Writes", "Remove"].map(|list| entries(body, list).count());
