--- a/gl-platform/tests/platform/http_client.rs
+++ b/gl-platform/tests/platform/http_client.rs
@@ -58,6 +58,51 @@
     assert!(!gl_platform::is_unsent(&error), "{error:?}");
 }
 
+/// Serves one connection: answers `answered` requests, and resets the connection after it has read the
+/// next one.
+fn resetting_server(answered: usize) -> net::SocketAddr {
+    let socket = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = socket.accept().unwrap();
+        for n in 0..=answered {
+            let mut request = Vec::new();
+            while !request.ends_with(b"body") {
+                let mut chunk = [0; 4_096];
+                let length = stream.read(&mut chunk).unwrap();
+                request.extend_from_slice(&chunk[..length]);
+            }
+            if n < answered {
+                stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+            }
+        }
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+        let _guard = runtime.enter();
+        stream.set_nonblocking(true).unwrap();
+        tokio::net::TcpStream::from_std(stream).unwrap().set_zero_linger().unwrap();
+    });
+    address
+}
+
+/// Guards against tasks that run twice where a network resets connections: a worker has received the
+/// order, and the owner starts the task elsewhere.
+#[ntex::test]
+async fn connection_reset_after_the_request_was_read_is_not_unsent() {
+    for answered in [0, 1] {
+        let address = resetting_server(answered);
+        let client = client::Client::new().await;
+        for n in 0..=answered {
+            let result = client.post(format!("http://{address}/")).send_body("body").await;
+            if n < answered {
+                assert_matches!(result, Ok(_));
+                continue;
+            }
+            let error = result.unwrap_err();
+            assert!(!gl_platform::is_unsent(&error), "after {answered} responses: {error:?}");
+        }
+    }
+}
+
 #[ntex::test]
 async fn truncated_response_body_is_an_error() {
     for text in [
