fix: take a denial of ownership only from the daemon that was asked

A daemon that gets the address of a removed one denied ownership on that one's behalf, which counted as proof that it had terminated, although it may be alive elsewhere or cut off. A heartbeat now names the daemon that it is for, and another one answers that it is not. Earlier versions do not name it and are answered as before.

--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -229,6 +229,7 @@
     let confirmed_at = std::cell::Cell::new(time::Timestamp::default());
     let (refused_since, former_since) = (std::cell::Cell::new(None), std::cell::Cell::new(None));
     let followed = node::FollowedOwner {
+        daemon: owner.value.daemon.clone(),
         token,
         connection,
         confirmed_at,
@@ -264,14 +265,15 @@
             node.outage_reported.set(clock::steady());
         }
         let daemon = node.settings.daemon.clone();
-        let token = followed.token;
+        let (token, owner) = (followed.token, followed.daemon.clone());
         let (sent, wall) = (clock::steady(), clock::now());
-        let request = super::mesh::Request::Heartbeat { daemon, store_up, token, wall };
+        let request = super::mesh::Request::Heartbeat { daemon, store_up, token, owner, wall };
         let reply = followed.connection.request(request, HEARTBEAT_TIMEOUT).await;
         if clock::steady().since(sent) < time::Span::from(HEARTBEAT_TIMEOUT) {
             node.adopt_agreement(reply.as_ref(), sent);
         }
         followed.keep_summary(reply.as_ref(), sent);
+        let reply = reply.filter(|reply| !matches!(reply, super::mesh::Response::OtherDaemon));
         handle_heartbeat_reply(&node, &followed, reply.as_ref());
         let disconnected = followed.connection.disconnected();
         drop(followed);
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -21,6 +21,9 @@
         store_up: bool,
         /// The fencing token of the owner that the sender follows.
         token: u64,
+        /// The name of that owner; empty if the sender does not tell it, as in earlier versions.
+        #[serde(default)]
+        owner: String,
         /// The sender's time of day; zero if it does not tell it, as in earlier versions.
         #[serde(default)]
         wall: time::Timestamp,
@@ -86,6 +89,8 @@
     Pending(usize),
     /// The daemon sends no orders under the token of the heartbeat, now or later.
     NotOwner,
+    /// The heartbeat is for another daemon. Only senders that tell its name get this response.
+    OtherDaemon,
     /// The daemon cannot answer: it is not the owner, the outcome of its claim is unknown, or it
     /// has not loaded the stored state yet.
     NotYet,
@@ -136,10 +141,13 @@
 
 fn handle_now(node: &rc::Rc<node::Node>, request: Request) -> Response {
     let ownership = node.ownership();
-    if let Request::Heartbeat { token, .. } = request {
+    if let Request::Heartbeat { token, owner, .. } = &request {
         let own = ownership.as_ref().map(|ownership| ownership.token());
-        match election::ownership_status(own, node.has_open_claim.get(), token) {
+        let is_addressee = owner.is_empty() || *owner == node.settings.daemon;
+        let has_open_claim = node.has_open_claim.get();
+        match election::ownership_status(own, has_open_claim, *token, is_addressee) {
             election::OwnershipStatus::Owner => {}
+            election::OwnershipStatus::OtherDaemon => return Response::OtherDaemon,
             election::OwnershipStatus::NotOwner => return Response::NotOwner,
             election::OwnershipStatus::Unsettled => return Response::NotYet,
         }
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -56,6 +56,8 @@
 
 /// The owner that a daemon follows.
 pub struct FollowedOwner {
+    /// Name of the owner.
+    pub daemon: String,
     /// Fencing token of the owner.
     pub token: u64,
     /// Connection to the owner.
--- a/geraniumlatchd/tests/mesh.rs
+++ b/geraniumlatchd/tests/mesh.rs
@@ -23,6 +23,7 @@
         daemon: "a".to_owned(),
         store_up: true,
         token: 3,
+        owner: String::new(),
         wall: time::Timestamp(wall),
     };
     assert_eq!(read, heartbeat(0), "an earlier build gets no response that it does not know");
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -11,20 +11,25 @@
     NotOwner,
     /// The daemon may have claimed the cell, and the outcome of the claim is not known yet.
     Unsettled,
+    /// Another daemon was asked, whose address this one has now. That one may be alive elsewhere.
+    OtherDaemon,
 }
 
 /// Returns the ownership status of a daemon under the token `queried_token`.
 ///
 /// `held_token` is the token under which the daemon sends orders. `has_open_claim` says that a
 /// claim of its own has no known outcome yet. To deny ownership in that case would let another
-/// daemon take the cell over from one that is about to send orders.
+/// daemon take the cell over from one that is about to send orders. `is_addressee` says that the question
+/// is for this daemon, and not for an earlier one at its address.
 pub const fn ownership_status(
     held_token: Option<u64>,
     has_open_claim: bool,
     queried_token: u64,
+    is_addressee: bool,
 ) -> OwnershipStatus {
     match held_token {
         Some(token) if token == queried_token => OwnershipStatus::Owner,
+        _ if !is_addressee => OwnershipStatus::OtherDaemon,
         _ if has_open_claim => OwnershipStatus::Unsettled,
         _ => OwnershipStatus::NotOwner,
     }
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -14,10 +14,33 @@
 
 #[test]
 fn daemon_with_an_unsettled_claim_does_not_deny_ownership() {
-    assert_eq!(election::ownership_status(Some(7), false, 7), OwnershipStatus::Owner);
-    assert_eq!(election::ownership_status(Some(9), false, 7), OwnershipStatus::NotOwner);
-    assert_eq!(election::ownership_status(None, false, 7), OwnershipStatus::NotOwner);
-    assert_eq!(election::ownership_status(None, true, 7), OwnershipStatus::Unsettled);
+    assert_eq!(election::ownership_status(Some(7), false, 7, true), OwnershipStatus::Owner);
+    assert_eq!(election::ownership_status(Some(9), false, 7, true), OwnershipStatus::NotOwner);
+    assert_eq!(election::ownership_status(None, false, 7, true), OwnershipStatus::NotOwner);
+    assert_eq!(election::ownership_status(None, true, 7, true), OwnershipStatus::Unsettled);
+}
+
+/// Guards against a claim from a live owner whose address another daemon has taken over.
+#[test]
+fn daemon_at_the_address_of_another_one_does_not_deny_its_ownership() {
+    assert_eq!(election::ownership_status(None, false, 7, false), OwnershipStatus::OtherDaemon);
+    assert_eq!(election::ownership_status(Some(9), true, 7, false), OwnershipStatus::OtherDaemon);
+    assert_eq!(election::ownership_status(Some(7), false, 7, false), OwnershipStatus::Owner);
+}
+
+/// Guards against thousands of second runs after a cut of a failure domain, as recorded on
+/// lotus-latch-grown: a daemon that the owner had refused for eight seconds took the leases of all workers
+/// for expired, while the owner was alive and had just extended them.
+#[test]
+fn refusal_of_long_ago_does_not_shorten_the_leases_that_a_live_owner_extends() {
+    let last = election::LastOwner {
+        refused_since: Some(at(12_000)),
+        renewal_read: at(19_900),
+        ..election::LastOwner::default()
+    };
+    let horizon = time::Span::seconds(8);
+    let left = election::outstanding(&last, horizon, 0.0, at(20_000));
+    assert_eq!(left, Some(time::Span::millis(7_900)));
 }
 
 #[test]
