fix(gl-jobs): count the starts that an earlier owner may order in an outage

While no daemon reaches the store, an owner orders starts without renewals for as long as the reports of all daemons are current. A daemon that reached the store again and found the owner's address refusing connections counted from the last renewal only, which was before the outage, so that jobs accepted just after its claim did not wait. It now counts from its own last report, too.

`owner_may_order_starts_for_the_lease_of_its_last_renewal_unless_it_has_ended` has the case, and fails before (0 s in place of 1.1 s).

--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -196,15 +196,20 @@
 
 /// Returns the longest time for which earlier owners may order starts at `now` on workers that have
 /// not seen a later owner's fencing token. An owner orders none after its end, nor later than `lease`
-/// after its last renewal.
+/// after its last renewal, but for an outage, while the reports of all daemons are current.
 pub fn starts_left(
     last: &LastOwner,
     lease: time::Span,
     clock_drift: f64,
     now: time::Timestamp,
 ) -> time::Span {
-    let own = if last.ended.is_some() { time::Span::ZERO } else { lease };
-    left(last.renewal_read, own.max(last.earlier_starts), clock_drift, now)
+    let after = |at, span| left(at, span, clock_drift, now);
+    let earlier = after(last.renewal_read, last.earlier_starts);
+    if last.ended.is_some() {
+        return earlier;
+    }
+    let in_outage = after(last.outage_reported, HEARTBEAT_TRANSIT + HEARTBEAT_VALIDITY);
+    after(last.renewal_read, lease).max(in_outage).max(earlier)
 }
 
 /// Returns the rest at `now` of a time span that began at `at`, by a clock that may be slow.
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -175,6 +175,12 @@
     let ended = election::Ended { at: at(20_400), outstanding: None };
     let ended = election::LastOwner { ended: Some(ended), ..silent };
     assert_eq!(left(&ended), time::Span::ZERO);
+    let outage = election::LastOwner {
+        renewal_read: at(10_000),
+        outage_reported: at(20_100),
+        ..election::LastOwner::default()
+    };
+    assert_eq!(left(&outage), time::Span::millis(1_100), "the report counts for 1.5 s");
     let after_another = election::LastOwner { earlier_starts: time::Span::millis(900), ..ended };
     assert_eq!(left(&after_another), time::Span::millis(400), "the owner before it may be alive");
 }
