fix(geraniumlatchd): do not confirm the ownership for rows that were removed

Each row of a job that is removed after its retention made the owner read its own row once more. Found by reading; two lines, no change for rows that are stored.

--- a/geraniumlatchd/src/jobs/work_feed.rs
+++ b/geraniumlatchd/src/jobs/work_feed.rs
@@ -57,7 +57,8 @@
 impl ownership::Ownership {
     fn has_new_jobs(&self, work: &[platform::Row]) -> bool {
         let owner = self.owner.borrow();
-        let mut ids = work.iter().filter_map(|row| row.name.split_once('/')?.0.parse().ok());
+        let stored = work.iter().filter(|row| row.value.is_some());
+        let mut ids = stored.filter_map(|row| row.name.split_once('/')?.0.parse().ok());
         ids.any(|id| !owner.has_job(id))
     }
 
