refactor(gl-jobs): add a job that was read like one that was announced

The two ways to add a job shared their lines. One that was read in the store now is added like an announced one, and then marked as one that an earlier owner may know.

--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -295,9 +295,16 @@
         after: time::Timestamp,
         moment: &Moment,
     ) {
-        if !self.jobs.contains_key(&id) {
-            self.insert_job(id, JobEntry::new(job, after, moment), moment);
+        if self.jobs.contains_key(&id) {
+            return;
         }
+        let entry = JobEntry::new(job, after, moment);
+        if entry.job.schedule.is_some() {
+            self.scheduled_jobs.insert(id);
+        }
+        self.jobs.insert(id, entry);
+        self.count_arrival(id, moment.now);
+        self.open_due(id, moment);
     }
 
     /// Adds a job that was read in the store, and stored after `after`. It may have been announced to an
@@ -309,10 +316,13 @@
         after: time::Timestamp,
         moment: &Moment,
     ) {
-        if !self.jobs.contains_key(&id) {
-            let mut entry = JobEntry::new(job, after, moment);
-            entry.is_inherited = self.may_precede(after);
-            self.insert_job(id, entry, moment);
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.add_job_after(id, job, after, moment);
+        let is_inherited = self.may_precede(after);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.is_inherited = is_inherited;
         }
     }
 
@@ -321,15 +331,6 @@
         self.jobs.contains_key(&id)
     }
 
-    fn insert_job(&mut self, id: task::JobId, entry: JobEntry, moment: &Moment) {
-        if entry.job.schedule.is_some() {
-            self.scheduled_jobs.insert(id);
-        }
-        self.jobs.insert(id, entry);
-        self.count_arrival(id, moment.now);
-        self.open_due(id, moment);
-    }
-
     /// Ends a job whose cancellation is stored.
     pub fn cancel_job(&mut self, id: task::JobId, now: time::Timestamp) {
         let Some(entry) = self.jobs.get_mut(&id) else {
