--- a/gl-jobs/src/owner/view/unread.rs
+++ b/gl-jobs/src/owner/view/unread.rs
@@ -55,6 +55,30 @@
 }
 
 impl Owner {
+    /// Records the ends that are new, in their order, up to the first one of a job that the owner may not
+    /// have read yet. Returns the tasks of the others, which are reported again.
+    pub(in crate::owner) fn record_ends(
+        &mut self,
+        id: &worker::WorkerId,
+        reply: &worker::PollReply,
+        now: time::Timestamp,
+    ) -> collections::BTreeSet<task::TaskId> {
+        let processed = self.workers.get(id).map_or(0, |worker| worker.processed_end);
+        let mut new = reply.ended.iter().filter(|end| end.number > processed).peekable();
+        while let Some(end) = new.next_if(|end| !self.is_unread(end.task.phase.job, now)) {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.processed_end = worker.processed_end.max(end.number);
+            }
+            self.record_end(id, end, now);
+        }
+        new.map(|end| end.task).collect()
+    }
+
+    /// Returns whether a job that a worker reports may be stored without the owner having read it.
+    pub(in crate::owner) fn is_unread(&mut self, job: task::JobId, now: time::Timestamp) -> bool {
+        !self.jobs.contains_key(&job) && self.unread.is_unread(job, now)
+    }
+
     /// Records that all jobs are known that were stored when a read was sent at `sent`.
     pub fn work_read(&mut self, sent: time::Timestamp) {
         let unread = &mut self.unread;
