refactor(geraniumlatchd): name predecessors and tombstones what they are

The module that says what earlier owners may still do was called outstanding, after one of its two answers. The request that stores a tombstone was called Forget. Renames only.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -135,13 +135,13 @@
     }
 
     /// Has the owner refuse a job that is not stored, as a write of it may still be on its way.
-    async fn forget(&self, id: task::JobId) -> tombstones::Verdict {
+    async fn store_tombstone(&self, id: task::JobId) -> tombstones::Verdict {
         match self.node.role() {
-            node::Role::Owner(ownership) => ownership.forget(id).await,
+            node::Role::Owner(ownership) => ownership.store_tombstone(id).await,
             node::Role::Follower(followed) => {
-                let request = mesh::Request::Forget { id };
+                let request = mesh::Request::Tombstone { id };
                 match followed.connection.request(request, OWNER_STORE_TIMEOUT).await {
-                    Some(mesh::Response::Forget(verdict)) => verdict,
+                    Some(mesh::Response::Tombstone(verdict)) => verdict,
                     _ => tombstones::Verdict::Unsettled,
                 }
             }
@@ -154,7 +154,7 @@
         let state = match self.query_state(id).await {
             Some(state) => Some(state),
             // The owner finds out with the write, so that unknown identities cost no reads.
-            None => match self.forget(id).await {
+            None => match self.store_tombstone(id).await {
                 tombstones::Verdict::Absent => return Ok(CancelOutcome::NoJob),
                 tombstones::Verdict::Refused => return Ok(CancelOutcome::Refused),
                 tombstones::Verdict::Unsettled => self.read_state(id).await?,
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -9,7 +9,7 @@
 use gl_peer::rpc;
 use gl_platform::cell as platform;
 
-use super::{cell_rows, event, node, outstanding, ownership, rows};
+use super::{cell_rows, event, node, ownership, predecessors, rows};
 use crate::clock;
 
 /// Time for which a renewal is valid. Long enough for the replies of a slow store, and short enough
@@ -143,7 +143,7 @@
             terminated: cell
                 .owner
                 .as_ref()
-                .is_some_and(|owner| outstanding::former_since(node, owner.version).is_some()),
+                .is_some_and(|owner| predecessors::former_since(node, owner.version).is_some()),
             refused,
         });
         self.lease_watch.claim_reason(observation, TAKEOVER_TIMEOUT, sent, now)
@@ -159,7 +159,7 @@
         let settings = &node.settings;
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
         let sent = clock::steady();
-        let predecessors = outstanding::at_claim(node, cell, &self.lease_watch, sent);
+        let predecessors = predecessors::at_claim(node, cell, &self.lease_watch, sent);
         let txn = match cell_rows::claim(cell, &owner, &settings.owner, predecessors) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
@@ -200,7 +200,7 @@
             let claim = ownership::Claim {
                 token: owner.version,
                 sent: open.sent,
-                predecessors: outstanding::UNKNOWN,
+                predecessors: predecessors::UNKNOWN,
                 cause: "the reply to its claim was lost, and the claim took effect",
             };
             ownership::start(node, claim);
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -48,7 +48,7 @@
         id: task::JobId,
     },
     /// Requests that a job that is not stored be refused from now on, as it was cancelled.
-    Forget {
+    Tombstone {
         /// The job's identity.
         id: task::JobId,
     },
@@ -82,7 +82,7 @@
     /// The result of storing a job.
     Store(submission::Outcome),
     /// The answer to the cancellation of a job that is not stored.
-    Forget(tombstones::Verdict),
+    Tombstone(tombstones::Verdict),
     /// The job's state; `None` if the owner has no such job.
     State(Option<job::State>),
     /// The number of jobs that have not started.
@@ -113,8 +113,8 @@
     Box::pin(async move {
         match request {
             Request::Store { id, job } => Response::Store(store(&node, id, &job).await),
-            Request::Forget { id } => match node.ownership() {
-                Some(ownership) => Response::Forget(ownership.forget(id).await),
+            Request::Tombstone { id } => match node.ownership() {
+                Some(ownership) => Response::Tombstone(ownership.store_tombstone(id).await),
                 None => Response::NotYet,
             },
             request => handle_now(&node, request),
@@ -179,7 +179,7 @@
             Response::Noted
         }
         // `handle()` has handled these requests already, as they wait for the store.
-        Request::Store { .. } | Request::Forget { .. } => Response::NotYet,
+        Request::Store { .. } | Request::Tombstone { .. } => Response::NotYet,
         Request::State { id } => Response::State(ownership.state(id)),
         Request::Pending { queue } => {
             ownership.pending(&queue).map_or(Response::NotYet, Response::Pending)
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -229,7 +229,7 @@
     }
 
     /// Has a job that is not stored refused from now on, as it was cancelled.
-    pub async fn forget(&self, id: task::JobId) -> tombstones::Verdict {
+    pub async fn store_tombstone(&self, id: task::JobId) -> tombstones::Verdict {
         let may_store = self.is_loaded.get() && !self.is_ended();
         if !may_store || self.owner.borrow().has_job(id) {
             return tombstones::Verdict::Unsettled;
