--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -2,10 +2,12 @@
 //! owners and workers, and checks the guarantees.
 
 mod checks;
+mod claims;
 mod faults;
 mod messages;
 mod owners;
 mod settings;
+mod stored_job;
 mod workers;
 
 use std::collections;
@@ -19,7 +21,8 @@
 use checks::{CrashCount, PendingEnd};
 use faults::Split;
 use messages::Delivery;
-use owners::{Ownership, StoredJob, is_active};
+use owners::{Ownership, is_active};
+use stored_job::StoredJob;
 
 use crate::{report, worker};
 
