feat: log which worker's leases are taken to have expired, and by which bound

`over` lines have only the cause `lapsed`, which a worker that restarts gives as well, and a new owner that stops waiting for a worker logged only a number. `leases-expired` names the worker and its failure domain, once for each worker: the number of its runs, the time since its last reply, and whether the end of the leases follows from what this owner has granted or from what earlier ones may have.

The ends of runs and their order are unchanged.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use gl_jobs::{job, owner, task, worker};
+use gl_model::time;
 
 /// An event of the log. The names of variants and fields, or the names that `rename` gives, are
 /// written to the log, and tools that read the log depend on them.
@@ -173,6 +174,15 @@
     GivenUp { task: Text<task::TaskId>, crashes: usize },
     /// A worker's incarnation was replaced.
     Replaced { worker: &'a str, runs_lost: usize },
+    /// All leases of a worker are taken to have expired, so that what ran there can start elsewhere.
+    /// `runs` is not known of a worker that has not replied to a new owner, nor `silent_ms`.
+    LeasesExpired {
+        worker: &'a str,
+        domain: &'a str,
+        runs: Option<usize>,
+        silent_ms: Option<u64>,
+        bound: owner::LeaseBound,
+    },
     /// A new owner waits for workers that may run tasks of earlier owners' jobs.
     Recovering { missing: usize, workers: Vec<Text<worker::WorkerId>>, left_ms: u64 },
     /// All runs that earlier owners may have started have been accounted for.
@@ -264,6 +274,13 @@
             Note::Replaced { worker, runs } => {
                 Self::Replaced { worker: worker.as_str(), runs_lost: *runs }
             }
+            Note::LeasesExpired { worker, domain, runs, silent, bound } => Self::LeasesExpired {
+                worker: worker.as_str(),
+                domain,
+                runs: *runs,
+                silent_ms: silent.map(time::Span::as_millis),
+                bound: *bound,
+            },
             Note::Recovering { missing, workers, left } => Self::Recovering {
                 missing: *missing,
                 workers: workers.iter().cloned().map(Text).collect(),
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -171,6 +171,20 @@
         /// The number of runs that were lost.
         runs: usize,
     },
+    /// All leases of a worker are taken to have expired, so that what ran there can start elsewhere.
+    LeasesExpired {
+        /// The worker.
+        worker: worker::WorkerId,
+        /// Its failure domain.
+        domain: String,
+        /// The number of its runs, which have ended; `None` in a recovery, if it has not told which
+        /// tasks it runs.
+        runs: Option<usize>,
+        /// The time since its last reply; `None` if it has not replied to this owner.
+        silent: Option<time::Span>,
+        /// What the end of the leases follows from.
+        bound: LeaseBound,
+    },
     /// Operators have emptied a failure domain: no task is started there.
     Emptied {
         /// The failure domain.
@@ -219,6 +233,15 @@
     },
 }
 
+/// What the end of a worker's leases follows from.
+#[gl_derive::tag]
+pub enum LeaseBound {
+    /// The last lease or deadline that this owner has sent.
+    Own,
+    /// The longest time for which leases of earlier owners may last.
+    Inherited,
+}
+
 /// The cause of the end of a run, as far as the owner can tell.
 #[gl_derive::tag]
 pub enum Cause {
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -27,7 +27,7 @@
 
 use gl_model::time;
 
-pub use action::{Action, Cause, Note, StopReason};
+pub use action::{Action, Cause, LeaseBound, Note, StopReason};
 pub use advice::Grant;
 pub use commit::{Commit, Row as CommitRow};
 pub use estimate::{Estimate, Medians, Record as WorkerRecord};
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -9,7 +9,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Moment, Note, Owner};
+use crate::owner::{Action, Moment, Note, Owner};
 use crate::{job, record, task, worker};
 
 /// A job as it was read from the store.
@@ -254,7 +254,9 @@
         return;
     };
     let count = recovery.pending.len();
-    recovery.pending.retain(|_, pending| now < pending.until);
+    let expired = recovery.pending.extract_if(.., |_, pending| now >= pending.until);
+    let expired = expired.filter_map(|(id, _)| owner.workers.get(&id));
+    owner.actions.extend(expired.map(|worker| Action::Note(worker.leases_expired(None, now))));
     let left = recovery.pending.len();
     recovery.missing += count - left;
     let took = now.since(recovery.since);
--- a/gl-jobs/src/owner/recovery/timeouts.rs
+++ b/gl-jobs/src/owner/recovery/timeouts.rs
@@ -20,10 +20,15 @@
     let is_expired = |w: &&crate::owner::Worker| {
         !w.runs.is_empty() && w.expiry(&settings).is_some_and(|at| now >= at)
     };
-    let expired = owner.workers.values().filter(is_expired);
-    let lost: Vec<_> = expired.flat_map(|w| w.runs.iter().copied()).collect();
-    for task in lost {
-        owner.end_run(task, Cause::Lapsed, now);
+    let lost_with = |w: &crate::owner::Worker| {
+        (w.leases_expired(Some(w.runs.len()), now), w.runs.iter().copied().collect::<Vec<_>>())
+    };
+    let lost: Vec<_> = owner.workers.values().filter(is_expired).map(lost_with).collect();
+    for (note, tasks) in lost {
+        owner.note(note);
+        for task in tasks {
+            owner.end_run(task, Cause::Lapsed, now);
+        }
     }
 }
 
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -5,7 +5,7 @@
 use gl_model::{size, time};
 
 use crate::owner::colocation::pressure;
-use crate::owner::{Settings, estimate, interference, runs};
+use crate::owner::{LeaseBound, Note, Settings, estimate, interference, runs};
 use crate::{record, task, worker};
 
 /// A worker of the cell.
@@ -262,6 +262,22 @@
         Some(reading.at + left + left.scaled(settings.clock_drift) + settings.clock_margin)
     }
 
+    /// Returns the report that all leases of the worker are taken to have expired.
+    pub(in crate::owner) fn leases_expired(
+        &self,
+        runs: Option<usize>,
+        now: time::Timestamp,
+    ) -> Note {
+        let is_own = self.granted_until > self.inherited_until;
+        Note::LeasesExpired {
+            worker: self.registration.id.clone(),
+            domain: self.registration.domain.clone(),
+            runs,
+            silent: self.incarnation.map(|_| now.since(self.polled_at)),
+            bound: if is_own { LeaseBound::Own } else { LeaseBound::Inherited },
+        }
+    }
+
     /// Returns whether the worker is one of those that get tasks: it is listed and enrolled, and neither
     /// drains nor has an emptied failure domain. It may still be suspect or silent at the moment.
     pub const fn is_in_use(&self) -> bool {
--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -206,3 +206,48 @@
     cell.owner.workers_listed(&[listed], cell::at(cell.now), cell::at(cell.now));
     assert_eq!(acknowledged(&mut cell), 0, "the list has a newer incarnation");
 }
+
+fn expired(actions: &[owner::Action]) -> Vec<owner::Note> {
+    let expired = |action: &owner::Action| match action {
+        owner::Action::Note(note @ owner::Note::LeasesExpired { .. }) => Some(note.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(expired).collect()
+}
+
+/// Guards against a log that does not tell why the runs of a silent worker count as ended.
+#[test]
+fn expired_leases_of_a_worker_are_reported_once_before_the_ends_of_its_runs() {
+    let mut cell = Cell::new(1);
+    let started = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(3, 1_000)])));
+    started.iter().for_each(|start| cell.start_replied(start, worker::OrderReply::Done));
+    let running: Vec<_> = started.iter().map(|start| cell::running(start, 5.0, 1_000.0)).collect();
+    cell.poll(0, &running);
+    let polled = cell.now;
+    cell.is_lease_valid = false;
+    let actions = loop {
+        let actions = cell.tick();
+        if !expired(&actions).is_empty() {
+            break actions;
+        }
+        assert!(cell.now < 30_000, "the leases expire");
+    };
+    let note = owner::Note::LeasesExpired {
+        worker: cell::worker(0),
+        domain: "a".to_owned(),
+        runs: Some(3),
+        silent: Some(time::Span::millis(cell.now - polled)),
+        bound: owner::LeaseBound::Own,
+    };
+    assert_eq!(expired(&actions), [note]);
+    let kinds = actions.iter().filter_map(|action| match action {
+        owner::Action::Note(owner::Note::LeasesExpired { .. }) => Some("expired"),
+        owner::Action::Note(owner::Note::Ended { cause: owner::Cause::Lapsed, .. }) => {
+            Some("ended")
+        }
+        _ => None,
+    });
+    assert_eq!(kinds.collect::<Vec<_>>(), ["expired", "ended", "ended", "ended"]);
+    let later: Vec<_> = (0..100).flat_map(|_| cell.tick()).collect();
+    assert_eq!(expired(&later), []);
+}
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -232,6 +232,60 @@
     assert!(!owner.take_actions().iter().any(is_wait_report), "it is reported once");
 }
 
+/// Guards against a log that does not tell which workers a new owner has given up, so that the tasks that
+/// they run start elsewhere.
+#[test]
+fn worker_without_a_reply_until_its_leases_have_expired_is_reported() {
+    let mut owner = after_claim(
+        vec![cell::registration(0), cell::registration(1)],
+        record::Progress::default(),
+    );
+    poll_replied(&mut owner, 0, &empty(15_000), 15_000);
+    let expired = |owner: &mut owner::Owner, now| {
+        owner.tick(&cell::moment(now));
+        let actions = owner.take_actions().into_iter();
+        let is_expired = |action: &owner::Action| {
+            matches!(action, owner::Action::Note(owner::Note::LeasesExpired { .. }))
+        };
+        actions.filter(is_expired).collect::<Vec<_>>()
+    };
+    assert_eq!(expired(&mut owner, 15_050), []);
+    let note = owner::Note::LeasesExpired {
+        worker: cell::worker(1),
+        domain: "a".to_owned(),
+        runs: None,
+        silent: None,
+        bound: owner::LeaseBound::Inherited,
+    };
+    assert_eq!(expired(&mut owner, 15_400), [owner::Action::Note(note)]);
+    assert_eq!(expired(&mut owner, 15_450), []);
+}
+
+/// Guards against a log that blames this owner's leases for the end of runs that an earlier owner's leases
+/// were taken to cover.
+#[test]
+fn expired_lease_of_an_earlier_owner_is_reported_as_inherited() {
+    let mut owner = after_claim(vec![cell::registration(0)], record::Progress::default());
+    let running = worker::Running {
+        task: cell::task(1, 0, 0),
+        attempt: 5,
+        checkpoint: String::new(),
+        progress: 20.0,
+        load: 0.0,
+    };
+    let reply = worker::PollReply { running: vec![running], ..empty(5_010) };
+    poll_replied(&mut owner, 0, &reply, 5_010);
+    owner.tick(&cell::moment(16_000));
+    let expired = owner.take_actions().into_iter().find_map(|action| match action {
+        owner::Action::Note(owner::Note::LeasesExpired { runs, silent, bound, .. }) => {
+            Some((runs, silent, bound))
+        }
+        _ => None,
+    });
+    let silent = Some(time::Span::millis(10_990));
+    assert_eq!(expired, Some((Some(1), silent, owner::LeaseBound::Inherited)));
+}
+
 fn is_wait_report(action: &owner::Action) -> bool {
     matches!(action, owner::Action::Note(owner::Note::Recovering { .. }))
 }
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -97,6 +97,7 @@
             owner::Note::Throttled { .. } => self.event("pace"),
             owner::Note::Suspected { .. } => self.event("suspect"),
             owner::Note::Replaced { .. } => self.event("replaced"),
+            owner::Note::LeasesExpired { .. } => self.event("leases-expired"),
             owner::Note::Stopping { .. } => self.event("stop"),
             owner::Note::Overtaken { .. } => self.event("overtaken"),
             owner::Note::Implicated { .. } => self.event("implicated"),
