feat: log the recorded run of a task when a worker reports another one

A worker that reports a run of a task of which another run is recorded is ordered to stop it. The line of that order has the reason `unknown`, which also stands for runs of no stored job, and does not name the other run. `second-run` names both with the tokens of the owners that ordered them, so that a log tells whether one owner or two started the task.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -115,6 +115,20 @@
         worker: &'a str,
         reason: owner::StopReason,
     },
+    /// A worker reports a run of a task of which another run is recorded, and is ordered to stop it.
+    /// The tokens are those of the owners that ordered the runs. Logged once for each attempt.
+    SecondRun {
+        task: Text<task::TaskId>,
+        attempt: u64,
+        token: u64,
+        worker: &'a str,
+        other_attempt: u64,
+        other_token: u64,
+        other_worker: &'a str,
+        other_age_ms: u64,
+    },
+    /// More such runs were reported in the last second than are logged.
+    SecondRunsOmitted { runs: usize },
     /// A job's final state was decided.
     Decided {
         job: Text<task::JobId>,
@@ -230,6 +244,26 @@
                 worker: worker.as_str(),
                 reason: *reason,
             },
+            Note::SecondRun {
+                task,
+                attempt,
+                token,
+                worker,
+                other_attempt,
+                other_token,
+                other_worker,
+                other_age,
+            } => Self::SecondRun {
+                task: Text(*task),
+                attempt: *attempt,
+                token: *token,
+                worker: worker.as_str(),
+                other_attempt: *other_attempt,
+                other_token: *other_token,
+                other_worker: other_worker.as_str(),
+                other_age_ms: other_age.as_millis(),
+            },
+            Note::SecondRunsOmitted { runs } => Self::SecondRunsOmitted { runs: *runs },
             Note::Decided { job, state, age, objective, work, rank, waits } => Self::Decided {
                 job: Text(*job),
                 state: *state,
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -107,6 +107,30 @@
         /// The reason for the stop.
         reason: StopReason,
     },
+    /// A worker reports a run of a task of which another run is recorded. The reported one is stopped.
+    SecondRun {
+        /// The task.
+        task: task::TaskId,
+        /// The attempt of the reported run.
+        attempt: u64,
+        /// The fencing token of the owner that ordered it.
+        token: u64,
+        /// The worker that reports it.
+        worker: worker::WorkerId,
+        /// The attempt of the recorded run.
+        other_attempt: u64,
+        /// The fencing token of the owner that ordered that one.
+        other_token: u64,
+        /// The worker that it was ordered on.
+        other_worker: worker::WorkerId,
+        /// The time since it was ordered or first reported.
+        other_age: time::Span,
+    },
+    /// More such runs were reported in the last second than are logged.
+    SecondRunsOmitted {
+        /// The number of those that were not logged.
+        runs: usize,
+    },
     /// The final state of a job was decided. It is not stored yet, unless the job was cancelled.
     Decided {
         /// The job.
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -54,7 +54,7 @@
 };
 use recovery::{store_clock, timeouts};
 use state::{estimate, jobs, pages, runs, workers};
-use view::{domains, roster, unread};
+use view::{domains, roster, second_runs, unread};
 
 use crate::{record, task, worker};
 
@@ -118,6 +118,8 @@
     recovery: Option<recovery::Recovery>,
     /// The unknown jobs that workers report.
     unread: unread::Unread,
+    /// The reported runs of tasks of which another run is recorded.
+    second_runs: second_runs::SecondRuns,
     /// The longest time for which leases that earlier owners have extended may last from the takeover.
     inherited_lease: time::Span,
     /// The time from which on no earlier owner orders starts; `None` if they had ended before the claim.
@@ -161,6 +163,11 @@
 /// of a later owner are higher than those of earlier ones.
 const ATTEMPTS_PER_TOKEN: u64 = 1 << 22;
 
+/// Returns the fencing token of the owner that ordered an attempt.
+const fn token_of(attempt: u64) -> u64 {
+    attempt / ATTEMPTS_PER_TOKEN
+}
+
 impl Owner {
     /// Creates an owner that holds `token` and has an empty state.
     pub fn new(settings: Settings, token: u64, now: time::Timestamp) -> Self {
@@ -204,6 +211,7 @@
             unstored_vacating: collections::BTreeSet::new(),
             recovery: None,
             unread: unread::Unread::default(),
+            second_runs: second_runs::SecondRuns::default(),
             inherited_lease: settings.horizon,
             superseded_at: None,
             store_clock: None,
@@ -296,6 +304,7 @@
         timeouts::run(self, moment.now);
         recovery::run(self, moment.now);
         roster::run(self, moment.now);
+        second_runs::run(self, moment.now);
         for id in self.scheduled_jobs.clone() {
             self.open_due(id, moment);
         }
--- a/gl-jobs/src/owner/view/mod.rs
+++ b/gl-jobs/src/owner/view/mod.rs
@@ -4,4 +4,5 @@
 pub(in crate::owner) mod domains;
 pub(in crate::owner) mod polls;
 pub(in crate::owner) mod roster;
+pub(in crate::owner) mod second_runs;
 pub(in crate::owner) mod unread;
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -297,7 +297,7 @@
                 }
                 None => {
                     unknown += 1;
-                    self.stop_unknown(id, running);
+                    self.stop_unknown(id, running, now);
                 }
             }
         }
@@ -340,7 +340,13 @@
         Some(is_first)
     }
 
-    fn stop_unknown(&mut self, id: &worker::WorkerId, running: &worker::Running) {
+    fn stop_unknown(
+        &mut self,
+        id: &worker::WorkerId,
+        running: &worker::Running,
+        now: time::Timestamp,
+    ) {
+        self.note_second_run(id, running, now);
         let (worker, task, attempt) = (id.clone(), running.task, running.attempt);
         let reason = StopReason::Unknown;
         self.note(Note::Stopping { task, attempt, worker: worker.clone(), reason });
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -28,6 +28,7 @@
 mod retry_after;
 mod roster;
 mod routing;
+mod second_runs;
 mod silence;
 mod throttle;
 mod tombstones;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -99,6 +99,8 @@
             owner::Note::Replaced { .. } => self.event("replaced"),
             owner::Note::LeasesExpired { .. } => self.event("leases-expired"),
             owner::Note::Stopping { .. } => self.event("stop"),
+            owner::Note::SecondRun { .. } => self.event("second-run"),
+            owner::Note::SecondRunsOmitted { runs } => self.count("second-run", *runs as u64),
             owner::Note::Overtaken { .. } => self.event("overtaken"),
             owner::Note::Implicated { .. } => self.event("implicated"),
             owner::Note::GivenUp { .. } => self.event("given-up"),
@@ -128,7 +130,11 @@
     }
 
     fn event(&self, kind: &'static str) {
-        self.events.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
+        self.count(kind, 1);
+    }
+
+    fn count(&self, kind: &'static str, events: u64) {
+        self.events.add(events, &[opentelemetry::KeyValue::new("kind", kind)]);
     }
 
     /// Records a poll of a worker.
