feat: log what a claim assumes of earlier owners, and by which bound

How long a new owner waits for leases is the smallest of three bounds, and nothing told which one it was. `claimed` now has the time that leases could last, the bound that decided it, the time for which earlier owners could order starts, and the ages of the newest renewal and of this daemon's last report of an outage.

`election::outstanding()` gives the same results; `shortest_bound()` gives what they follow from as well.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -50,8 +50,21 @@
     DependencyRecovered { dependency: &'static str, after_ms: u64 },
     /// This daemon follows another owner of the cell.
     Following { owner: &'a str, token: u64 },
-    /// This daemon claimed the cell.
-    Claimed { token: u64, jobs: usize, workers: usize, cause: &'static str },
+    /// This daemon claimed the cell. At the claim, leases of workers that earlier owners had extended
+    /// could last for `leases_ms`, by `bound`, and those owners could order starts for `starts_ms`. The
+    /// newest renewal was first read `renewal_age_ms` before it, and this daemon had last reported an
+    /// outage of the store `outage_age_ms` before it.
+    Claimed {
+        token: u64,
+        jobs: usize,
+        workers: usize,
+        cause: &'static str,
+        leases_ms: Option<u64>,
+        bound: &'static str,
+        starts_ms: u64,
+        renewal_age_ms: Option<u64>,
+        outage_age_ms: Option<u64>,
+    },
     /// A claim failed, or its outcome is unknown.
     ClaimFailed { cause: &'static str, detail: String },
     /// This daemon gave the cell up.
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -159,8 +159,8 @@
         let settings = &node.settings;
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
         let sent = clock::steady();
-        let predecessors = predecessors::at_claim(node, cell, &self.lease_watch, sent);
-        let txn = match cell_rows::claim(cell, &owner, &settings.owner, predecessors) {
+        let assumed = predecessors::at_claim(node, cell, &self.lease_watch, sent);
+        let txn = match cell_rows::claim(cell, &owner, &settings.owner, assumed.predecessors) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
         };
@@ -170,7 +170,7 @@
         let is_lost = matches!(result, Err(platform::StoreError::Lost { .. }));
         match result {
             Ok(platform::Outcome::Committed(token)) => {
-                ownership::start(node, ownership::Claim { token, sent, predecessors, cause });
+                ownership::start(node, ownership::Claim { token, sent, assumed, cause });
             }
             Ok(platform::Outcome::Conflict(_)) => {
                 log_claim_failure(cause, "another daemon claimed the cell first".to_owned());
@@ -200,7 +200,7 @@
             let claim = ownership::Claim {
                 token: owner.version,
                 sent: open.sent,
-                predecessors: predecessors::UNKNOWN,
+                assumed: predecessors::UNKNOWN,
                 cause: "the reply to its claim was lost, and the claim took effect",
             };
             ownership::start(node, claim);
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -9,7 +9,7 @@
 
 use super::{
     action_queue, commit, event, followers, lease, node, ordering, pass_meter, placement_pause,
-    poll_gate, poll_pause, tombstones, work_feed, worker_client, worker_list,
+    poll_gate, poll_pause, predecessors, tombstones, work_feed, worker_client, worker_list,
 };
 use crate::clock;
 
@@ -80,15 +80,15 @@
     pub token: u64,
     /// The time at which it was sent.
     pub sent: time::Timestamp,
-    /// What earlier owners may still do.
-    pub predecessors: election::Predecessors,
+    /// What this daemon assumes of earlier owners.
+    pub assumed: predecessors::Assumed,
     /// The reason for the claim.
     pub cause: &'static str,
 }
 
 /// Starts the ownership after a claim, which renews the lease as any renewal does.
 pub fn start(node: &rc::Rc<node::Node>, claim: Claim) {
-    let Claim { token, sent, predecessors, cause } = claim;
+    let Claim { token, sent, assumed, .. } = claim;
     let now = clock::steady();
     let ownership = rc::Rc::new(Ownership {
         node: rc::Rc::clone(node),
@@ -99,7 +99,7 @@
         starts_allowed: cell::Cell::new(false),
         lease_until: cell::Cell::new(sent + lease::DURATION),
         started_at: now,
-        predecessors,
+        predecessors: assumed.predecessors,
         wall_clock: cell::RefCell::new(wall_clock::WallClock::new(node.agreed.get(), now)),
         followers: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
@@ -122,13 +122,13 @@
     node.set_role(node::Role::Owner(rc::Rc::clone(&ownership)));
     node.metrics.claim();
     ntex::rt::spawn(lease::renew(rc::Rc::clone(node), rc::Rc::clone(&ownership)));
-    ntex::rt::spawn(run(ownership, cause));
+    ntex::rt::spawn(run(ownership, claim));
 }
 
 /// Loads the stored state, starts the other tasks, and ticks until the ownership ends.
-async fn run(ownership: rc::Rc<Ownership>, cause: &'static str) {
+async fn run(ownership: rc::Rc<Ownership>, claim: Claim) {
     while !ownership.is_ended() {
-        match ownership.load_state(cause).await {
+        match ownership.load_state(&claim).await {
             Ok(()) => break,
             Err(_) => ntex::time::sleep(LOAD_RETRY_PAUSE).await,
         }
--- a/geraniumlatchd/src/jobs/predecessors.rs
+++ b/geraniumlatchd/src/jobs/predecessors.rs
@@ -8,20 +8,45 @@
 use super::{cell_rows, lease, node, ownership};
 use crate::clock;
 
-/// What earlier owners may still do after a claim that took effect at an unknown time: the last owner
-/// may have gone on until then.
-pub(super) const UNKNOWN: election::Predecessors =
-    election::Predecessors { outstanding: None, starts: lease::DURATION };
+/// What a new owner assumes of earlier ones, and what that follows from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Assumed {
+    /// What they may still do.
+    pub predecessors: election::Predecessors,
+    /// What decided how long the leases of workers may last.
+    pub bound: Option<election::Bound>,
+    /// The time since the last owner's newest renewal was first read.
+    pub renewal_age: Option<time::Span>,
+    /// The time since this daemon last reported that it could not reach the store.
+    pub outage_age: Option<time::Span>,
+}
+
+/// What a new owner assumes after a claim that took effect at an unknown time: the last owner may have
+/// gone on until then.
+pub(super) const UNKNOWN: Assumed = Assumed {
+    predecessors: election::Predecessors { outstanding: None, starts: lease::DURATION },
+    bound: None,
+    renewal_age: None,
+    outage_age: None,
+};
 
-/// Returns what earlier owners may still do after a claim at `now`.
+/// Returns what a new owner assumes of earlier ones after a claim at `now`.
 pub(super) fn at_claim(
     node: &node::Node,
     cell: &cell_rows::CellRows,
     watch: &election::LeaseWatch,
     now: time::Timestamp,
-) -> election::Predecessors {
+) -> Assumed {
+    let outage_reported = node.outage_reported.get();
+    let has_reported = outage_reported > time::Timestamp::default();
+    let assumed = Assumed {
+        predecessors: election::Predecessors::default(),
+        bound: None,
+        renewal_age: watch.renewal_read().map(|at| now.since(at)),
+        outage_age: has_reported.then(|| now.since(outage_reported)),
+    };
     let (Some(row), Some(owner)) = (&cell.lease, &cell.owner) else {
-        return election::Predecessors::default();
+        return assumed;
     };
     let (row, token) = (&row.value, owner.version);
     let ended_at = former_since(node, token).or(row.released.then_some(now));
@@ -31,13 +56,16 @@
         earlier_starts: row.earlier_starts.unwrap_or_default(),
         refused_since: refused_since(node, token),
         unrenewed_since: watch.unchanged_since().filter(|_| has_followed(node, token)),
-        outage_reported: node.outage_reported.get(),
+        outage_reported,
     };
     let drift = node.settings.owner.clock_drift;
-    election::Predecessors {
-        outstanding: election::outstanding(&last, row.horizon, drift, now),
+    let outstanding = election::shortest_bound(&last, row.horizon, drift, now);
+    let predecessors = election::Predecessors {
+        outstanding: outstanding.map(|outstanding| outstanding.left),
         starts: election::starts_left(&last, lease::DURATION, drift, now),
-    }
+    };
+    let bound = outstanding.map(|outstanding| outstanding.bound);
+    Assumed { predecessors, bound, ..assumed }
 }
 
 /// Returns the time since which the process that claimed the cell with `token` is known not to own it
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -3,10 +3,15 @@
 use std::collections;
 
 use futures_util::future;
-use gl_jobs::{job, owner, record, task};
+use gl_jobs::{election, job, owner, record, task};
+use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::{commit, event, ownership::Ownership, rows};
+use super::{
+    commit, event,
+    ownership::{Claim, Ownership},
+    rows,
+};
 use crate::clock;
 
 /// Decodes rows. A row that cannot be decoded is logged and left out.
@@ -57,7 +62,7 @@
 
 impl Ownership {
     /// Loads the stored state and the list of workers, and fences off earlier owners' commits.
-    pub(super) async fn load_state(&self, cause: &'static str) -> Result<(), platform::StoreError> {
+    pub(super) async fn load_state(&self, claim: &Claim) -> Result<(), platform::StoreError> {
         let platform = &self.node.platform;
         let listed_at = clock::steady();
         let (list, fenced) = future::join(platform.directory.workers(), commit::fence(self)).await;
@@ -101,7 +106,18 @@
         self.feed_read.set(sent);
         self.list_version.set(Some(list.version));
         self.is_loaded.set(true);
-        event::emit(&event::Event::Claimed { token: self.token, jobs, workers: count, cause });
+        let assumed = &claim.assumed;
+        event::emit(&event::Event::Claimed {
+            token: self.token,
+            jobs,
+            workers: count,
+            cause: claim.cause,
+            leases_ms: assumed.predecessors.outstanding.map(time::Span::as_millis),
+            bound: assumed.bound.map_or("none", election::Bound::as_str),
+            starts_ms: assumed.predecessors.starts.as_millis(),
+            renewal_age_ms: assumed.renewal_age.map(time::Span::as_millis),
+            outage_age_ms: assumed.outage_age.map(time::Span::as_millis),
+        });
         Ok(())
     }
 
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -176,6 +176,37 @@
     pub outage_reported: time::Timestamp,
 }
 
+/// What the end of the leases follows from that earlier owners have extended.
+#[gl_derive::tag]
+pub enum Bound {
+    /// The end of the last owner.
+    Ended,
+    /// Its lease, which this daemon has not seen renewed while it followed it.
+    Unrenewed,
+    /// Its address, which refuses the connections of this daemon.
+    Refused,
+}
+
+impl Bound {
+    /// Returns the bound's name.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Unrenewed => "unrenewed",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+/// A bound on the time for which leases of workers may last.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outstanding {
+    /// The longest time for which they may last.
+    pub left: time::Span,
+    /// What it follows from.
+    pub bound: Bound,
+}
+
 /// Returns the longest time for which leases of workers may last at `now`, or `None` if that is not
 /// known. An owner extends none after its end, nor further than the horizon after its last renewal.
 pub fn outstanding(
@@ -184,6 +215,16 @@
     clock_drift: f64,
     now: time::Timestamp,
 ) -> Option<time::Span> {
+    shortest_bound(last, horizon, clock_drift, now).map(|outstanding| outstanding.left)
+}
+
+/// Returns the same as [`outstanding()`], with what it follows from.
+pub fn shortest_bound(
+    last: &LastOwner,
+    horizon: time::Span,
+    clock_drift: f64,
+    now: time::Timestamp,
+) -> Option<Outstanding> {
     let after = |at, span| left(at, span, clock_drift, now);
     let ended = last.ended.and_then(|ended| Some(after(ended.at, ended.outstanding?)));
     let unrenewed =
@@ -191,7 +232,10 @@
     let unrenewed = unrenewed.map(|at| after(at, horizon));
     // No report of an outage has reached the owner since.
     let unreported = last.refused_since.map(|at| after(at.max(last.renewal_read), horizon));
-    ended.into_iter().chain(unrenewed).chain(unreported).min()
+    let bounds =
+        [(ended, Bound::Ended), (unrenewed, Bound::Unrenewed), (unreported, Bound::Refused)];
+    let known = bounds.into_iter().filter_map(|(left, bound)| left.map(|left| (left, bound)));
+    known.map(|(left, bound)| Outstanding { left, bound }).min_by_key(|known| known.left)
 }
 
 /// Returns the longest time for which earlier owners may order starts at `now` on workers that have
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -137,6 +137,29 @@
     assert_eq!(left(&earlier, 22_500), Some(time::Span::millis(7_500)), "it has renewed since");
 }
 
+/// Guards against a log that does not tell why a claim has waited for leases no longer than it did.
+#[test]
+fn bound_that_decides_how_long_leases_last_is_the_shortest_one() {
+    let horizon = time::Span::seconds(8);
+    let decided = |last: &election::LastOwner| {
+        let known = election::shortest_bound(last, horizon, 0.0, at(22_000));
+        assert_eq!(
+            known.map(|known| known.left),
+            election::outstanding(last, horizon, 0.0, at(22_000))
+        );
+        known.map(|known| known.bound)
+    };
+    let none = election::LastOwner::default();
+    assert_eq!(decided(&none), None);
+    let silent = election::LastOwner { unrenewed_since: Some(at(20_000)), ..none };
+    assert_eq!(decided(&silent), Some(election::Bound::Unrenewed));
+    let refused = election::LastOwner { refused_since: Some(at(19_000)), ..silent };
+    assert_eq!(decided(&refused), Some(election::Bound::Refused));
+    let ended = election::Ended { at: at(20_000), outstanding: Some(time::Span::seconds(6)) };
+    let ended = election::LastOwner { ended: Some(ended), ..refused };
+    assert_eq!(decided(&ended), Some(election::Bound::Ended));
+}
+
 fn refused(version: u64, confirmed: u64) -> Option<Observation> {
     observation(version).map(|seen| Observation { refused: Some(at(confirmed)), ..seen })
 }
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 mod cancellations;
+mod events;
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
--- /dev/null
+++ b/gl-standin/tests/process/hosted/events.rs
@@ -0,0 +1,40 @@
+//! Events of the log that tell what a daemon's decisions followed from. Guards against fields that are
+//! missing or have another meaning when tasks that ran twice have to be traced.
+
+use super::{Hosted, TIMEOUT};
+
+/// Waits for an event of a daemon that meets a condition.
+async fn wait_for_event(
+    hosted: &Hosted,
+    daemon: usize,
+    is_expected: impl Fn(&serde_json::Value) -> bool,
+) -> Option<serde_json::Value> {
+    let deadline = std::time::Instant::now() + TIMEOUT;
+    loop {
+        let found = hosted.daemons[daemon].log_lines().into_iter().find(&is_expected);
+        if found.is_some() || std::time::Instant::now() >= deadline {
+            return found;
+        }
+        ntex::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
+
+fn is_claim(line: &serde_json::Value) -> bool {
+    line["event"] == "claimed"
+}
+
+#[ntex::test]
+async fn claim_is_logged_with_what_the_new_owner_assumes_of_the_last_one() {
+    let mut hosted = Hosted::start(2).await;
+    let owner = hosted.owner();
+    let first = wait_for_event(&hosted, owner, is_claim).await.unwrap();
+    assert_eq!(first["bound"], "none", "no owner was before it: {first}");
+    assert!(first["leases_ms"].is_null() && first["renewal_age_ms"].is_null(), "{first}");
+    hosted.daemons[owner].process.kill();
+    let second = wait_for_event(&hosted, 1 - owner, is_claim).await.unwrap();
+    assert!(second["bound"] == "unrenewed" || second["bound"] == "refused", "{second}");
+    let millis = |field: &str| second[field].as_u64().unwrap();
+    assert!((1..=8_160).contains(&millis("leases_ms")), "the horizon, and 2% for clocks: {second}");
+    assert!(millis("starts_ms") <= 2_040, "the lease on the cell: {second}");
+    assert!(millis("renewal_age_ms") < 10_000 && second["outage_age_ms"].is_null(), "{second}");
+}
