feat: log how many pages of progress a new owner has left out

A page of progress that cannot be decoded is left out, so that its tasks run again; each has a line of its own, and one with a name that cannot be read had none. `claimed` now has the numbers of the pages that were read, left out, and without a job, so that this cause of second runs can be excluded by one line.

What is left out is unchanged.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -53,10 +53,14 @@
     /// This daemon claimed the cell. At the claim, leases of workers that earlier owners had extended
     /// could last for `leases_ms`, by `bound`, and those owners could order starts for `starts_ms`. The
     /// newest renewal was first read `renewal_age_ms` before it, and this daemon had last reported an
-    /// outage of the store `outage_age_ms` before it.
+    /// outage of the store `outage_age_ms` before it. Of the `pages` of progress that were read,
+    /// `unreadable` were left out, as they could not be decoded, and `orphans` belong to no job.
     Claimed {
         token: u64,
         jobs: usize,
+        pages: usize,
+        unreadable: usize,
+        orphans: usize,
         workers: usize,
         cause: &'static str,
         leases_ms: Option<u64>,
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -37,27 +37,50 @@
     progress: record::Progress,
 }
 
+/// The stored progress of all jobs.
+#[derive(Default)]
+struct JoinedProgress {
+    by_job: collections::BTreeMap<task::JobId, StoredProgress>,
+    /// Number of pages that could not be decoded.
+    unreadable: usize,
+}
+
+/// The stored jobs, and the numbers of pages of progress.
+struct JoinedRows {
+    jobs: Vec<owner::StoredJob>,
+    /// Pages that were read.
+    pages: usize,
+    /// Pages among them that were left out, as they could not be decoded.
+    unreadable: usize,
+    /// Pages among them without a job.
+    orphans: usize,
+}
+
 /// Joins the pages of each job's progress. A row that cannot be decoded is logged and left out.
-fn join_pages(rows: &[platform::Row]) -> collections::BTreeMap<task::JobId, StoredProgress> {
-    let mut by_job = collections::BTreeMap::<_, StoredProgress>::new();
+fn join_pages(rows: &[platform::Row]) -> JoinedProgress {
+    let mut joined = JoinedProgress::default();
     for row in rows {
-        let Some((id, page)) = rows::parse_progress(&row.name) else { continue };
+        let Some((id, page)) = rows::parse_progress(&row.name) else {
+            joined.unreadable += 1;
+            continue;
+        };
         let Some(value) = row.value.as_deref() else { continue };
         match record::decode::<record::Progress>("progress", value) {
             Ok(decoded) => {
-                let stored = by_job.entry(id).or_default();
+                let stored = joined.by_job.entry(id).or_default();
                 stored.pages.push(page);
                 let progress = &mut stored.progress;
                 progress.final_state = progress.final_state.or(decoded.final_state);
                 progress.phases.extend(decoded.phases);
             }
             Err(error) => {
+                joined.unreadable += 1;
                 let detail = error.to_string();
                 event::emit(&event::Event::Unreadable { row: &row.name, detail });
             }
         }
     }
-    by_job
+    joined
 }
 
 impl Ownership {
@@ -80,7 +103,7 @@
         let work = work?;
         self.store_clock_read(&work, sent);
         let stored = self.join_rows(&work.rows, &progress?);
-        if stored.iter().any(|job| !job.is_inherited) && !self.is_confirmed().await {
+        if stored.jobs.iter().any(|job| !job.is_inherited) && !self.is_confirmed().await {
             let detail = "the ownership is not confirmed".to_owned();
             return Err(platform::StoreError::Refused { operation: "load the cell", detail });
         }
@@ -89,13 +112,14 @@
         let model: Vec<record::ModelSnapshot> = decode_all("learnt", &model?);
         self.update_wall_clock();
         let moment = self.node.moment();
-        let (jobs, count) = (stored.len(), list.workers.len());
+        let (jobs, count) = (stored.jobs.len(), list.workers.len());
         {
             let mut owner = self.owner.borrow_mut();
             owner.workers_listed(&list.workers, listed_at, moment.now);
             let outstanding = self.inherited_lease(moment.now);
             let starts = self.earlier_starts(moment.now);
-            let takeover = owner::Takeover { jobs: stored, roster, vacating, outstanding, starts };
+            let takeover =
+                owner::Takeover { jobs: stored.jobs, roster, vacating, outstanding, starts };
             owner.recover(takeover, &moment);
             owner.work_read(sent);
             for model in &model {
@@ -110,6 +134,9 @@
         event::emit(&event::Event::Claimed {
             token: self.token,
             jobs,
+            pages: stored.pages,
+            unreadable: stored.unreadable,
+            orphans: stored.orphans,
             workers: count,
             cause: claim.cause,
             leases_ms: assumed.predecessors.outstanding.map(time::Span::as_millis),
@@ -147,11 +174,7 @@
     }
 
     /// Joins the rows of each job. Progress without a job is passed to the owner, which removes it.
-    fn join_rows(
-        &self,
-        work: &[platform::Row],
-        progress: &[platform::Row],
-    ) -> Vec<owner::StoredJob> {
+    fn join_rows(&self, work: &[platform::Row], progress: &[platform::Row]) -> JoinedRows {
         let mut jobs = collections::BTreeMap::new();
         let mut cancelled = collections::BTreeMap::new();
         for row in work.iter().filter_map(rows::read_work) {
@@ -168,7 +191,7 @@
         for (id, version) in cancelled.iter().filter(|(id, _)| !jobs.contains_key(id)) {
             self.tombstones.add(*id, *version, now);
         }
-        let mut by_job = join_pages(progress);
+        let JoinedProgress { mut by_job, unreadable } = join_pages(progress);
         let join = |(id, (job, version)): (task::JobId, (job::Job, u64))| {
             let stored = by_job.remove(&id);
             owner::StoredJob {
@@ -180,12 +203,13 @@
                 is_inherited: version < self.token,
             }
         };
-        let stored = jobs.into_iter().map(join).collect();
+        let jobs: Vec<_> = jobs.into_iter().map(join).collect();
         // Progress remains without its job if an owner ended between the two removals.
-        let orphans = by_job.into_iter();
-        let orphans =
-            orphans.flat_map(|(id, stored)| stored.pages.into_iter().map(move |page| (id, page)));
-        self.owner.borrow_mut().add_orphans(orphans);
-        stored
+        let orphans: Vec<_> = by_job
+            .into_iter()
+            .flat_map(|(id, stored)| stored.pages.into_iter().map(move |page| (id, page)))
+            .collect();
+        self.owner.borrow_mut().add_orphans(orphans.iter().copied());
+        JoinedRows { jobs, pages: progress.len(), unreadable, orphans: orphans.len() }
     }
 }
--- a/gl-standin/tests/process/hosted/events.rs
+++ b/gl-standin/tests/process/hosted/events.rs
@@ -1,6 +1,11 @@
 //! Events of the log that tell what a daemon's decisions followed from. Guards against fields that are
 //! missing or have another meaning when tasks that ran twice have to be traced.
 
+use base64::Engine as _;
+use gl_jobs::record;
+use gl_standin::http;
+use serde_json::json;
+
 use super::{Hosted, TIMEOUT};
 
 /// Waits for an event of a daemon that meets a condition.
@@ -38,3 +43,26 @@
     assert!(millis("starts_ms") <= 2_040, "the lease on the cell: {second}");
     assert!(millis("renewal_age_ms") < 10_000 && second["outage_age_ms"].is_null(), "{second}");
 }
+
+#[ntex::test]
+async fn claim_is_logged_with_the_pages_of_progress_that_were_left_out() {
+    let mut hosted = Hosted::start(0).await;
+    let page = |name: &str, value: &[u8]| {
+        let value = base64::engine::general_purpose::STANDARD.encode(value);
+        json!({"Table": "progress", "part": "commits", "Key": name, "Value": value})
+    };
+    let progress = record::encode("progress", &record::Progress::default()).unwrap();
+    let writes = [
+        page("00000000000000a1", b"not a row"),
+        page("no identity", &progress),
+        page("00000000000000a2", &progress),
+        page("00000000000000a2/000001", &progress),
+        page("00000000000000a3", &progress),
+    ];
+    let url = format!("http://{}/rows-tx", hosted.store);
+    http::post(&url, &json!({"Writes": writes})).await.unwrap();
+    hosted.start_daemon("only").await;
+    let claim = wait_for_event(&hosted, 0, is_claim).await.unwrap();
+    let counts = ["pages", "unreadable", "orphans"].map(|field| claim[field].as_u64());
+    assert_eq!(counts, [Some(5), Some(2), Some(3)], "{claim}");
+}
