feat: log on which followers an owner goes on without the store

An owner that cannot renew its lease goes on while all followers that it counts report that they cannot reach the store. `starts` does not show that while the lease is still valid, and nothing showed how many daemons were counted, how old their reports were, or who had been dropped after 20 s of silence. `outage-rule` has these numbers when the rule comes into force and when it ends, once a second at most; `follower-silent` and `follower-back` name the daemons; two levels show their numbers.

--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -8,8 +8,9 @@
 use tokio::sync::Notify;
 
 use super::{
-    action_queue, commit, event, followers, lease, node, ordering, pass_meter, placement_pause,
-    poll_gate, poll_pause, predecessors, tombstones, work_feed, worker_client, worker_list,
+    action_queue, commit, event, followers, lease, node, ordering, outage_rule, pass_meter,
+    placement_pause, poll_gate, poll_pause, predecessors, tombstones, work_feed, worker_client,
+    worker_list,
 };
 use crate::clock;
 
@@ -38,7 +39,9 @@
     pub(super) predecessors: election::Predecessors,
     /// Times of day of all daemons.
     pub(super) wall_clock: cell::RefCell<wall_clock::WallClock>,
-    pub(super) followers: cell::RefCell<collections::BTreeMap<String, followers::Heartbeat>>,
+    pub(super) followers: cell::RefCell<followers::Followers>,
+    /// Reports when this owner goes on without the store.
+    pub(super) outage_rule: cell::RefCell<outage_rule::OutageRule>,
     pub(super) worker_clients:
         cell::RefCell<collections::BTreeMap<worker::WorkerId, rc::Rc<worker_client::WorkerClient>>>,
     /// Version of the store up to which changes of the work table have been read.
@@ -102,6 +105,7 @@
         predecessors: assumed.predecessors,
         wall_clock: cell::RefCell::new(wall_clock::WallClock::new(node.agreed.get(), now)),
         followers: cell::RefCell::default(),
+        outage_rule: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
         feed_version: cell::Cell::new(0),
         feed_read: cell::Cell::default(),
@@ -319,6 +323,13 @@
             owner.claims_excluded(at);
         }
         drop(owner);
+        let state = outage_rule::State {
+            lease_left: self.lease_until.get().since(now),
+            is_cut_off,
+            are_followers_cut_off: is_store_down,
+            is_stale: self.is_stale.get(),
+        };
+        self.report_outage_rule(state, now);
         if self.starts_allowed.replace(allowed) != allowed {
             let lease_left_ms = self.lease_until.get().since(now).as_millis();
             let cause = if is_valid { "lease" } else { "store" };
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -174,6 +174,13 @@
         self.level("emptied-runs", runs as u64);
     }
 
+    /// Records the number of followers that the owner counts as daemons that may claim the cell, and of
+    /// those that it does not count any more, as they were silent for too long.
+    pub fn followers(&self, counted: usize, silent: usize) {
+        self.level("counted-followers", counted as u64);
+        self.level("silent-followers", silent as u64);
+    }
+
     /// Records the start orders that were not answered, the limit on them, and the other orders that
     /// were not answered.
     pub fn orders(&self, starts: usize, limit: usize, urgent: usize) {
--- a/gl-standin/tests/process/hosted/events.rs
+++ b/gl-standin/tests/process/hosted/events.rs
@@ -66,3 +66,27 @@
     let counts = ["pages", "unreadable", "orphans"].map(|field| claim[field].as_u64());
     assert_eq!(counts, [Some(5), Some(2), Some(3)], "{claim}");
 }
+
+#[ntex::test]
+async fn owner_that_goes_on_without_the_store_logs_on_which_followers_it_counts() {
+    let hosted = Hosted::start(3).await;
+    let owner = hosted.owner();
+    for follower in (0..3).filter(|n| *n != owner) {
+        let is_following = |line: &serde_json::Value| line["event"] == "following";
+        assert!(wait_for_event(&hosted, follower, is_following).await.is_some());
+    }
+    // Longer than the interval of their heartbeats.
+    ntex::time::sleep(std::time::Duration::from_secs(1)).await;
+    hosted.set_store_down(true).await;
+    let is_active =
+        |line: &serde_json::Value| line["event"] == "outage-rule" && line["active"] == true;
+    let begun = wait_for_event(&hosted, owner, is_active).await.unwrap();
+    let counts = ["followers", "store_down", "silent"].map(|field| begun[field].as_u64());
+    assert_eq!(counts, [Some(2), Some(2), Some(0)], "{begun}");
+    assert_eq!((&begun["heard"], &begun["stale"]), (&json!(2), &json!(false)), "{begun}");
+    assert!(begun["oldest_ms"].as_u64().unwrap() < 1_200, "{begun}");
+    hosted.set_store_down(false).await;
+    let is_over =
+        |line: &serde_json::Value| line["event"] == "outage-rule" && line["active"] == false;
+    assert!(wait_for_event(&hosted, owner, is_over).await.is_some());
+}
