test(gl-emulate): heartbeats of the daemons beside the owner, and splits that they do not survive

The simulation decided by itself whether an owner may go on without the store: it knew of each split. The rule moves to gl-jobs unchanged, and the simulation sends it heartbeats of five daemons, of which two are on the owner's side in a split. Leases are extended in an outage as in the daemon.

--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -13,7 +13,7 @@
 mod daemon_clocks;
 mod event;
 mod execution;
-pub mod followers;
+mod followers;
 mod lease;
 pub mod log_writer;
 pub mod mesh;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -3,14 +3,13 @@
 
 use std::{cell, collections, rc};
 
-use gl_jobs::{election, job, owner, task, wall_clock, worker};
+use gl_jobs::{election, followers, job, owner, task, wall_clock, worker};
 use gl_model::time;
 use tokio::sync::Notify;
 
 use super::{
-    action_queue, commit, event, followers, lease, node, ordering, outage_rule, pass_meter,
-    placement_pause, poll_gate, poll_pause, predecessors, tombstones, work_feed, worker_client,
-    worker_list,
+    action_queue, commit, event, lease, node, ordering, outage_rule, pass_meter, placement_pause,
+    poll_gate, poll_pause, predecessors, tombstones, work_feed, worker_client, worker_list,
 };
 use crate::clock;
 
--- a/gl-emulate/src/simulation/claims.rs
+++ b/gl-emulate/src/simulation/claims.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use gl_jobs::{election, owner};
+use gl_jobs::{election, followers, owner};
 use gl_model::time;
 
 use super::Simulation;
@@ -76,7 +76,8 @@
             is_ended: false,
             is_killed: false,
             is_released: false,
-            was_split: false,
+            store_call: self.now,
+            followers: followers::Followers::default(),
             refused_since: None,
             ended_at: None,
             superseded_at: self.now + starts,
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -21,7 +21,7 @@
 }
 
 impl Simulation {
-    fn split_owner(&self) -> Option<usize> {
+    pub(super) fn split_owner(&self) -> Option<usize> {
         self.split.filter(|split| self.now < split.until).map(|split| split.owner)
     }
 
@@ -89,7 +89,6 @@
             }
             Fault::SplitOwner(span) if !self.ownerships.is_empty() => {
                 let owner = self.ownerships.len() - 1;
-                self.ownerships[owner].was_split = true;
                 self.split = Some(Split { owner, until: now + *span });
             }
             Fault::SplitOwner(_) => {}
--- a/gl-emulate/src/simulation/messages.rs
+++ b/gl-emulate/src/simulation/messages.rs
@@ -24,6 +24,8 @@
     /// The time at which the poll was sent, and the reply unless the poll failed.
     PollReply(time::Timestamp, Option<model::PollReply>, bool),
     Commit(owner::Commit),
+    /// The name of a daemon, and whether it can reach the store.
+    Heartbeat(String, bool),
 }
 
 /// A message that is delivered at a given time, in the order of the numbers.
@@ -77,6 +79,7 @@
                     | Message::Stopped(..)
                     | Message::PollReply(..)
                     | Message::Commit(_)
+                    | Message::Heartbeat(..)
             );
             if is_for_owner {
                 self.deliver_to_owner(delivery);
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -3,6 +3,7 @@
 
 mod checks;
 mod claims;
+mod daemons;
 mod faults;
 mod messages;
 mod owners;
@@ -67,6 +68,8 @@
     roster: collections::BTreeMap<model::WorkerId, model::Registration>,
     vacating: collections::BTreeMap<model::WorkerId, record::Vacating>,
     split: Option<Split>,
+    /// The time of the last successful call to the store of each daemon beside the owner.
+    store_calls: [time::Timestamp; daemons::FOLLOWERS],
     stored_model: record::ModelSnapshot,
     last_renewal: time::Timestamp,
     /// How long leases may last once the last owner has ended, as it has stored it.
@@ -124,6 +127,7 @@
             roster: collections::BTreeMap::new(),
             vacating: collections::BTreeMap::new(),
             split: None,
+            store_calls: [now; daemons::FOLLOWERS],
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
             outstanding: None,
@@ -168,6 +172,7 @@
         self.apply_faults();
         self.claim();
         self.submit();
+        self.advance_daemons();
         self.deliver();
         self.advance_workers();
         self.advance_owners();
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use gl_jobs::{owner, worker as model};
+use gl_jobs::{followers, owner, worker as model};
 use gl_model::time;
 
 use super::messages::{Delivery, Message};
@@ -30,8 +30,10 @@
     pub is_killed: bool,
     /// Whether the owner has released the cell.
     pub is_released: bool,
-    /// Whether the owner was ever partitioned from everything else.
-    pub was_split: bool,
+    /// The time of its last successful call to the store.
+    pub store_call: time::Timestamp,
+    /// What it knows of the other daemons.
+    pub followers: followers::Followers,
     /// The time since which its address refuses the connections of other daemons, alive or not.
     pub refused_since: Option<time::Timestamp>,
     /// The time at which it released the cell.
@@ -95,6 +97,9 @@
                 }
             }
             Message::Commit(commit) => self.apply_commit(delivery.owner, &commit),
+            Message::Heartbeat(daemon, is_store_up) => {
+                self.heartbeat_received(delivery.owner, daemon, is_store_up);
+            }
             _ => {}
         }
         self.apply_decisions(delivery.owner);
@@ -172,16 +177,9 @@
                 self.read_feed(n);
             }
             if self.is_due(TICK_INTERVAL) {
+                self.update_permissions(n);
                 let moment = self.moment();
-                let ownership = &mut self.ownerships[n];
-                // Followers on the other side of a split reach the store.
-                let is_outage = !is_up && !ownership.was_split;
-                let is_valid = now.since(ownership.renewed_at) < LEASE_DURATION || is_outage;
-                let may_start = is_valid && !ownership.is_stale;
-                let until = if may_start { now + LEASE_DURATION } else { now };
-                ownership.owner.allow_starts(until);
-                ownership.owner.set_store_down(is_outage);
-                ownership.owner.tick(&moment);
+                self.ownerships[n].owner.tick(&moment);
             }
             self.apply_decisions(n);
         }
--- a/gl-emulate/tests/simulation/handover.rs
+++ b/gl-emulate/tests/simulation/handover.rs
@@ -148,15 +148,13 @@
     }
 }
 
-/// Returns a split that outlasts all leases, with a worker that drains meanwhile and later owners
-/// that hand over.
-fn split(seed: u64) -> Vec<simulation::ScheduledFault> {
+/// Returns a split of this length, with a worker that drains meanwhile and later owners that hand over.
+fn split(seed: u64, length: time::Span) -> Vec<simulation::ScheduledFault> {
     let mut rng = rngs::SmallRng::seed_from_u64(seed);
-    let long = time::Span::seconds(14);
     let n = rng.random_range(0..WORKERS);
     let mut faults = vec![
-        fault(rng.random_range(8_000..10_000), simulation::Fault::SplitOwner(long)),
-        fault(rng.random_range(8_000..14_000), simulation::Fault::DrainWorker(n, long)),
+        fault(rng.random_range(8_000..10_000), simulation::Fault::SplitOwner(length)),
+        fault(rng.random_range(8_000..14_000), simulation::Fault::DrainWorker(n, length)),
     ];
     for _ in 0..rng.random_range(0..4) {
         faults.push(fault(rng.random_range(13_100..22_000), simulation::Fault::ReleaseOwner));
@@ -169,7 +167,38 @@
 #[test]
 fn split_from_an_owner_with_workers_of_its_own_violates_no_guarantee() {
     for seed in 0..RUNS {
-        let report = run(seed, None, split(seed));
+        let report = run(seed, None, split(seed, time::Span::seconds(14)));
+        assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    }
+}
+
+/// Guards against thousands of second runs in the failure domain of an owner that was cut off with it: it
+/// forgot the daemons that it had not heard for long, and went on without the store as if none were left.
+#[test]
+fn split_for_half_a_minute_from_an_owner_with_followers_of_its_own_violates_no_guarantee() {
+    for seed in 0..RUNS {
+        let report = run(seed, None, split(seed, time::Span::seconds(30)));
+        assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    }
+}
+
+/// Returns a hand-over, and a split of the new owner before it has heard all daemons.
+fn split_after_claim(seed: u64) -> Vec<simulation::ScheduledFault> {
+    let mut rng = rngs::SmallRng::seed_from_u64(seed);
+    let released = rng.random_range(8_000..12_000);
+    let length = time::Span::seconds(rng.random_range(9..15));
+    vec![
+        fault(released, simulation::Fault::ReleaseOwner),
+        fault(released + rng.random_range(10..600), simulation::Fault::SplitOwner(length)),
+    ]
+}
+
+/// Guards against second runs by a new owner that is cut off before it has heard the daemons of the other
+/// side: it took the daemons that it had heard for all.
+#[test]
+fn split_just_after_a_claim_violates_no_guarantee() {
+    for seed in 0..RUNS {
+        let report = run(seed, None, split_after_claim(seed));
         assert!(report.violations.is_empty(), "seed {seed}: {report}");
     }
 }
--- a/gl-jobs/src/lib.rs
+++ b/gl-jobs/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod bitset;
 pub mod domain;
 pub mod election;
+pub mod followers;
 pub mod freshness;
 pub mod job;
 pub mod owner;
--- a/geraniumlatchd/tests/followers.rs
+++ b/gl-jobs/tests/jobs/followers.rs
@@ -1,12 +1,10 @@
 //! What the owner knows of its followers. Guards against a log that does not tell on which daemons'
 //! reports an owner goes on without the store, and which daemons it has stopped to count.
 
-use geraniumlatchd::jobs::followers::{Census, Followers, Silence};
+use gl_jobs::followers::{Census, Followers, Silence};
 use gl_model::time;
 
-const fn at(millis: u64) -> time::Timestamp {
-    time::Timestamp(time::Span::millis(millis).0)
-}
+use crate::cell::at;
 
 fn silence(daemon: &str, millis: u64) -> Silence {
     Silence { daemon: daemon.to_owned(), span: time::Span::millis(millis) }
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod domains;
 mod election;
+mod followers;
 mod freshness;
 mod identity;
 mod interference;
