fix: go on without the store only while every daemon that may claim the cell reports the outage

Cause: an owner that cannot reach the store goes on while all followers report that they cannot either, and it asked only the followers that it had heard in the last 20 s. Cut off with the daemons of its domain for longer, it forgot the others, extended the leases of its own workers, took those of the others for expired and started their tasks at home, while another daemon had owned the cell for long. A new owner that was cut off before it had heard the others did the same at once.

Change: the owner stores the names of the daemons that it asks, the claimants. A claim takes over those of the last owner; a silent one counts as dropped only once that is stored, which takes the store. A daemon that the row does not name does not claim an expired lease before the owner can no longer go on, which ends 60 s after its last renewal.

The test of the former rule is split: whether one report is current (followers), and that all claimants have to report (claimants).

--- a/geraniumlatchd/src/jobs/cell_rows.rs
+++ b/geraniumlatchd/src/jobs/cell_rows.rs
@@ -1,6 +1,6 @@
 //! The rows that say who owns the cell, and the transaction that changes them.
 
-use gl_jobs::{election, owner, record};
+use gl_jobs::{claimants, election, owner, record};
 use gl_platform::cell as platform;
 
 use super::{event, rows};
@@ -10,6 +10,7 @@
 pub(super) struct CellRows {
     pub owner: Option<Versioned<record::Owner>>,
     pub lease: Option<Versioned<record::Lease>>,
+    pub claimants: Option<Versioned<record::Claimants>>,
 }
 
 impl CellRows {
@@ -17,6 +18,25 @@
     pub fn workers(&self) -> Option<usize> {
         self.lease.as_ref()?.value.workers
     }
+
+    /// Returns the claimants that the present owner has stored. An earlier version of the program leaves
+    /// the row of the owner before it unchanged.
+    fn present_claimants(&self) -> Option<&claimants::Names> {
+        let token = self.owner.as_ref()?.version;
+        let row = self.claimants.as_ref().filter(|row| row.version >= token);
+        row.map(|row| &row.value.daemons)
+    }
+
+    /// Returns what a daemon is to the present owner.
+    pub fn standing(&self, daemon: &str) -> claimants::Standing {
+        claimants::standing(self.present_claimants(), daemon)
+    }
+
+    /// Returns the claimants of a daemon that claims the cell: those of the present owner but for itself.
+    pub fn claimants_after_claim(&self, daemon: &str) -> claimants::Names {
+        let present = self.present_claimants().into_iter().flatten();
+        present.filter(|name| *name != daemon).cloned().collect()
+    }
 }
 
 /// A decoded row and its version.
@@ -42,7 +62,11 @@
             }
         }
     }
-    CellRows { owner: find(read, rows::OWNER), lease: find(read, rows::LEASE) }
+    CellRows {
+        owner: find(read, rows::OWNER),
+        lease: find(read, rows::LEASE),
+        claimants: find(read, rows::CLAIMANTS),
+    }
 }
 
 /// Returns the transaction that makes `owner` the cell's owner if the cell's rows are unchanged.
@@ -56,6 +80,7 @@
     let check = |name, version| platform::Check { key: rows::cell_row(name), version };
     let write = |name, value| platform::Write { key: rows::cell_row(name), value };
     let horizon = settings.horizon;
+    let claimants = record::Claimants { daemons: cell.claimants_after_claim(&owner.daemon) };
     let lease = record::Lease {
         renewals: 0,
         released: false,
@@ -68,10 +93,12 @@
         checks: vec![
             check(rows::OWNER, version_of(cell.owner.as_ref().map(|row| row.version))),
             check(rows::LEASE, version_of(cell.lease.as_ref().map(|row| row.version))),
+            check(rows::CLAIMANTS, version_of(cell.claimants.as_ref().map(|row| row.version))),
         ],
         writes: vec![
             write(rows::OWNER, record::encode("owner", owner)?),
             write(rows::LEASE, record::encode("lease", &lease)?),
+            write(rows::CLAIMANTS, record::encode("claimants", &claimants)?),
         ],
         removals: Vec::new(),
     })
--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -90,14 +90,16 @@
     /// New runs were permitted or forbidden.
     Starts { allowed: bool, lease_left_ms: u64, cause: &'static str },
     /// The owner has begun or stopped to go on without the store, as no daemon can claim the cell.
-    /// `followers` count as daemons that may claim it: `heard` of them recently, and `store_down` could
-    /// not reach the store when they were last heard, the oldest `oldest_ms` ago. `silent` ones do not
-    /// count any more. Logged once a second at most, with the number of changes.
+    /// That takes current reports of all `claimants`, as they are stored. Of the `followers` that were heard
+    /// lately, `heard` have a current heartbeat, and `store_down` could not reach the store when they were
+    /// last heard, the oldest `oldest_ms` ago; `silent` ones were not heard for long. Logged once a second at
+    /// most, with the number of changes.
     OutageRule {
         active: bool,
         lease_left_ms: u64,
         cut_off: bool,
         stale: bool,
+        claimants: usize,
         followers: usize,
         heard: usize,
         store_down: usize,
@@ -105,7 +107,7 @@
         silent: usize,
         changes: u32,
     },
-    /// A follower was silent for so long that it does not count any more as one that may claim the cell.
+    /// A follower was silent for so long that it is not kept as one that may claim the cell.
     FollowerSilent { follower: &'a str, silent_ms: u64 },
     /// Such a follower was heard again.
     FollowerBack { follower: &'a str, silent_ms: u64 },
--- a/geraniumlatchd/src/jobs/followers.rs
+++ b/geraniumlatchd/src/jobs/followers.rs
@@ -3,7 +3,7 @@
 use gl_jobs::followers::Silence;
 use gl_model::time;
 
-use super::{event, outage_rule, ownership};
+use super::{event, lease, outage_rule, ownership};
 use crate::clock;
 
 impl ownership::Ownership {
@@ -32,21 +32,23 @@
         self.followers.borrow().is_store_up(last_success, now)
     }
 
-    /// Returns whether there are followers and none of them can reach the store.
-    pub(super) fn is_store_down_for_followers(&self, now: time::Timestamp) -> bool {
+    /// Returns whether no daemon can claim the cell for want of the store.
+    pub(super) fn are_claimants_cut_off(&self, now: time::Timestamp) -> bool {
         let mut followers = self.followers.borrow_mut();
         for Silence { daemon, span } in followers.drop_silent(now) {
             let silent_ms = span.as_millis();
             event::emit(&event::Event::FollowerSilent { follower: &daemon, silent_ms });
         }
-        followers.is_store_down(now)
+        let renewed = self.lease_until.get() - lease::DURATION;
+        self.claimants.borrow().are_cut_off(&followers, renewed, now)
     }
 
     /// Reports the followers in the metrics, and in the log if `state` tells that the owner has begun or
     /// stopped to go on without the store.
     pub(super) fn report_outage_rule(&self, state: outage_rule::State, now: time::Timestamp) {
         let census = self.followers.borrow().census(now);
-        self.node.metrics.followers(census.counted, census.silent);
+        let claimants = self.claimants.borrow().count();
+        self.node.metrics.followers(claimants, census.silent);
         let Some(changes) = self.outage_rule.borrow_mut().update(state.is_in_force(), now) else {
             return;
         };
@@ -55,7 +57,8 @@
             lease_left_ms: state.lease_left.as_millis(),
             cut_off: state.is_cut_off,
             stale: state.is_stale,
-            followers: census.counted,
+            claimants,
+            followers: census.known,
             heard: census.heard,
             store_down: census.store_down,
             oldest_ms: census.oldest.map(time::Span::as_millis),
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -4,7 +4,7 @@
 
 use std::rc;
 
-use gl_jobs::{election, record};
+use gl_jobs::{claimants, election, record};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
@@ -79,11 +79,13 @@
 
 /// A claim whose outcome is unknown: it may have been committed, or may still be while the owner's
 /// row is unchanged.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 struct OpenClaim {
     claim: u64,
     /// Version of the owner's row that the claim checks.
     checked_version: u64,
+    /// The claimants that it stores.
+    claimants: claimants::Names,
     sent: time::Timestamp,
 }
 
@@ -145,6 +147,7 @@
                 .as_ref()
                 .is_some_and(|owner| predecessors::former_since(node, owner.version).is_some()),
             refused,
+            standing: cell.standing(&node.settings.daemon),
         });
         self.lease_watch.claim_reason(observation, TAKEOVER_TIMEOUT, sent, now)
     }
@@ -160,6 +163,7 @@
         let owner = record::Owner { daemon: settings.daemon.clone(), mesh: settings.mesh, claim };
         let sent = clock::steady();
         let assumed = predecessors::at_claim(node, cell, &self.lease_watch, sent);
+        let claimants = cell.claimants_after_claim(&settings.daemon);
         let txn = match cell_rows::claim(cell, &owner, &settings.owner, assumed.predecessors) {
             Ok(txn) => txn,
             Err(error) => return log_claim_failure(cause, error.to_string()),
@@ -170,7 +174,9 @@
         let is_lost = matches!(result, Err(platform::StoreError::Lost { .. }));
         match result {
             Ok(platform::Outcome::Committed(token)) => {
-                ownership::start(node, ownership::Claim { token, sent, assumed, cause });
+                let claimants = claimants.clone();
+                let claim = ownership::Claim { token, sent, assumed, claimants, cause };
+                ownership::start(node, claim);
             }
             Ok(platform::Outcome::Conflict(_)) => {
                 log_claim_failure(cause, "another daemon claimed the cell first".to_owned());
@@ -178,7 +184,7 @@
             Err(error) => log_claim_failure(cause, error.to_string()),
         }
         let checked_version = cell.owner.as_ref().map_or(0, |owner| owner.version);
-        let open = OpenClaim { claim, checked_version, sent };
+        let open = OpenClaim { claim, checked_version, claimants, sent };
         self.open_claim = is_lost.then_some(open);
         node.has_open_claim.set(is_lost);
     }
@@ -190,17 +196,17 @@
         node: &rc::Rc<node::Node>,
         owner: &cell_rows::Versioned<record::Owner>,
     ) {
-        let Some(open) = self.open_claim.filter(|open| open.checked_version != owner.version)
-        else {
+        let is_resolved = |open: &mut OpenClaim| open.checked_version != owner.version;
+        let Some(open) = self.open_claim.take_if(is_resolved) else {
             return;
         };
-        self.open_claim = None;
         let is_own = owner.value.claim == open.claim && owner.value.daemon == node.settings.daemon;
         if is_own {
             let claim = ownership::Claim {
                 token: owner.version,
                 sent: open.sent,
                 assumed: predecessors::UNKNOWN,
+                claimants: open.claimants,
                 cause: "the reply to its claim was lost, and the claim took effect",
             };
             ownership::start(node, claim);
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 pub mod action_queue;
 mod api;
 mod cell_rows;
+mod claimants;
 mod commit;
 mod daemon_clocks;
 mod event;
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -3,13 +3,14 @@
 
 use std::{cell, collections, rc};
 
-use gl_jobs::{election, followers, job, owner, task, wall_clock, worker};
+use gl_jobs::{claimants, election, followers, job, owner, task, wall_clock, worker};
 use gl_model::time;
 use tokio::sync::Notify;
 
 use super::{
-    action_queue, commit, event, lease, node, ordering, outage_rule, pass_meter, placement_pause,
-    poll_gate, poll_pause, predecessors, tombstones, work_feed, worker_client, worker_list,
+    action_queue, claimants as stored_claimants, commit, event, lease, node, ordering, outage_rule,
+    pass_meter, placement_pause, poll_gate, poll_pause, predecessors, tombstones, work_feed,
+    worker_client, worker_list,
 };
 use crate::clock;
 
@@ -32,13 +33,15 @@
     pub(super) is_loaded: cell::Cell<bool>,
     is_ended: cell::Cell<bool>,
     starts_allowed: cell::Cell<bool>,
-    lease_until: cell::Cell<time::Timestamp>,
+    pub(super) lease_until: cell::Cell<time::Timestamp>,
     pub(super) started_at: time::Timestamp,
     /// What earlier owners may still do, from `started_at` on.
     pub(super) predecessors: election::Predecessors,
     /// Times of day of all daemons.
     pub(super) wall_clock: cell::RefCell<wall_clock::WallClock>,
     pub(super) followers: cell::RefCell<followers::Followers>,
+    /// The daemons that may claim the cell in an outage.
+    pub(super) claimants: cell::RefCell<claimants::Claimants>,
     /// Reports when this owner goes on without the store.
     pub(super) outage_rule: cell::RefCell<outage_rule::OutageRule>,
     pub(super) worker_clients:
@@ -76,7 +79,7 @@
 }
 
 /// A claim that has taken effect.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Claim {
     /// The version of the claim, which becomes the fencing token.
     pub token: u64,
@@ -84,6 +87,8 @@
     pub sent: time::Timestamp,
     /// What this daemon assumes of earlier owners.
     pub assumed: predecessors::Assumed,
+    /// The claimants that it has stored.
+    pub claimants: claimants::Names,
     /// The reason for the claim.
     pub cause: &'static str,
 }
@@ -91,6 +96,7 @@
 /// Starts the ownership after a claim, which renews the lease as any renewal does.
 pub fn start(node: &rc::Rc<node::Node>, claim: Claim) {
     let Claim { token, sent, assumed, .. } = claim;
+    let inherited = claim.claimants.clone();
     let now = clock::steady();
     let ownership = rc::Rc::new(Ownership {
         node: rc::Rc::clone(node),
@@ -104,6 +110,7 @@
         predecessors: assumed.predecessors,
         wall_clock: cell::RefCell::new(wall_clock::WallClock::new(node.agreed.get(), now)),
         followers: cell::RefCell::default(),
+        claimants: cell::RefCell::new(claimants::Claimants::inherit(inherited, now)),
         outage_rule: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
         feed_version: cell::Cell::new(0),
@@ -125,6 +132,7 @@
     node.set_role(node::Role::Owner(rc::Rc::clone(&ownership)));
     node.metrics.claim();
     ntex::rt::spawn(lease::renew(rc::Rc::clone(node), rc::Rc::clone(&ownership)));
+    ntex::rt::spawn(stored_claimants::run(rc::Rc::clone(&ownership)));
     ntex::rt::spawn(run(ownership, claim));
 }
 
@@ -300,7 +308,7 @@
             self.is_stale.set(true);
         }
         let is_valid = now < self.lease_until.get();
-        let is_store_down = self.is_store_down_for_followers(now);
+        let is_store_down = self.are_claimants_cut_off(now);
         let allowed = !self.is_stale.get() && (is_valid || is_store_down);
         let is_new = now.since(self.started_at) < lease::DURATION;
         let is_cut_off = !lease::is_store_up(&self.node, now);
--- a/geraniumlatchd/src/jobs/rows.rs
+++ b/geraniumlatchd/src/jobs/rows.rs
@@ -17,6 +17,8 @@
 pub const OWNER: &str = "owner";
 /// Name of the lease row, which claims, renewals and releases write.
 pub const LEASE: &str = "lease";
+/// Name of the row of the daemons that may claim the cell in an outage, which claims and the owner write.
+pub const CLAIMANTS: &str = "claimants";
 /// Name of the row of the owner's last commit.
 pub const COMMIT: &str = "commit";
 /// Name of the row of the learned interference model.
@@ -44,7 +46,7 @@
     cell::Key { table, partition: partition.to_owned(), name: name.into() }
 }
 
-/// Returns the key of the owner's row or of the lease row.
+/// Returns the key of a row that claims write.
 pub fn cell_row(name: &'static str) -> cell::Key {
     key_in(CELLS, CLAIMS_PARTITION, name)
 }
--- a/gl-emulate/src/simulation/claims.rs
+++ b/gl-emulate/src/simulation/claims.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use gl_jobs::{election, followers, owner};
+use gl_jobs::{claimants, election, followers, owner};
 use gl_model::time;
 
 use super::Simulation;
@@ -26,6 +26,11 @@
         if !self.is_store_up() || !is_claimable {
             return;
         }
+        let has_ended = self.ownerships.last().is_some_and(|last| last.ended_at.is_some());
+        let Some(daemon) = self.claiming_daemon(has_ended) else {
+            return;
+        };
+        self.claimants = self.claimants_after_claim(daemon);
         let last_renewal = Some(self.last_renewal).filter(|_| !self.ownerships.is_empty());
         self.last_renewal = self.now;
         self.version += 1;
@@ -50,6 +55,7 @@
             refused_since: self.ownerships.last().and_then(|ownership| ownership.refused_since),
             unrenewed_since: last_renewal,
             outage_reported: self.outage_end,
+            is_outsider: false,
         };
         let settings = &self.settings.owner;
         let outstanding =
@@ -76,7 +82,8 @@
             is_ended: false,
             is_killed: false,
             is_released: false,
-            store_call: self.now,
+            daemon,
+            claimants: claimants::Claimants::inherit(self.claimants.clone(), self.now),
             followers: followers::Followers::default(),
             refused_since: None,
             ended_at: None,
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -13,7 +13,7 @@
 
 use std::collections;
 
-use gl_jobs::{owner, record, task, worker as model};
+use gl_jobs::{claimants, owner, record, task, worker as model};
 use gl_model::time;
 use rand::{SeedableRng as _, rngs};
 
@@ -68,8 +68,10 @@
     roster: collections::BTreeMap<model::WorkerId, model::Registration>,
     vacating: collections::BTreeMap<model::WorkerId, record::Vacating>,
     split: Option<Split>,
-    /// The time of the last successful call to the store of each daemon beside the owner.
-    store_calls: [time::Timestamp; daemons::FOLLOWERS],
+    /// The time of the last successful call to the store of each daemon.
+    store_calls: [time::Timestamp; daemons::DAEMONS],
+    /// The daemons that may claim the cell in an outage, as the owner has stored them.
+    claimants: claimants::Names,
     stored_model: record::ModelSnapshot,
     last_renewal: time::Timestamp,
     /// How long leases may last once the last owner has ended, as it has stored it.
@@ -127,7 +129,8 @@
             roster: collections::BTreeMap::new(),
             vacating: collections::BTreeMap::new(),
             split: None,
-            store_calls: [now; daemons::FOLLOWERS],
+            store_calls: [now; daemons::DAEMONS],
+            claimants: claimants::Names::new(),
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
             outstanding: None,
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use gl_jobs::{followers, owner, worker as model};
+use gl_jobs::{claimants, followers, owner, worker as model};
 use gl_model::time;
 
 use super::messages::{Delivery, Message};
@@ -30,10 +30,12 @@
     pub is_killed: bool,
     /// Whether the owner has released the cell.
     pub is_released: bool,
-    /// The time of its last successful call to the store.
-    pub store_call: time::Timestamp,
+    /// The number of the daemon.
+    pub daemon: usize,
     /// What it knows of the other daemons.
     pub followers: followers::Followers,
+    /// The daemons that may claim the cell in an outage.
+    pub claimants: claimants::Claimants,
     /// The time since which its address refuses the connections of other daemons, alive or not.
     pub refused_since: Option<time::Timestamp>,
     /// The time at which it released the cell.
@@ -167,6 +169,7 @@
                     self.outstanding = Some(ownership.owner.outstanding(now));
                     self.earlier_starts = ownership.superseded_at.since(now);
                     self.last_renewal = now;
+                    self.store_claimants(n);
                 }
             }
             if self.is_due(WORKER_LIST_INTERVAL) && is_up {
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -2,6 +2,8 @@
 
 use gl_model::time;
 
+use crate::claimants;
+
 /// The reply of a daemon that is asked whether it owns the cell under a fencing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnershipStatus {
@@ -68,6 +70,8 @@
     /// since the lease was read. A network that rejects connections refuses them as well, so the owner
     /// may be alive.
     pub refused: Option<time::Timestamp>,
+    /// What this daemon is to the owner.
+    pub standing: claimants::Standing,
 }
 
 /// Watches the owner's lease for renewals.
@@ -104,12 +108,17 @@
         self.last_change = Some(LastChange { version: observation.version, since });
         let last_renewal = self.last_renewal.filter(|last| last.version == observation.version);
         self.last_renewal = last_renewal.or(self.last_change);
+        let renewal_read = self.last_renewal.map_or(now, |renewal| renewal.since);
         if observation.released {
             return Some("the owner released the cell");
         }
         if observation.terminated {
             return Some("the owner's process has terminated");
         }
+        let is_outsider = observation.standing == claimants::Standing::Outsider;
+        if is_outsider && sent.since(renewal_read) < claimants::OUTSIDER_TIMEOUT {
+            return None;
+        }
         let unchanged = sent.since(since);
         let is_refused = |confirmed: time::Timestamp| {
             now.since(confirmed) < HEARTBEAT_VALIDITY || unchanged >= MISSED_RENEWAL
@@ -174,6 +183,8 @@
     /// owner may extend leases from then on as if it had renewed its own, and the report may reach it
     /// late.
     pub outage_reported: time::Timestamp,
+    /// Whether the owner may have gone on without the store whatever this daemon reported.
+    pub is_outsider: bool,
 }
 
 /// What the end of the leases follows from that earlier owners have extended.
@@ -232,6 +243,8 @@
     let unrenewed = unrenewed.map(|at| after(at, horizon));
     // No report of an outage has reached the owner since.
     let unreported = last.refused_since.map(|at| after(at.max(last.renewal_read), horizon));
+    let unrenewed = unrenewed.filter(|_| !last.is_outsider);
+    let unreported = unreported.filter(|_| !last.is_outsider);
     let bounds =
         [(ended, Bound::Ended), (unrenewed, Bound::Unrenewed), (unreported, Bound::Refused)];
     let known = bounds.into_iter().filter_map(|(left, bound)| left.map(|left| (left, bound)));
--- a/gl-jobs/src/followers.rs
+++ b/gl-jobs/src/followers.rs
@@ -1,4 +1,4 @@
-//! What the owner of a cell knows of its followers: the daemons that may claim the cell.
+//! What the owner of a cell hears of its followers.
 
 use std::collections;
 
@@ -6,8 +6,8 @@
 
 use crate::election;
 
-/// Time for which a follower without heartbeats still counts as a daemon that may claim the cell.
-const FOLLOWER_RETENTION: time::Span = time::Span::seconds(20);
+/// Time for which a follower without heartbeats remains known.
+pub(crate) const RETENTION: time::Span = time::Span::seconds(20);
 
 /// Last heartbeat received from a follower.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,13 +25,13 @@
 /// The followers from which the owner has received heartbeats.
 #[derive(Clone, Debug, Default)]
 pub struct Followers {
-    /// Those that count as daemons that may claim the cell.
-    counted: collections::BTreeMap<String, Heartbeat>,
-    /// Those that do not count any more, with the time of the last heartbeat.
+    /// Those that were heard within the retention.
+    known: collections::BTreeMap<String, Heartbeat>,
+    /// Those that were silent for longer, with the time of the last heartbeat.
     silent: collections::BTreeMap<String, time::Timestamp>,
 }
 
-/// A follower that does not count any more, or counts again.
+/// A follower that is not known any more, or known again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Silence {
     /// Name of the daemon.
@@ -43,20 +43,20 @@
 /// Numbers of followers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Census {
-    /// Those that count as daemons that may claim the cell.
-    pub counted: usize,
+    /// Those that were heard within the retention.
+    pub known: usize,
     /// Those among them whose last heartbeat is current.
     pub heard: usize,
     /// Those among them that could not reach the store at their last heartbeat.
     pub store_down: usize,
     /// Time since the oldest of their last heartbeats.
     pub oldest: Option<time::Span>,
-    /// Those that do not count any more, as they were silent for too long.
+    /// Those that were silent for longer.
     pub silent: usize,
 }
 
 impl Followers {
-    /// Records a follower's heartbeat. Returns the silence before it, if the follower did not count any
+    /// Records a follower's heartbeat. Returns the silence before it, if the follower was not known any
     /// more.
     pub fn heard(
         &mut self,
@@ -67,14 +67,14 @@
         let silent_since = self.silent.remove(&daemon);
         let silence =
             silent_since.map(|at| Silence { daemon: daemon.clone(), span: now.since(at) });
-        self.counted.insert(daemon, Heartbeat { at: now, is_store_up });
+        self.known.insert(daemon, Heartbeat { at: now, is_store_up });
         silence
     }
 
-    /// Stops to count the followers that were silent for too long, and returns them.
+    /// Forgets the followers that were silent for too long, and returns them.
     pub fn drop_silent(&mut self, now: time::Timestamp) -> Vec<Silence> {
-        let is_silent = |heartbeat: &Heartbeat| now.since(heartbeat.at) >= FOLLOWER_RETENTION;
-        let dropped = self.counted.extract_if(.., |_, heartbeat| is_silent(heartbeat));
+        let is_silent = |heartbeat: &Heartbeat| now.since(heartbeat.at) >= RETENTION;
+        let dropped = self.known.extract_if(.., |_, heartbeat| is_silent(heartbeat));
         let drop = |(daemon, heartbeat): (String, Heartbeat)| {
             self.silent.insert(daemon.clone(), heartbeat.at);
             Silence { daemon, span: now.since(heartbeat.at) }
@@ -85,29 +85,33 @@
     /// Returns whether a follower can reach the store, and has reached it since the owner's last
     /// successful call at `last_success`.
     pub fn is_store_up(&self, last_success: time::Timestamp, now: time::Timestamp) -> bool {
-        self.counted.values().any(|heartbeat| {
+        self.known.values().any(|heartbeat| {
             heartbeat.is_store_up
                 && heartbeat.is_current(now)
                 && election::has_reached_store_since(last_success, heartbeat.at)
         })
     }
 
-    /// Returns whether there are followers that count and none of them can reach the store. A follower
-    /// without a current heartbeat may be able to reach it, and the result is then false.
-    pub fn is_store_down(&self, now: time::Timestamp) -> bool {
-        let is_store_down =
-            |heartbeat: &Heartbeat| heartbeat.is_current(now) && !heartbeat.is_store_up;
-        !self.counted.is_empty() && self.counted.values().all(is_store_down)
+    /// Returns whether a daemon cannot reach the store by its current heartbeat. Without one, it may be able
+    /// to reach it.
+    pub fn is_cut_off(&self, daemon: &str, now: time::Timestamp) -> bool {
+        let heartbeat = self.known.get(daemon);
+        heartbeat.is_some_and(|heartbeat| heartbeat.is_current(now) && !heartbeat.is_store_up)
+    }
+
+    /// Returns the names of the known followers.
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.known.keys()
     }
 
     /// Returns the numbers of followers.
     pub fn census(&self, now: time::Timestamp) -> Census {
-        let counted = self.counted.values();
+        let known = self.known.values();
         Census {
-            counted: counted.len(),
-            heard: counted.clone().filter(|heartbeat| heartbeat.is_current(now)).count(),
-            store_down: counted.clone().filter(|heartbeat| !heartbeat.is_store_up).count(),
-            oldest: counted.map(|heartbeat| now.since(heartbeat.at)).max(),
+            known: known.len(),
+            heard: known.clone().filter(|heartbeat| heartbeat.is_current(now)).count(),
+            store_down: known.clone().filter(|heartbeat| !heartbeat.is_store_up).count(),
+            oldest: known.map(|heartbeat| now.since(heartbeat.at)).max(),
             silent: self.silent.len(),
         }
     }
--- a/gl-jobs/src/lib.rs
+++ b/gl-jobs/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod api;
 pub mod bitset;
+pub mod claimants;
 pub mod domain;
 pub mod election;
 pub mod followers;
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -119,6 +119,15 @@
     pub workers: Option<usize>,
 }
 
+/// The daemons that may claim the cell while its owner cannot reach the store. Claims write the row as
+/// well, so one that is older than the owner's row is of an earlier owner.
+#[gl_derive::domain]
+#[derive(Default)]
+pub struct Claimants {
+    /// Their names.
+    pub daemons: collections::BTreeSet<String>,
+}
+
 /// The learned part of the interference model, stored for later owners.
 #[gl_derive::domain]
 #[derive(Default)]
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -1,6 +1,7 @@
 //! Election of a cell's owner. The tests guard against two owners at the same time, and against a
 //! cell that stays without an owner although a daemon could own it.
 
+use gl_jobs::claimants::{self, Standing};
 use gl_jobs::election::{self, LeaseWatch, Observation, OwnershipStatus};
 use gl_model::time;
 
@@ -9,7 +10,8 @@
 const TAKEOVER: time::Span = time::Span::millis(2_300);
 
 fn observation(version: u64) -> Option<Observation> {
-    Some(Observation { version, released: false, terminated: false, refused: None })
+    let standing = Standing::Claimant;
+    Some(Observation { version, released: false, terminated: false, refused: None, standing })
 }
 
 #[test]
@@ -75,6 +77,28 @@
     assert!(watch.claim_reason(terminated, TAKEOVER, at(0), at(10)).is_some());
 }
 
+/// Guards against a claim by a daemon that the owner does not ask before it goes on without the store: both
+/// would order runs of the same tasks.
+#[test]
+fn outsider_claims_the_cell_only_once_the_owner_cannot_go_on_without_the_store() {
+    let mut watch = LeaseWatch::default();
+    let outside = |seen: Observation| Observation { standing: Standing::Outsider, ..seen };
+    let mut reason = |millis, seen: Option<Observation>| {
+        watch.claim_reason(seen.map(outside), TAKEOVER, at(millis), at(millis + 5))
+    };
+    assert_eq!(reason(0, observation(4)), None);
+    assert_eq!(reason(20_000, observation(4)), None, "the lease has expired");
+    assert_eq!(reason(20_100, refused(4, 20_000)), None, "the owner's address refuses connections");
+    let last = claimants::OUTSIDER_TIMEOUT.as_millis();
+    assert_eq!(reason(last, observation(4)), None);
+    assert!(reason(last + 5, observation(4)).is_some());
+
+    let released = observation(5).map(|seen| Observation { released: true, ..seen });
+    assert!(reason(last + 10, released).is_some());
+    let terminated = observation(6).map(|seen| Observation { terminated: true, ..seen });
+    assert!(reason(last + 15, terminated).is_some());
+}
+
 #[test]
 fn owner_that_cannot_load_the_cell_in_time_backs_off() {
     assert!(!election::is_load_overdue(at(1_000), at(6_900)));
--- a/gl-jobs/tests/jobs/followers.rs
+++ b/gl-jobs/tests/jobs/followers.rs
@@ -1,5 +1,5 @@
 //! What the owner knows of its followers. Guards against a log that does not tell on which daemons'
-//! reports an owner goes on without the store, and which daemons it has stopped to count.
+//! reports an owner goes on without the store, and which daemons it has not heard for long.
 
 use gl_jobs::followers::{Census, Followers, Silence};
 use gl_model::time;
@@ -11,15 +11,15 @@
 }
 
 #[test]
-fn store_counts_as_down_only_while_all_counted_followers_say_so() {
+fn follower_counts_as_cut_off_only_while_its_report_is_current() {
     let mut followers = Followers::default();
-    assert!(!followers.is_store_down(at(1_000)), "nobody says so");
+    assert!(!followers.is_cut_off("a", at(1_000)), "it was never heard");
     followers.heard("a".to_owned(), false, at(1_000));
     followers.heard("b".to_owned(), false, at(1_300));
-    assert!(followers.is_store_down(at(2_199)));
-    assert!(!followers.is_store_down(at(2_200)), "the report of one is 1.2 s old");
-    followers.heard("a".to_owned(), true, at(2_300));
-    assert!(!followers.is_store_down(at(2_300)), "one reaches the store");
+    assert!(followers.is_cut_off("a", at(2_199)) && followers.is_cut_off("b", at(2_199)));
+    assert!(!followers.is_cut_off("a", at(2_200)), "the report is 1.2 s old");
+    followers.heard("b".to_owned(), true, at(2_300));
+    assert!(!followers.is_cut_off("b", at(2_300)), "it reaches the store");
 }
 
 #[test]
@@ -31,7 +31,7 @@
     followers.heard("c".to_owned(), false, at(20_500));
     assert_eq!(followers.drop_silent(at(21_000)), [silence("a", 20_000)]);
     let census = Census {
-        counted: 2,
+        known: 2,
         heard: 1,
         store_down: 2,
         oldest: Some(time::Span::millis(17_000)),
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn follower_that_does_not_count_any_more_is_reported_once_and_again_when_it_is_heard() {
+fn follower_that_is_not_known_any_more_is_reported_once_and_again_when_it_is_heard() {
     let mut followers = Followers::default();
     assert_eq!(followers.heard("a".to_owned(), true, at(1_000)), None);
     assert_eq!(followers.heard("a".to_owned(), true, at(1_300)), None);
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -174,10 +174,10 @@
         self.level("emptied-runs", runs as u64);
     }
 
-    /// Records the number of followers that the owner counts as daemons that may claim the cell, and of
-    /// those that it does not count any more, as they were silent for too long.
-    pub fn followers(&self, counted: usize, silent: usize) {
-        self.level("counted-followers", counted as u64);
+    /// Records the number of daemons that the owner has stored as those that may claim the cell, and of the
+    /// followers that were silent for long.
+    pub fn followers(&self, claimants: usize, silent: usize) {
+        self.level("claimants", claimants as u64);
         self.level("silent-followers", silent as u64);
     }
 
--- a/gl-meter/tests/meter/jobs.rs
+++ b/gl-meter/tests/meter/jobs.rs
@@ -31,11 +31,11 @@
 
 /// Guards against an owner that has lost most followers without a sign of it on call.
 #[test]
-fn counted_and_silent_followers_are_exported() {
+fn claimants_and_silent_followers_are_exported() {
     let metrics = Metrics::new().unwrap();
     metrics.followers(10, 24);
     let text = metrics.render();
-    assert_eq!(value(&text, &["kind=\"counted-followers\""]), "10");
+    assert_eq!(value(&text, &["kind=\"claimants\""]), "10");
     assert_eq!(value(&text, &["kind=\"silent-followers\""]), "24");
 }
 
