fix: date the report of an outage by the owner's clock and not by its arrival

Seen by callers: second runs in the failure domain of an owner at the end of a cut, up to thousands.

Cause: a heartbeat with the report that the store is down counted for 1.2 s from its arrival. What was sent before a cut is kept by the kernel and arrives after it, seconds late. If the cut began in an outage of the store, the reports of all daemons arrive then; until its next call to the store the owner went on, although another daemon had claimed the cell meanwhile.

Change: the owner's replies to heartbeats carry its steady clock, and each heartbeat the newest of these. The report is not older than that, so it counts for 1.5 s from there, and leases are extended from there. Starts are permitted until then and no longer; they were for 0.8 s from each tick. Heartbeats of earlier builds have no clock and do not count.

--- a/geraniumlatchd/src/jobs/followers.rs
+++ b/geraniumlatchd/src/jobs/followers.rs
@@ -1,6 +1,6 @@
 //! What the owner of the cell knows of its followers.
 
-use gl_jobs::followers::Silence;
+use gl_jobs::followers::{self, Silence};
 use gl_model::time;
 
 use super::{event, lease, outage_rule, ownership};
@@ -11,14 +11,14 @@
     pub fn heartbeat_received(
         &self,
         daemon: String,
-        is_store_up: bool,
+        report: followers::Report,
         wall: Option<time::Timestamp>,
     ) {
         let now = clock::steady();
         if let Some(wall) = wall {
             self.wall_clock.borrow_mut().heard(&daemon, wall, now);
         }
-        let silence = self.followers.borrow_mut().heard(daemon, is_store_up, now);
+        let silence = self.followers.borrow_mut().heard(daemon, report, now);
         if let Some(Silence { daemon, span }) = silence {
             let silent_ms = span.as_millis();
             event::emit(&event::Event::FollowerBack { follower: &daemon, silent_ms });
@@ -32,15 +32,16 @@
         self.followers.borrow().is_store_up(last_success, now)
     }
 
-    /// Returns whether no daemon can claim the cell for want of the store.
-    pub(super) fn are_claimants_cut_off(&self, now: time::Timestamp) -> bool {
+    /// Returns a time after which all claimants have reported that they cannot reach the store, if these
+    /// reports count.
+    pub(super) fn cut_off_after(&self, now: time::Timestamp) -> Option<time::Timestamp> {
         let mut followers = self.followers.borrow_mut();
         for Silence { daemon, span } in followers.drop_silent(now) {
             let silent_ms = span.as_millis();
             event::emit(&event::Event::FollowerSilent { follower: &daemon, silent_ms });
         }
         let renewed = self.lease_until.get() - lease::DURATION;
-        self.claimants.borrow().are_cut_off(&followers, renewed, now)
+        self.claimants.borrow().cut_off_after(&followers, renewed, now)
     }
 
     /// Reports the followers in the metrics, and in the log if `state` tells that the owner has begun or
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -239,6 +239,7 @@
         token,
         connection,
         confirmed_at,
+        clock: std::cell::Cell::default(),
         refused_since,
         former_since,
         load: std::cell::RefCell::default(),
@@ -273,12 +274,14 @@
         let daemon = node.settings.daemon.clone();
         let (token, owner) = (followed.token, followed.daemon.clone());
         let (sent, wall) = (clock::steady(), clock::now());
-        let request = super::mesh::Request::Heartbeat { daemon, store_up, token, owner, wall };
+        let after = followed.clock.get();
+        let request =
+            super::mesh::Request::Heartbeat { daemon, store_up, token, owner, wall, after };
         let reply = followed.connection.request(request, HEARTBEAT_TIMEOUT).await;
         if clock::steady().since(sent) < time::Span::from(HEARTBEAT_TIMEOUT) {
             node.adopt_agreement(reply.as_ref(), sent);
         }
-        followed.keep_summary(reply.as_ref(), sent);
+        followed.keep_state(reply.as_ref(), sent);
         let reply = reply.filter(|reply| !matches!(reply, super::mesh::Response::OtherDaemon));
         handle_heartbeat_reply(&node, &followed, reply.as_ref());
         let disconnected = followed.connection.disconnected();
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -3,7 +3,7 @@
 use std::rc;
 
 use gl_cost::summary;
-use gl_jobs::{election, job, task};
+use gl_jobs::{election, followers, job, task};
 use gl_model::time;
 use gl_peer::rpc;
 
@@ -27,6 +27,10 @@
         /// The sender's time of day; zero if it does not tell it, as in earlier versions.
         #[serde(default)]
         wall: time::Timestamp,
+        /// The owner's steady clock in the newest reply that the sender has received; `None` before the
+        /// first one, and in earlier versions.
+        #[serde(default)]
+        after: Option<time::Timestamp>,
     },
     /// Reports that a job has been stored.
     Accepted {
@@ -78,6 +82,9 @@
         readings: usize,
         /// The load of the services.
         load: summary::Summary,
+        /// The owner's steady clock; `None` in earlier versions.
+        #[serde(default)]
+        clock: Option<time::Timestamp>,
     },
     /// The result of storing a job.
     Store(submission::Outcome),
@@ -157,9 +164,10 @@
 
 fn handle_as_owner(ownership: &rc::Rc<ownership::Ownership>, request: Request) -> Response {
     match request {
-        Request::Heartbeat { daemon, store_up, wall, .. } => {
+        Request::Heartbeat { daemon, store_up, wall, after, .. } => {
             let has_wall = wall > time::Timestamp::default();
-            ownership.heartbeat_received(daemon, store_up, has_wall.then_some(wall));
+            let report = followers::Report { is_store_up: store_up, after };
+            ownership.heartbeat_received(daemon, report, has_wall.then_some(wall));
             let agreed = ownership.node().agreed.get().filter(|_| has_wall);
             agreed.map_or(Response::Noted, |agreed| {
                 let now = clock::steady();
@@ -167,6 +175,7 @@
                     wall: agreed.wall(now),
                     readings: agreed.readings,
                     load: ownership.owner().load_summary(now),
+                    clock: Some(now),
                 }
             })
         }
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -64,6 +64,8 @@
     pub connection: rpc::Client<mesh::Protocol>,
     /// Time at which it last confirmed that it owns the cell.
     pub confirmed_at: cell::Cell<time::Timestamp>,
+    /// Its steady clock in its newest reply that had it.
+    pub clock: cell::Cell<Option<time::Timestamp>>,
     /// Time since which its address has refused connections.
     pub refused_since: cell::Cell<Option<time::Timestamp>>,
     /// Time since which the process that held the token is known to have terminated or given the cell
@@ -74,9 +76,11 @@
 }
 
 impl FollowedOwner {
-    /// Keeps the load of the services in the reply to a heartbeat that was sent at `sent`.
-    pub fn keep_summary(&self, reply: Option<&mesh::Response>, sent: time::Timestamp) {
-        if let Some(mesh::Response::Confirmed { load, .. }) = reply {
+    /// Keeps the load of the services and the owner's clock in the reply to a heartbeat that was sent at
+    /// `sent`.
+    pub fn keep_state(&self, reply: Option<&mesh::Response>, sent: time::Timestamp) {
+        if let Some(mesh::Response::Confirmed { load, clock, .. }) = reply {
+            self.clock.set(clock.or(self.clock.get()));
             self.load.replace(Some(summary::Received { summary: load.clone(), sent }));
         }
     }
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -21,9 +21,6 @@
 /// Time between two ticks above which the process counts as suspended, so that messages of other
 /// daemons may have been lost.
 const SUSPENSION_THRESHOLD: time::Span = time::Span::millis(800);
-/// Time for which new runs are permitted while no daemon can reach the store. The permission is
-/// renewed with each tick, so that it ends if the process is suspended.
-const OUTAGE_PERMISSION: time::Span = SUSPENSION_THRESHOLD;
 
 /// State of the cell's owner, shared by the tasks that run while this daemon owns the cell.
 pub struct Ownership {
@@ -298,7 +295,7 @@
     }
 
     /// Permits or forbids new runs. They are permitted while the lease is valid, and also while no
-    /// follower can reach the store either, as then no daemon can claim the cell.
+    /// claimant can reach the store either, as then no daemon can claim the cell.
     ///
     /// An owner that cannot reach the store gives the cell up after its lease has expired, as soon
     /// as a follower can reach the store. An owner whose renewals are late because the store is
@@ -308,14 +305,15 @@
             self.is_stale.set(true);
         }
         let is_valid = now < self.lease_until.get();
-        let is_store_down = self.are_claimants_cut_off(now);
+        let cut_off_after = self.cut_off_after(now);
+        let is_store_down = cut_off_after.is_some();
         let allowed = !self.is_stale.get() && (is_valid || is_store_down);
         let is_new = now.since(self.started_at) < lease::DURATION;
         let is_cut_off = !lease::is_store_up(&self.node, now);
         if !is_valid && !is_new && is_cut_off && self.is_store_up_for_follower(now) {
             return self.step_down("another daemon can reach the store and this daemon cannot");
         }
-        let outage_until = if is_store_down { now + OUTAGE_PERMISSION } else { now };
+        let outage_until = cut_off_after.map_or(now, |after| after + followers::REPORT_VALIDITY);
         let may_start = allowed && !self.node.is_draining.get();
         let until = if may_start { self.lease_until.get().max(outage_until) } else { now };
         let mut owner = self.owner.borrow_mut();
@@ -323,10 +321,10 @@
         owner.set_store_down(is_store_down && is_cut_off);
         let outage = election::Outage {
             owner_cut_off: is_cut_off,
-            followers_cut_off: is_store_down,
+            cut_off_after,
             is_stale: self.is_stale.get(),
         };
-        if let Some(at) = election::no_claim_before(outage, now) {
+        if let Some(at) = election::no_claim_before(outage) {
             owner.claims_excluded(at);
         }
         drop(owner);
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Copy)]
 pub(super) struct Split {
     pub owner: usize,
+    pub since: time::Timestamp,
     pub until: time::Timestamp,
 }
 
@@ -89,7 +90,7 @@
             }
             Fault::SplitOwner(span) if !self.ownerships.is_empty() => {
                 let owner = self.ownerships.len() - 1;
-                self.split = Some(Split { owner, until: now + *span });
+                self.split = Some(Split { owner, since: now, until: now + *span });
             }
             Fault::SplitOwner(_) => {}
             Fault::StoreOutage(span) => self.outage_end = now + *span,
--- a/gl-emulate/src/simulation/messages.rs
+++ b/gl-emulate/src/simulation/messages.rs
@@ -2,7 +2,7 @@
 
 use std::cmp;
 
-use gl_jobs::{owner, task, worker as model};
+use gl_jobs::{followers, owner, task, worker as model};
 use gl_model::time;
 use rand::Rng as _;
 
@@ -24,8 +24,8 @@
     /// The time at which the poll was sent, and the reply unless the poll failed.
     PollReply(time::Timestamp, Option<model::PollReply>, bool),
     Commit(owner::Commit),
-    /// The name of a daemon, and whether it can reach the store.
-    Heartbeat(String, bool),
+    /// The number of a daemon, and what it reports.
+    Heartbeat(usize, followers::Report),
 }
 
 /// A message that is delivered at a given time, in the order of the numbers.
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -70,6 +70,8 @@
     split: Option<Split>,
     /// The time of the last successful call to the store of each daemon.
     store_calls: [time::Timestamp; daemons::DAEMONS],
+    /// The newest clock of an owner that each daemon has received, with the owner.
+    owner_clocks: [Option<(usize, time::Timestamp)>; daemons::DAEMONS],
     /// The daemons that may claim the cell in an outage, as the owner has stored them.
     claimants: claimants::Names,
     stored_model: record::ModelSnapshot,
@@ -130,6 +132,7 @@
             vacating: collections::BTreeMap::new(),
             split: None,
             store_calls: [now; daemons::DAEMONS],
+            owner_clocks: [None; daemons::DAEMONS],
             claimants: claimants::Names::new(),
             stored_model: record::ModelSnapshot::default(),
             last_renewal: now,
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -99,8 +99,8 @@
                 }
             }
             Message::Commit(commit) => self.apply_commit(delivery.owner, &commit),
-            Message::Heartbeat(daemon, is_store_up) => {
-                self.heartbeat_received(delivery.owner, daemon, is_store_up);
+            Message::Heartbeat(daemon, report) => {
+                self.heartbeat_received(delivery.owner, daemon, report);
             }
             _ => {}
         }
--- a/gl-emulate/tests/simulation/handover.rs
+++ b/gl-emulate/tests/simulation/handover.rs
@@ -202,3 +202,25 @@
         assert!(report.violations.is_empty(), "seed {seed}: {report}");
     }
 }
+
+/// Returns an outage of the store, and a split that begins in it and lasts longer.
+fn split_in_outage(seed: u64) -> Vec<simulation::ScheduledFault> {
+    let mut rng = rngs::SmallRng::seed_from_u64(seed);
+    let outage = rng.random_range(8_000..10_000);
+    let length = time::Span::millis(rng.random_range(10_000..16_000));
+    let begin = outage + rng.random_range(1_600..4_000);
+    vec![
+        fault(outage, simulation::Fault::StoreOutage(time::Span::seconds(5))),
+        fault(begin, simulation::Fault::SplitOwner(length)),
+    ]
+}
+
+/// Guards against second runs at the end of a split, when reports of an outage arrive that were sent before
+/// it: the owner took them for new ones, and went on without the store until its next call.
+#[test]
+fn reports_of_an_outage_that_arrive_after_a_split_violate_no_guarantee() {
+    for seed in 0..RUNS {
+        let report = run(seed, None, split_in_outage(seed));
+        assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    }
+}
--- a/gl-jobs/src/claimants.rs
+++ b/gl-jobs/src/claimants.rs
@@ -36,18 +36,20 @@
         Self { stored, unsettled: Names::new(), since: now }
     }
 
-    /// Returns whether no daemon can claim the cell for want of the store: there are claimants, and none of
-    /// them can reach it by its current heartbeat. `renewed` is the time of the owner's last renewal.
-    pub fn are_cut_off(
+    /// Returns a time after which all claimants have reported that they cannot reach the store, so that no
+    /// daemon can claim the cell, if these reports count at `now`. `renewed` is the time of the owner's last
+    /// renewal.
+    pub fn cut_off_after(
         &self,
         followers: &followers::Followers,
         renewed: time::Timestamp,
         now: time::Timestamp,
-    ) -> bool {
+    ) -> Option<time::Timestamp> {
+        if self.stored.is_empty() || now.since(renewed) >= OUTAGE_LIMIT {
+            return None;
+        }
         let mut asked = self.named().chain(followers.names());
-        !self.stored.is_empty()
-            && now.since(renewed) < OUTAGE_LIMIT
-            && asked.all(|daemon| followers.is_cut_off(daemon, now))
+        asked.try_fold(now, |oldest, name| Some(oldest.min(followers.cut_off_after(name, now)?)))
     }
 
     /// Returns the names that are stored, or may be.
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -334,18 +334,14 @@
 pub struct Outage {
     /// Whether the owner itself cannot reach the store.
     pub owner_cut_off: bool,
-    /// Whether there are followers, and the current heartbeats of all of them say that they cannot
-    /// reach the store either.
-    pub followers_cut_off: bool,
-    /// Whether the process may have been suspended since it last read the store, so that heartbeats
-    /// may be older than they seem.
+    /// A time after which all daemons that may claim the cell have reported that they cannot reach the store
+    /// either, if these reports count.
+    pub cut_off_after: Option<time::Timestamp>,
+    /// Whether the process may have been suspended since it last read the store.
     pub is_stale: bool,
 }
 
-/// Returns a time before which no other daemon can have claimed the cell, if the outage shows one. A
-/// claim needs the store, and a daemon that reaches it again first watches the lease for longer than
-/// a heartbeat counts as current.
-pub fn no_claim_before(outage: Outage, now: time::Timestamp) -> Option<time::Timestamp> {
-    let is_certain = outage.owner_cut_off && outage.followers_cut_off && !outage.is_stale;
-    is_certain.then_some(now - HEARTBEAT_VALIDITY)
+/// Returns a time before which no other daemon can have claimed the cell, if the outage shows one.
+pub fn no_claim_before(outage: Outage) -> Option<time::Timestamp> {
+    outage.cut_off_after.filter(|_| outage.owner_cut_off && !outage.is_stale)
 }
--- a/gl-jobs/src/followers.rs
+++ b/gl-jobs/src/followers.rs
@@ -9,11 +9,25 @@
 /// Time for which a follower without heartbeats remains known.
 pub(crate) const RETENTION: time::Span = time::Span::seconds(20);
 
+/// Time for which a report of an outage counts, from the earliest time at which it can have been made. It
+/// covers a lost heartbeat.
+pub const REPORT_VALIDITY: time::Span = time::Span::millis(1_500);
+
+/// A follower's report of whether it can reach the store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Whether it can.
+    pub is_store_up: bool,
+    /// The owner's clock in the newest reply that the follower had, if it had any. The report is not older,
+    /// however late it arrives.
+    pub after: Option<time::Timestamp>,
+}
+
 /// Last heartbeat received from a follower.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Heartbeat {
     at: time::Timestamp,
-    is_store_up: bool,
+    report: Report,
 }
 
 impl Heartbeat {
@@ -61,13 +75,13 @@
     pub fn heard(
         &mut self,
         daemon: String,
-        is_store_up: bool,
+        report: Report,
         now: time::Timestamp,
     ) -> Option<Silence> {
         let silent_since = self.silent.remove(&daemon);
         let silence =
             silent_since.map(|at| Silence { daemon: daemon.clone(), span: now.since(at) });
-        self.known.insert(daemon, Heartbeat { at: now, is_store_up });
+        self.known.insert(daemon, Heartbeat { at: now, report });
         silence
     }
 
@@ -86,17 +100,18 @@
     /// successful call at `last_success`.
     pub fn is_store_up(&self, last_success: time::Timestamp, now: time::Timestamp) -> bool {
         self.known.values().any(|heartbeat| {
-            heartbeat.is_store_up
+            heartbeat.report.is_store_up
                 && heartbeat.is_current(now)
                 && election::has_reached_store_since(last_success, heartbeat.at)
         })
     }
 
-    /// Returns whether a daemon cannot reach the store by its current heartbeat. Without one, it may be able
-    /// to reach it.
-    pub fn is_cut_off(&self, daemon: &str, now: time::Timestamp) -> bool {
-        let heartbeat = self.known.get(daemon);
-        heartbeat.is_some_and(|heartbeat| heartbeat.is_current(now) && !heartbeat.is_store_up)
+    /// Returns a time after which a daemon has reported that it cannot reach the store, if that report
+    /// counts at `now`. Without one, it may be able to reach it.
+    pub fn cut_off_after(&self, daemon: &str, now: time::Timestamp) -> Option<time::Timestamp> {
+        let report = self.known.get(daemon)?.report;
+        let after = report.after.filter(|_| !report.is_store_up)?;
+        (after <= now && now.since(after) < REPORT_VALIDITY).then_some(after)
     }
 
     /// Returns the names of the known followers.
@@ -110,7 +125,7 @@
         Census {
             known: known.len(),
             heard: known.clone().filter(|heartbeat| heartbeat.is_current(now)).count(),
-            store_down: known.clone().filter(|heartbeat| !heartbeat.is_store_up).count(),
+            store_down: known.clone().filter(|heartbeat| !heartbeat.report.is_store_up).count(),
             oldest: known.map(|heartbeat| now.since(heartbeat.at)).max(),
             silent: self.silent.len(),
         }
