fix: claim no cell while the daemon's own report of an outage may count

By reading, no callers' report: a daemon counts the store as down after two failed calls, of whatever kind. If only some partitions are away, its calls for a claim succeed, and it claims a cell from an owner that is cut off and goes on without the store by that very report. The same holds for a claim without a reply, which may take effect while the daemon reports the outage that has cut it off.

Change: no claim for 1.6 s after an own report, unless the owner has ended; reports are left undated, so that they do not count, while a claim of the daemon may take effect.

Evidence: two unit tests (daemon_claims_no_cell_while_its_own_report..., report_of_a_daemon_whose_claim...), which failed without the change.

--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -4,7 +4,7 @@
 
 use std::rc;
 
-use gl_jobs::{claimants, election, record};
+use gl_jobs::{claimants, election, followers, record};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
@@ -148,6 +148,7 @@
                 .is_some_and(|owner| predecessors::former_since(node, owner.version).is_some()),
             refused,
             standing: cell.standing(&node.settings.daemon),
+            outage_reported: node.outage_reported.get(),
         });
         self.lease_watch.claim_reason(observation, TAKEOVER_TIMEOUT, sent, now)
     }
@@ -274,7 +275,9 @@
         let daemon = node.settings.daemon.clone();
         let (token, owner) = (followed.token, followed.daemon.clone());
         let (sent, wall) = (clock::steady(), clock::now());
-        let after = followed.clock.get();
+        let clock = followed.clock.get();
+        let report = followers::Report::new(store_up, clock, node.has_open_claim.get());
+        let after = report.after;
         let request =
             super::mesh::Request::Heartbeat { daemon, store_up, token, owner, wall, after };
         let reply = followed.connection.request(request, HEARTBEAT_TIMEOUT).await;
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use crate::claimants;
+use crate::{claimants, followers};
 
 /// The reply of a daemon that is asked whether it owns the cell under a fencing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +72,8 @@
     pub refused: Option<time::Timestamp>,
     /// What this daemon is to the owner.
     pub standing: claimants::Standing,
+    /// The last time at which this daemon reported to an owner that it could not reach the store.
+    pub outage_reported: time::Timestamp,
 }
 
 /// Watches the owner's lease for renewals.
@@ -116,7 +118,9 @@
             return Some("the owner's process has terminated");
         }
         let is_outsider = observation.standing == claimants::Standing::Outsider;
-        if is_outsider && sent.since(renewal_read) < claimants::OUTSIDER_TIMEOUT {
+        let is_ignored = is_outsider && sent.since(renewal_read) < claimants::OUTSIDER_TIMEOUT;
+        let has_reported = now.since(observation.outage_reported) < followers::REPORT_TIMEOUT;
+        if is_ignored || has_reported {
             return None;
         }
         let unchanged = sent.since(since);
--- a/gl-jobs/src/followers.rs
+++ b/gl-jobs/src/followers.rs
@@ -13,6 +13,10 @@
 /// covers a lost heartbeat.
 pub const REPORT_VALIDITY: time::Span = time::Span::millis(1_500);
 
+/// Time after its own report of an outage for which a daemon claims no cell from an owner that may go on.
+/// Longer than the validity by the drift of clocks.
+pub const REPORT_TIMEOUT: time::Span = time::Span::millis(1_600);
+
 /// A follower's report of whether it can reach the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Report {
@@ -23,6 +27,14 @@
     pub after: Option<time::Timestamp>,
 }
 
+impl Report {
+    /// Returns the report of a daemon that has `clock` from the owner. While a claim of its own may take
+    /// effect, a report of an outage must not count.
+    pub fn new(is_store_up: bool, clock: Option<time::Timestamp>, has_open_claim: bool) -> Self {
+        Self { is_store_up, after: clock.filter(|_| !has_open_claim) }
+    }
+}
+
 /// Last heartbeat received from a follower.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Heartbeat {
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -10,8 +10,14 @@
 const TAKEOVER: time::Span = time::Span::millis(2_300);
 
 fn observation(version: u64) -> Option<Observation> {
-    let standing = Standing::Claimant;
-    Some(Observation { version, released: false, terminated: false, refused: None, standing })
+    Some(Observation {
+        version,
+        released: false,
+        terminated: false,
+        refused: None,
+        standing: Standing::Claimant,
+        outage_reported: time::Timestamp::default(),
+    })
 }
 
 #[test]
@@ -99,6 +105,25 @@
     assert!(reason(last + 15, terminated).is_some());
 }
 
+/// Guards against second runs by an owner that goes on without the store by the report of a daemon that
+/// claims the cell: some of its calls fail, and those for the claim succeed.
+#[test]
+fn daemon_claims_no_cell_while_its_own_report_of_an_outage_may_count() {
+    let mut watch = LeaseWatch::default();
+    let reported = |seen: Observation| Observation { outage_reported: at(11_000), ..seen };
+    let mut reason = |millis, seen: Option<Observation>| {
+        watch.claim_reason(seen.map(reported), TAKEOVER, at(millis), at(millis + 5))
+    };
+    assert_eq!(reason(9_000, observation(4)), None);
+    assert_eq!(reason(12_500, observation(4)), None, "the lease has expired");
+    assert_eq!(reason(12_510, refused(4, 12_000)), None, "the owner's address refuses connections");
+    assert!(reason(12_600, observation(4)).is_some());
+
+    let released = observation(5).map(|seen| Observation { released: true, ..seen });
+    let mut watch = LeaseWatch::default();
+    assert!(watch.claim_reason(released.map(reported), TAKEOVER, at(11_100), at(11_105)).is_some());
+}
+
 #[test]
 fn owner_that_cannot_load_the_cell_in_time_backs_off() {
     assert!(!election::is_load_overdue(at(1_000), at(6_900)));
--- a/gl-jobs/tests/jobs/followers.rs
+++ b/gl-jobs/tests/jobs/followers.rs
@@ -46,6 +46,18 @@
     assert_eq!(followers.cut_off_after("a", at(1_300)), None, "a clock that is ahead");
 }
 
+/// Guards against a daemon whose claim takes effect late, while it reports an outage by which the owner goes
+/// on without the store.
+#[test]
+fn report_of_a_daemon_whose_claim_may_take_effect_does_not_count() {
+    let report = |has_open_claim| Report::new(false, Some(at(1_000)), has_open_claim);
+    let mut followers = Followers::default();
+    followers.heard("a".to_owned(), report(true), at(1_300));
+    assert_eq!(followers.cut_off_after("a", at(1_300)), None);
+    followers.heard("a".to_owned(), report(false), at(1_600));
+    assert_eq!(followers.cut_off_after("a", at(1_600)), Some(at(1_000)));
+}
+
 #[test]
 fn census_tells_what_an_owner_counts_on() {
     let mut followers = Followers::default();
