fix: know no end of leases after a claim by a daemon that the owner does not ask

By reading, no callers' report. A daemon took leases to end 8 s after the owner began to refuse its connections, or after it read the last renewal, as no report of an outage had reached the owner since. That holds only if the owner waits for its reports. An owner of an earlier version forgets a daemon that was silent for 20 s, and then extends leases without it.

Change: these bounds hold for claimants. Others assume the horizon from their claim on, unless the owner has ended, whose stored value holds for all.

Evidence: leases_of_an_owner_that_did_not_ask_the_claiming_daemon_are_not_known_to_end, which fails without the change for an owner of an earlier version.

--- a/geraniumlatchd/src/jobs/predecessors.rs
+++ b/geraniumlatchd/src/jobs/predecessors.rs
@@ -1,7 +1,7 @@
 //! What earlier owners of the cell may still do: how long the leases of workers may last that they have
 //! extended, and how long they may order starts.
 
-use gl_jobs::{claimants, election, owner};
+use gl_jobs::{election, owner};
 use gl_model::time;
 use gl_platform::cell as platform;
 
@@ -57,7 +57,7 @@
         refused_since: refused_since(node, token),
         unrenewed_since: watch.unchanged_since().filter(|_| has_followed(node, token)),
         outage_reported,
-        is_outsider: cell.standing(&node.settings.daemon) == claimants::Standing::Outsider,
+        standing: cell.standing(&node.settings.daemon),
     };
     let drift = node.settings.owner.clock_drift;
     let outstanding = election::shortest_bound(&last, row.horizon, drift, now);
--- a/gl-emulate/src/simulation/claims.rs
+++ b/gl-emulate/src/simulation/claims.rs
@@ -55,7 +55,7 @@
             refused_since: self.ownerships.last().and_then(|ownership| ownership.refused_since),
             unrenewed_since: last_renewal,
             outage_reported: self.outage_end,
-            is_outsider: false,
+            standing: claimants::Standing::Claimant,
         };
         let settings = &self.settings.owner;
         let outstanding =
--- a/gl-jobs/src/election.rs
+++ b/gl-jobs/src/election.rs
@@ -170,7 +170,7 @@
 }
 
 /// What a daemon that claims the cell knows about its last owner.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LastOwner {
     /// The end of the ownership, if it is known.
     pub ended: Option<Ended>,
@@ -187,8 +187,8 @@
     /// owner may extend leases from then on as if it had renewed its own, and the report may reach it
     /// late.
     pub outage_reported: time::Timestamp,
-    /// Whether the owner may have gone on without the store whatever this daemon reported.
-    pub is_outsider: bool,
+    /// What this daemon is to the owner.
+    pub standing: claimants::Standing,
 }
 
 /// What the end of the leases follows from that earlier owners have extended.
@@ -242,13 +242,13 @@
 ) -> Option<Outstanding> {
     let after = |at, span| left(at, span, clock_drift, now);
     let ended = last.ended.and_then(|ended| Some(after(ended.at, ended.outstanding?)));
+    // Without a report of this daemon, the owner has extended no leases since.
+    let is_asked = last.standing == claimants::Standing::Claimant;
     let unrenewed =
         last.unrenewed_since.filter(|at| last.outage_reported + HEARTBEAT_VALIDITY < *at);
-    let unrenewed = unrenewed.map(|at| after(at, horizon));
-    // No report of an outage has reached the owner since.
-    let unreported = last.refused_since.map(|at| after(at.max(last.renewal_read), horizon));
-    let unrenewed = unrenewed.filter(|_| !last.is_outsider);
-    let unreported = unreported.filter(|_| !last.is_outsider);
+    let unrenewed = unrenewed.filter(|_| is_asked).map(|at| after(at, horizon));
+    let unreported = last.refused_since.filter(|_| is_asked);
+    let unreported = unreported.map(|at| after(at.max(last.renewal_read), horizon));
     let bounds =
         [(ended, Bound::Ended), (unrenewed, Bound::Unrenewed), (unreported, Bound::Refused)];
     let known = bounds.into_iter().filter_map(|(left, bound)| left.map(|left| (left, bound)));
@@ -269,7 +269,7 @@
     if last.ended.is_some() {
         return earlier;
     }
-    let in_outage = after(last.outage_reported, HEARTBEAT_TRANSIT + HEARTBEAT_VALIDITY);
+    let in_outage = after(last.outage_reported, followers::REPORT_VALIDITY);
     after(last.renewal_read, lease).max(in_outage).max(earlier)
 }
 
--- a/gl-jobs/tests/jobs/election.rs
+++ b/gl-jobs/tests/jobs/election.rs
@@ -9,6 +9,17 @@
 
 const TAKEOVER: time::Span = time::Span::millis(2_300);
 
+/// An owner of which this daemon, one of its claimants, knows nothing else.
+const LAST: election::LastOwner = election::LastOwner {
+    ended: None,
+    renewal_read: time::Timestamp(0),
+    earlier_starts: time::Span::ZERO,
+    refused_since: None,
+    unrenewed_since: None,
+    outage_reported: time::Timestamp(0),
+    standing: Standing::Claimant,
+};
+
 fn observation(version: u64) -> Option<Observation> {
     Some(Observation {
         version,
@@ -41,11 +52,8 @@
 /// for expired, while the owner was alive and had just extended them.
 #[test]
 fn refusal_of_long_ago_does_not_shorten_the_leases_that_a_live_owner_extends() {
-    let last = election::LastOwner {
-        refused_since: Some(at(12_000)),
-        renewal_read: at(19_900),
-        ..election::LastOwner::default()
-    };
+    let last =
+        election::LastOwner { refused_since: Some(at(12_000)), renewal_read: at(19_900), ..LAST };
     let horizon = time::Span::seconds(8);
     let left = election::outstanding(&last, horizon, 0.0, at(20_000));
     assert_eq!(left, Some(time::Span::millis(7_900)));
@@ -165,12 +173,31 @@
     assert_eq!(election::fence(Some(8), 7), election::Fence::Superseded);
 }
 
+/// Guards against second runs after a claim by a daemon whose reports an owner does not ask for, as it has
+/// not heard it for long, or runs an earlier version: it goes on without the store, and extends leases.
+#[test]
+fn leases_of_an_owner_that_did_not_ask_the_claiming_daemon_are_not_known_to_end() {
+    for standing in [Standing::Outsider, Standing::Unknown] {
+        let last = election::LastOwner {
+            refused_since: Some(at(2_000)),
+            unrenewed_since: Some(at(2_000)),
+            standing,
+            ..LAST
+        };
+        let left = |last| election::outstanding(&last, time::Span::seconds(8), 0.0, at(40_000));
+        assert_eq!(left(last), None);
+        let ended = election::Ended { at: at(39_000), outstanding: Some(time::Span::seconds(6)) };
+        let ended = election::LastOwner { ended: Some(ended), ..last };
+        assert_eq!(left(ended), Some(time::Span::seconds(5)));
+    }
+}
+
 /// Guards against a wait for leases that must have expired, and against one that is too short.
 #[test]
 fn leases_last_from_the_end_of_the_owner_or_from_its_last_renewal() {
     let horizon = time::Span::seconds(10);
     let left = |last: &election::LastOwner, now| election::outstanding(last, horizon, 0.0, at(now));
-    let none = election::LastOwner::default();
+    let none = LAST;
     assert_eq!(left(&none, 50_000), None);
 
     let ended = election::Ended { at: at(20_000), outstanding: Some(time::Span::seconds(6)) };
@@ -198,7 +225,7 @@
         );
         known.map(|known| known.bound)
     };
-    let none = election::LastOwner::default();
+    let none = LAST;
     assert_eq!(decided(&none), None);
     let silent = election::LastOwner { unrenewed_since: Some(at(20_000)), ..none };
     assert_eq!(decided(&silent), Some(election::Bound::Unrenewed));
@@ -242,16 +269,13 @@
 fn owner_may_order_starts_for_the_lease_of_its_last_renewal_unless_it_has_ended() {
     let lease = time::Span::seconds(2);
     let left = |last: &election::LastOwner| election::starts_left(last, lease, 0.0, at(20_500));
-    let silent = election::LastOwner { renewal_read: at(20_000), ..election::LastOwner::default() };
+    let silent = election::LastOwner { renewal_read: at(20_000), ..LAST };
     assert_eq!(left(&silent), time::Span::millis(1_500));
     let ended = election::Ended { at: at(20_400), outstanding: None };
     let ended = election::LastOwner { ended: Some(ended), ..silent };
     assert_eq!(left(&ended), time::Span::ZERO);
-    let outage = election::LastOwner {
-        renewal_read: at(10_000),
-        outage_reported: at(20_100),
-        ..election::LastOwner::default()
-    };
+    let outage =
+        election::LastOwner { renewal_read: at(10_000), outage_reported: at(20_100), ..LAST };
     assert_eq!(left(&outage), time::Span::millis(1_100), "the report counts for 1.5 s");
     let after_another = election::LastOwner { earlier_starts: time::Span::millis(900), ..ended };
     assert_eq!(left(&after_another), time::Span::millis(400), "the owner before it may be alive");
