feat(gl-standin): failure domains whose network can be cut

The stand-in of the users' platform had one failure domain, so that no process test could cut one off. Now connections between domains, and to the store, pass forwarders on loopback. A cut holds their bytes and delivers them when TCP would retransmit them, resets connections, or refuses them. Addresses in rows are translated for each domain. The rows of workers whose domain does not reach the store are removed.

Each run is recorded with the worker's domain, the fencing token and the time of the acknowledgement. Its end is matched by worker as well as task, and a lapsed run ends at the time of its lease. For hundreds of workers, polls wait for ends in place of checking for them, and the store looks changes up by version.

--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -296,6 +296,12 @@
         self.ended.iter().any(|end| end.number > number)
     }
 
+    /// Returns the time at which the worker's lease expires, in true time.
+    pub fn lease_end(&self) -> time::Timestamp {
+        let left = self.lease_expiry.since(time::Timestamp::default());
+        self.started_at + left.scaled(1.0 / self.spec.clock_rate)
+    }
+
     fn extend_lease(&mut self, lease: time::Timestamp, now: time::Timestamp) {
         let limit = self.clock(now) + MAX_LEASE;
         self.lease_expiry = self.lease_expiry.max(lease.min(limit));
--- a/gl-standin/examples/standin.rs
+++ b/gl-standin/examples/standin.rs
@@ -1,5 +1,5 @@
 //! Runs a stand-in as a process: `standin platform`, `standin workers PLATFORM DOMAIN RACK COUNT
-//! SPEED`, or `standin fleet SERVICE COUNT` for the users' platform.
+//! SPEED`, or `standin fleet SERVICE COUNT DOMAINS` for the users' platform.
 
 use std::{io, net, process};
 
@@ -7,7 +7,7 @@
 use gl_standin::{fleet, http, platform, worker};
 
 const USAGE: &str = "Usage: standin platform | standin workers PLATFORM DOMAIN RACK COUNT SPEED | \
-    standin fleet SERVICE COUNT";
+    standin fleet SERVICE COUNT DOMAINS";
 
 fn main() -> process::ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -16,8 +16,10 @@
         let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
         match words.as_slice() {
             ["platform"] => run_platform().await,
-            ["fleet", service, count] => {
-                fleet::run(service, count.parse().map_err(io::Error::other)?).await
+            ["fleet", service, count, domains] => {
+                let workers = count.parse().map_err(io::Error::other)?;
+                let domains = domains.parse().map_err(io::Error::other)?;
+                fleet::run(service, fleet::Size { workers, domains }).await
             }
             ["workers", platform, domain, rack, count, speedup] => {
                 run_workers(platform, domain, rack, count, speedup).await
--- a/gl-standin/src/fleet/daemon.rs
+++ b/gl-standin/src/fleet/daemon.rs
@@ -7,74 +7,109 @@
 use super::ports;
 use crate::process::{self, Process};
 
+/// The settings of a daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name.
+    pub name: String,
+    /// The name of the failure domain.
+    pub domain: String,
+    /// The address of the store.
+    pub store: net::SocketAddr,
+    /// The maximum lease of a worker, in milliseconds.
+    pub max_lease_ms: u64,
+}
+
 /// A running daemon, its addresses and its log.
 pub struct Daemon {
+    /// The settings.
+    pub settings: Settings,
     /// The process.
     pub process: Process,
     /// The address that serves clients.
     pub client_address: net::SocketAddr,
     /// The address of the readiness check, which the load balancer uses.
     pub ready_address: net::SocketAddr,
+    /// The address that serves other daemons.
+    pub mesh_address: net::SocketAddr,
     /// The file with its log.
     pub log_path: path::PathBuf,
+    settings_path: path::PathBuf,
 }
 
-/// The maximum lease of a worker, in milliseconds. Short, so that a test can outlast it.
+/// The default of the maximum lease of a worker, in milliseconds. Short, so that a test can outlast it.
 pub const MAX_LEASE_MS: u64 = 5_000;
 
-fn settings(name: &str, store_address: net::SocketAddr) -> io::Result<serde_json::Value> {
-    let address = |port: u16| format!("127.0.0.1:{port}");
-    let pair = ports::reserve_port_pair()?;
-    Ok(json!({
-        "NodeName": name, "Role": "scheduler", "MachineClass": "frontend", "Ip": "127.0.0.1",
-        "Zone": "a", "Bootstrap": true, "HeartbeatMs": 300, "ControlMode": "push",
-        "ListenAddrs": {
-            "FrontendAddr": address(ports::reserve_port()?), "Ready": address(ports::reserve_port()?)
-        },
-        "PortRange": [pair, pair + 1],
-        "Bounds": {
-            "GraceS": 6, "HoldMaxMs": MAX_LEASE_MS, "StopTimeoutMs": 900, "DrainMs": 2_000,
-            "ConfigApplyMs": 2_000, "status_s": 120
-        },
-        "platform": {"Address": store_address.to_string()}
-    }))
-}
-
 /// The maximum time from the start of a daemon until it is ready.
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
 /// The log lines that the error of a failed start shows.
 const SHOWN_LINES: usize = 20;
 
+fn address(port: u16) -> net::SocketAddr {
+    (net::Ipv4Addr::LOCALHOST, port).into()
+}
+
+fn spawn(settings_path: &path::Path, log_path: &path::Path) -> io::Result<Process> {
+    let program = process::program_path("geraniumlatchd")?;
+    let environment = [("GERANIUMLATCH_CONFIG".to_owned(), settings_path.display().to_string())];
+    Process::spawn(&program, &["--hosted".to_owned()], &environment, log_path)
+}
+
 impl Daemon {
-    /// Starts a daemon with its settings and its log in `dir`, and waits until it is ready.
+    /// Starts a daemon with its settings and its log in `dir`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the daemon cannot be started or is not ready in time.
-    pub async fn start(
-        dir: &path::Path,
-        name: &str,
-        store_address: net::SocketAddr,
-    ) -> io::Result<Self> {
-        let settings = settings(name, store_address)?;
-        let path = dir.join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string())?;
-        let program = process::program_path("geraniumlatchd")?;
-        let log_path = dir.join(format!("{name}.log"));
-        let environment = [("GERANIUMLATCH_CONFIG".to_owned(), path.display().to_string())];
-        let process = Process::spawn(&program, &["--hosted".to_owned()], &environment, &log_path)?;
-        let address = |field: &str| {
-            let text = settings["ListenAddrs"][field].as_str().unwrap_or_default();
-            text.parse().map_err(io::Error::other)
-        };
-        let (client_address, ready_address) = (address("FrontendAddr")?, address("Ready")?);
-        let mut daemon = Self { process, client_address, ready_address, log_path };
-        daemon.wait_until_ready().await?;
-        Ok(daemon)
+    /// Returns an error if the daemon cannot be started.
+    pub fn start(dir: &path::Path, settings: Settings) -> io::Result<Self> {
+        let (client_address, ready_address) =
+            (address(ports::reserve_port()?), address(ports::reserve_port()?));
+        let mesh_port = ports::reserve_port_pair()?;
+        let file = json!({
+            "NodeName": settings.name, "Role": "scheduler", "MachineClass": "frontend",
+            "Ip": "127.0.0.1", "Zone": settings.domain, "Bootstrap": true, "HeartbeatMs": 300,
+            "ControlMode": "push",
+            "ListenAddrs": {"FrontendAddr": client_address, "Ready": ready_address},
+            "PortRange": [mesh_port, mesh_port + 1],
+            "Bounds": {
+                "GraceS": 6, "HoldMaxMs": settings.max_lease_ms, "StopTimeoutMs": 900,
+                "DrainMs": 2_000, "ConfigApplyMs": 2_000, "status_s": 120
+            },
+            "platform": {"Address": settings.store}
+        });
+        let settings_path = dir.join(format!("{}.json", settings.name));
+        std::fs::write(&settings_path, file.to_string())?;
+        let log_path = dir.join(format!("{}.log", settings.name));
+        let process = spawn(&settings_path, &log_path)?;
+        let mesh_address = address(mesh_port);
+        Ok(Self {
+            settings,
+            process,
+            client_address,
+            ready_address,
+            mesh_address,
+            log_path,
+            settings_path,
+        })
     }
 
-    async fn wait_until_ready(&mut self) -> io::Result<()> {
+    /// Starts the process again, which has ended, with the same settings and log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon cannot be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.process = spawn(&self.settings_path, &self.log_path)?;
+        Ok(())
+    }
+
+    /// Waits until the daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon is not ready in time.
+    pub async fn wait_until_ready(&mut self) -> io::Result<()> {
         let deadline = time::Instant::now() + READY_TIMEOUT;
         while time::Instant::now() < deadline && self.process.exit_code().is_none() {
             if super::client::request_status(self.ready_address, "GET", "/readyz", "").await
--- a/gl-standin/src/fleet/mod.rs
+++ b/gl-standin/src/fleet/mod.rs
@@ -1,13 +1,25 @@
 //! A stand-in of the users' platform: a store and workers that speak its published protocol, so
 //! that `geraniumlatchd --hosted` can be tested as a process without the users' own test bench.
+//!
+//! The failure domains reach each other and the store through a [`network`] that can be cut.
+//! [`deployment`] starts the stand-in and the daemons.
 
+mod admin;
 pub mod client;
 pub mod daemon;
+pub mod deployment;
+pub mod network;
 pub mod ports;
+mod recorder;
 mod server;
 mod store;
+mod store_api;
+mod view;
+mod worker_api;
 mod workers;
 
-pub use server::run;
+pub use admin::Peer;
+pub use recorder::Run;
+pub use server::{Size, run};
 pub use store::Store;
-pub use workers::{Run, Workers};
+pub use workers::Workers;
--- a/gl-standin/src/fleet/server.rs
+++ b/gl-standin/src/fleet/server.rs
@@ -1,237 +1,183 @@
-//! The HTTP servers of the stand-in: one port for the store and one for each worker.
+//! The HTTP servers of the stand-in: a port of the store for operators, one for each failure domain,
+//! and one for each worker.
 
-use std::{io, net, sync, time};
+use std::{collections, io, net, sync, time};
 
-use base64::Engine as _;
-use ntex::web;
+use ntex::{http as protocol, server, web};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 
-use super::{Store, Workers};
+use super::{Store, Workers, admin, network::Network, store_api, worker_api};
 use crate::http;
 
 /// The interval at which each worker renews its row in the store.
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
-/// The time after which a lost reply would be sent, longer than callers wait.
-const LOST_REPLY: time::Duration = time::Duration::from_secs(10);
-/// The interval at which a pending long poll is checked.
-const POLL_INTERVAL: time::Duration = time::Duration::from_millis(4);
+/// The time after which the store removes the row of a worker that does not renew it.
+const ENTRY_VALIDITY: time::Duration = time::Duration::from_millis(900);
+/// The interval at which the runs of the workers are advanced.
+const ADVANCE_INTERVAL: time::Duration = time::Duration::from_millis(4);
+/// The longest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
 
 /// The state shared by all ports.
 #[derive(Clone)]
-struct Fleet {
-    store: sync::Arc<Mutex<Store>>,
-    workers: sync::Arc<Mutex<Workers>>,
+pub struct Fleet {
+    pub store: sync::Arc<Mutex<Store>>,
+    pub workers: sync::Arc<Mutex<Workers>>,
+    /// Notified when a run has ended, by worker.
+    pub ends: sync::Arc<[Notify]>,
+    pub network: sync::Arc<Network>,
+    /// The failure domains whose requests the store refuses.
+    pub refused: sync::Arc<Mutex<collections::BTreeSet<usize>>>,
 }
 
+/// The failure domain whose callers use a port of the store; `None` for operators.
+#[derive(Clone, Copy)]
+pub struct Caller(pub Option<usize>);
+
 /// The index of the worker that a port belongs to.
 #[derive(Clone, Copy)]
-struct WorkerIndex(usize);
+pub struct WorkerIndex(pub usize);
 
-fn encode(text: &str) -> String {
-    base64::engine::general_purpose::STANDARD.encode(text)
+pub fn encode(bytes: &[u8]) -> String {
+    use base64::Engine as _;
+    base64::engine::general_purpose::STANDARD.encode(bytes)
 }
 
-fn response((status, body): (u16, Value)) -> web::HttpResponse {
-    let status = ntex::http::StatusCode::from_u16(status).unwrap_or_default();
+pub fn response((status, body): (u16, Value)) -> web::HttpResponse {
+    let status = protocol::StatusCode::from_u16(status).unwrap_or_default();
     web::HttpResponse::build(status).json(&body)
 }
 
-/// Runs a store and `count` workers of `service`, and prints the address of the store.
+impl Fleet {
+    /// Returns whether the store serves a caller.
+    pub fn is_available(&self, caller: Caller) -> bool {
+        let is_refused = caller.0.is_some_and(|domain| self.refused.lock().contains(&domain));
+        !is_refused && !self.store.lock().is_down
+    }
+}
+
+/// The number of workers and failure domains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// The workers, which belong to the failure domains in turn.
+    pub workers: usize,
+    /// The failure domains.
+    pub domains: usize,
+}
+
+/// Returns the name of a failure domain.
+pub fn domain_name(domain: usize) -> String {
+    format!("z{domain}")
+}
+
+/// Runs a store and workers of `service`, and prints the addresses of the store: that for operators
+/// first, then those at which the failure domains reach it.
 ///
 /// # Errors
 ///
 /// Returns an error if a socket cannot be bound or served.
-pub async fn run(service: &str, count: usize) -> io::Result<()> {
-    let store_socket = http::bind_loopback()?;
-    let sockets: Vec<_> = (0..count).map(|_| http::bind_loopback()).collect::<io::Result<_>>()?;
-    let addresses: Vec<net::SocketAddr> =
-        sockets.iter().map(net::TcpListener::local_addr).collect::<io::Result<_>>()?;
-    println!("listen={}", store_socket.local_addr()?);
+pub async fn run(service: &str, size: Size) -> io::Result<()> {
+    let bind = |count: usize| (0..count).map(|_| http::bind_loopback()).collect();
+    let (stores, workers): (io::Result<Vec<_>>, io::Result<Vec<_>>) =
+        (bind(size.domains + 1), bind(size.workers));
+    let (stores, workers) = (stores?, workers?);
+    let addresses = |sockets: &[net::TcpListener]| {
+        sockets.iter().map(net::TcpListener::local_addr).collect::<io::Result<Vec<_>>>()
+    };
+    let network = Network::start(size.domains)?;
+    let mut listening = addresses(&stores)?;
+    for (domain, address) in listening.iter_mut().skip(1).enumerate() {
+        *address = network.connect_store(domain, *address)?;
+    }
+    let worker_addresses = addresses(&workers)?;
+    for (n, address) in worker_addresses.iter().enumerate() {
+        network.connect_domains(n % size.domains, *address)?;
+    }
+    let domains: Vec<_> = (0..size.workers).map(|n| domain_name(n % size.domains)).collect();
     let fleet = Fleet {
         store: sync::Arc::default(),
-        workers: sync::Arc::new(Mutex::new(Workers::new(addresses))),
+        workers: sync::Arc::new(Mutex::new(Workers::new(&domains))),
+        ends: (0..size.workers).map(|_| Notify::new()).collect(),
+        network: sync::Arc::new(network),
+        refused: sync::Arc::default(),
     };
+    ntex::rt::spawn(serve_workers(&fleet, workers)?);
+    ntex::rt::spawn(advance_workers(fleet.clone()));
+    let service = service.to_owned();
+    ntex::rt::spawn(send_heartbeats(fleet.clone(), service, worker_addresses, size.domains));
+    let server = serve_stores(&fleet, stores)?;
+    let listening: Vec<_> = listening.iter().map(net::SocketAddr::to_string).collect();
+    println!("listen={}", listening.join(","));
+    server.await
+}
+
+fn serve_stores(fleet: &Fleet, sockets: Vec<net::TcpListener>) -> io::Result<server::Server> {
+    let mut builder = server::build().workers(1).disable_signals();
+    for (n, socket) in sockets.into_iter().enumerate() {
+        let (fleet, caller) = (fleet.clone(), Caller(n.checked_sub(1)));
+        builder = builder.listen(format!("store-{n}"), socket, async move |_| {
+            let app = web::App::new().state(fleet.clone()).state(caller);
+            let app = app.state(web::types::JsonConfig::default().limit(MAX_BODY_BYTES));
+            let app = app.configure(store_api::configure);
+            protocol::HttpService::new(if caller.0.is_none() {
+                app.configure(admin::configure)
+            } else {
+                app
+            })
+        })?;
+    }
+    Ok(builder.run())
+}
+
+fn serve_workers(fleet: &Fleet, sockets: Vec<net::TcpListener>) -> io::Result<server::Server> {
+    let mut builder = server::build().workers(1).disable_signals();
     for (n, socket) in sockets.into_iter().enumerate() {
         let fleet = fleet.clone();
-        let server = web::HttpServer::new(async move || {
+        builder = builder.listen(format!("worker-{n}"), socket, async move |_| {
             let app = web::App::new().state(fleet.clone()).state(WorkerIndex(n));
-            app.service(web::resource("/hold").route(web::post().to(poll)))
-                .service(web::resource("/{tail}*").route(web::post().to(handle_order)))
-        });
-        let server = server.workers(1).disable_signals().listen(socket)?.run();
-        ntex::rt::spawn(server);
+            protocol::HttpService::new(app.configure(worker_api::configure))
+        })?;
     }
-    ntex::rt::spawn(send_heartbeats(fleet.clone(), service.to_owned()));
-    let server = web::HttpServer::new(async move || {
-        web::App::new()
-            .state(fleet.clone())
-            .service(web::resource("/rows-tx").route(web::post().to(transact)))
-            .service(web::resource("/rows-get").route(web::get().to(read_range)))
-            .service(web::resource("/rows-feed").route(web::get().to(read_feed)))
-            .service(web::resource("/admin/config").route(web::post().to(set_config)))
-            .service(web::resource("/admin/down").route(web::post().to(set_down)))
-            .service(web::resource("/admin/late").route(web::post().to(set_late_write)))
-            .service(web::resource("/admin/slow").route(web::post().to(set_read_time)))
-            .service(web::resource("/admin/reads").route(web::get().to(get_read_together)))
-            .service(web::resource("/admin/runs").route(web::get().to(get_runs)))
-    });
-    server.workers(1).disable_signals().listen(store_socket)?.run().await
+    Ok(builder.run())
 }
 
-async fn send_heartbeats(fleet: Fleet, service: String) {
+async fn advance_workers(fleet: Fleet) {
     loop {
-        for (id, entry) in fleet.workers.lock().entries(&service) {
-            fleet.store.lock().put("servers", &id, &encode(&entry));
+        let ended = fleet.workers.lock().advance_all();
+        for index in ended {
+            fleet.ends[index].notify_waiters();
         }
-        ntex::time::sleep(HEARTBEAT_INTERVAL).await;
-    }
-}
-
-fn unavailable() -> web::HttpResponse {
-    response((503, json!({})))
-}
-
-async fn transact(
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<Value>,
-) -> web::HttpResponse {
-    let delay = fleet.store.lock().take_delay(&body);
-    if let Some(delay) = delay {
-        let late = fleet.clone();
-        ntex::rt::spawn(async move {
-            ntex::time::sleep(delay).await;
-            late.store.lock().transact(&body);
-        });
-        // Longer than any caller waits.
-        ntex::time::sleep(LOST_REPLY).await;
-        return unavailable();
-    }
-    let mut store = fleet.store.lock();
-    if store.is_down {
-        return unavailable();
-    }
-    response(store.transact(&body))
-}
-
-/// The query parameters of a read.
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Query {
-    table: String,
-    #[serde(default, rename = "part")]
-    partition: String,
-    #[serde(default)]
-    from: String,
-    to: Option<String>,
-    #[serde(default)]
-    after: u64,
-    #[serde(default)]
-    wait_ms: u64,
-}
-
-async fn read_range(
-    fleet: web::types::State<Fleet>,
-    query: web::types::Query<Query>,
-) -> web::HttpResponse {
-    let read_time = {
-        let mut store = fleet.store.lock();
-        store.begin_read(&query.table);
-        store.read_time
-    };
-    ntex::time::sleep(read_time).await;
-    let mut store = fleet.store.lock();
-    store.end_read(&query.table);
-    if store.is_down {
-        return unavailable();
+        ntex::time::sleep(ADVANCE_INTERVAL).await;
     }
-    response((200, store.range(&query.table, &query.partition, &query.from, query.to.as_deref())))
 }
 
-async fn read_feed(
-    fleet: web::types::State<Fleet>,
-    query: web::types::Query<Query>,
-) -> web::HttpResponse {
-    let deadline = time::Instant::now() + time::Duration::from_millis(query.wait_ms);
+/// Has the workers renew their rows. Those of a failure domain that the store does not serve are
+/// removed after some time, but not while it serves none.
+async fn send_heartbeats(
+    fleet: Fleet,
+    service: String,
+    addresses: Vec<net::SocketAddr>,
+    domains: usize,
+) {
+    let mut renewed_at = vec![time::Instant::now(); domains];
     loop {
-        let changes = {
-            let store = fleet.store.lock();
-            if store.is_down {
-                return unavailable();
+        let now = time::Instant::now();
+        let is_down = fleet.store.lock().is_down;
+        for (domain, renewed_at) in renewed_at.iter_mut().enumerate() {
+            let is_refused = fleet.refused.lock().contains(&domain);
+            if is_down || (fleet.network.reaches_store(domain) && !is_refused) {
+                *renewed_at = now;
             }
-            store.changes(&query.table, query.after)
-        };
-        let is_empty = changes["rows"].as_array().is_none_or(Vec::is_empty);
-        if !is_empty || time::Instant::now() >= deadline {
-            return response((200, changes));
         }
-        ntex::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
-async fn set_config(
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<Value>,
-) -> web::HttpResponse {
-    fleet.store.lock().put("op", "config", &encode(&body.to_string()));
-    web::HttpResponse::Ok().finish()
-}
-
-async fn set_down(
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<bool>,
-) -> web::HttpResponse {
-    fleet.store.lock().is_down = *body;
-    web::HttpResponse::Ok().finish()
-}
-
-/// Sets the time after which the next write of a job is carried out, in milliseconds.
-async fn set_late_write(
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<u64>,
-) -> web::HttpResponse {
-    fleet.store.lock().late_write = Some(time::Duration::from_millis(*body));
-    web::HttpResponse::Ok().finish()
-}
-
-/// Sets the time that a read of a range takes, in milliseconds.
-async fn set_read_time(
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<u64>,
-) -> web::HttpResponse {
-    fleet.store.lock().read_time = time::Duration::from_millis(*body);
-    web::HttpResponse::Ok().finish()
-}
-
-async fn get_read_together(fleet: web::types::State<Fleet>) -> web::HttpResponse {
-    web::HttpResponse::Ok().json(&fleet.store.lock().read_together)
-}
-
-async fn get_runs(fleet: web::types::State<Fleet>) -> web::HttpResponse {
-    web::HttpResponse::Ok().json(&fleet.workers.lock().runs)
-}
-
-async fn handle_order(
-    request: web::HttpRequest,
-    index: web::types::State<WorkerIndex>,
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<Value>,
-) -> web::HttpResponse {
-    response(fleet.workers.lock().order(index.0, request.path(), &body))
-}
-
-async fn poll(
-    index: web::types::State<WorkerIndex>,
-    fleet: web::types::State<Fleet>,
-    body: web::types::Json<Value>,
-) -> web::HttpResponse {
-    let wait = body["WaitMs"].as_u64().unwrap_or(0);
-    let deadline = time::Instant::now() + time::Duration::from_millis(wait);
-    loop {
-        let is_timed_out = time::Instant::now() >= deadline;
-        if let Some(reply) = fleet.workers.lock().poll(index.0, &body, is_timed_out) {
-            return response(reply);
+        let entries = fleet.workers.lock().entries(&service);
+        for (n, ((id, mut entry), address)) in entries.into_iter().zip(&addresses).enumerate() {
+            entry["Address"] = json!(address.to_string());
+            let is_listed = now.duration_since(renewed_at[n % domains]) < ENTRY_VALIDITY;
+            let value = is_listed.then(|| encode(entry.to_string().as_bytes()));
+            fleet.store.lock().update("servers", &id, value.as_deref());
         }
-        ntex::time::sleep(POLL_INTERVAL).await;
+        ntex::time::sleep(HEARTBEAT_INTERVAL).await;
     }
 }
--- a/gl-standin/src/fleet/store.rs
+++ b/gl-standin/src/fleet/store.rs
@@ -79,6 +79,26 @@
         self.write(row_key, value.to_owned());
     }
 
+    /// Writes or removes a row as [`Store::put()`] does, unless that would change nothing.
+    pub fn update(&mut self, table: &str, key: &str, value: Option<&str>) {
+        let row_key = (table.to_owned(), String::new(), key.to_owned());
+        if self.rows.get(&row_key).map(|row| row.value.as_str()) == value {
+            return;
+        }
+        match value {
+            Some(value) => self.put(table, key, value),
+            None => {
+                self.version += 1;
+                self.remove(row_key);
+            }
+        }
+    }
+
+    fn remove(&mut self, key: RowKey) {
+        self.rows.remove(&key);
+        self.history.push((self.version, key));
+    }
+
     fn write(&mut self, key: RowKey, value: String) {
         let version = self.version;
         self.rows.insert(key.clone(), Row { value, version });
@@ -126,31 +146,29 @@
             self.write(row_key(entry), text(entry, "Value"));
         }
         for entry in entries(body, "Remove") {
-            let key = row_key(entry);
-            self.rows.remove(&key);
-            self.history.push((self.version, key));
+            self.remove(row_key(entry));
         }
         (200, json!({"Ver": self.version, "NowMs": self.clock_ms()}))
     }
 
     /// Returns the rows of a partition with keys from `from` up to but excluding `to`.
     pub fn range(&self, table: &str, partition: &str, from: &str, to: Option<&str>) -> Value {
+        let first = (table.to_owned(), partition.to_owned(), from.to_owned());
         let is_in_range = |key: &&RowKey| {
-            key.0 == table
-                && key.1 == partition
-                && key.2.as_str() >= from
-                && to.is_none_or(|to| key.2.as_str() < to)
+            key.0 == table && key.1 == partition && to.is_none_or(|to| key.2.as_str() < to)
         };
+        let following = self.rows.range(first..).map(|(key, _)| key);
         let rows: Vec<_> =
-            self.rows.keys().filter(is_in_range).map(|key| self.row_json(key)).collect();
+            following.take_while(is_in_range).map(|key| self.row_json(key)).collect();
         json!({"rows": rows, "Truncated": false, "Ver": self.version, "NowMs": self.clock_ms()})
     }
 
     /// Returns the rows of a table that changed after a version.
     pub fn changes(&self, table: &str, after: u64) -> Value {
-        let is_new = |(version, key): &&(u64, RowKey)| *version > after && key.0 == table;
+        let first = self.history.partition_point(|(version, _)| *version <= after);
+        let is_of_table = |(_, key): &&(u64, RowKey)| key.0 == table;
         let keys: collections::BTreeSet<_> =
-            self.history.iter().filter(is_new).map(|(_, key)| key.clone()).collect();
+            self.history[first..].iter().filter(is_of_table).map(|(_, key)| key.clone()).collect();
         let rows: Vec<_> = keys.iter().map(|key| self.row_json(key)).collect();
         json!({"rows": rows, "Ver": self.version, "NowMs": self.clock_ms()})
     }
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -1,39 +1,30 @@
 //! Workers that speak the published protocol; the execution of tasks is that of the emulator's
 //! workers.
 
-use std::{net, time};
+use std::time;
 
 use gl_emulate::{fleet, worker as emulated};
 use gl_jobs::{task, worker};
 use gl_model::time as model;
 use serde_json::{Value, json};
 
-/// A run of a task.
-#[gl_derive::domain]
-pub struct Run {
-    /// The task.
-    pub task: String,
-    /// The attempt.
-    pub attempt: u64,
-    /// The index of the worker.
-    pub worker: usize,
-    /// The start of the run, in milliseconds since the start of the stand-in.
-    pub started: u64,
-    /// The end of the run, if it has ended.
-    pub ended: Option<u64>,
-    /// The outcome of the run, if it has ended.
-    #[serde(rename = "how")]
-    pub outcome: Option<worker::Outcome>,
-}
+use super::recorder::{Recorder, Run};
 
 /// The workers of the stand-in.
 pub struct Workers {
     started_at: time::Instant,
+    /// The Unix time of the start.
+    started_unix: model::Timestamp,
+    workers: Vec<Worker>,
+    /// What has run.
+    pub recorder: Recorder,
+}
+
+/// A worker and the time to which it was advanced.
+struct Worker {
+    emulated: emulated::Worker,
     advanced_to: model::Timestamp,
-    workers: Vec<emulated::Worker>,
-    addresses: Vec<net::SocketAddr>,
-    /// All runs so far, in the order of their starts.
-    pub runs: Vec<Run>,
+    domain: String,
 }
 
 /// The run time of a task whose description does not give one.
@@ -70,16 +61,19 @@
 }
 
 impl Workers {
-    /// Creates one worker for each address.
-    pub fn new(addresses: Vec<net::SocketAddr>) -> Self {
-        let specs = fleet::uniform(addresses.len(), 16_000).into_iter().enumerate();
-        let workers = specs.map(|(n, spec)| emulated::Worker::new(n, spec, model::Timestamp(0)));
+    /// Creates one worker for each entry of `domains`, the names of the workers' failure domains.
+    pub fn new(domains: &[String]) -> Self {
+        let specs = fleet::uniform(domains.len(), 16_000).into_iter().zip(domains).enumerate();
+        let workers = specs.map(|(n, (spec, domain))| Worker {
+            emulated: emulated::Worker::new(n, spec, model::Timestamp(0)),
+            advanced_to: model::Timestamp(0),
+            domain: domain.clone(),
+        });
         Self {
             started_at: time::Instant::now(),
-            advanced_to: model::Timestamp(0),
+            started_unix: crate::http::now(),
             workers: workers.collect(),
-            addresses,
-            runs: Vec::new(),
+            recorder: Recorder::default(),
         }
     }
 
@@ -87,51 +81,64 @@
         model::Timestamp(model::Span::from(self.started_at.elapsed()).0)
     }
 
-    /// Advances all workers to the current time and records the runs that have ended.
-    pub fn advance(&mut self) {
+    /// Returns the Unix time in milliseconds.
+    fn unix_millis(&self, at: model::Timestamp) -> u64 {
+        millis(self.started_unix + at.since(model::Timestamp(0)))
+    }
+
+    /// Advances all workers to the current time. Returns the indices of those on which a run has
+    /// ended.
+    pub fn advance_all(&mut self) -> Vec<usize> {
+        (0..self.workers.len()).filter(|index| self.advance(*index)).collect()
+    }
+
+    /// Advances a worker to the current time; returns whether a run has ended.
+    fn advance(&mut self, index: usize) -> bool {
         let now = self.now();
-        let step = now.since(self.advanced_to);
-        self.advanced_to = now;
-        for index in 0..self.workers.len() {
-            for end in self.workers[index].advance(&|_, _| 0.0, now, step) {
-                let name = end.task.to_string();
-                let is_same = |run: &&mut Run| run.task == name && run.attempt == end.attempt;
-                if let Some(run) = self.runs.iter_mut().find(is_same) {
-                    run.ended = Some(now.since(model::Timestamp(0)).as_millis());
-                    run.outcome = Some(end.outcome);
-                }
-            }
+        let worker = &mut self.workers[index];
+        let step = now.since(worker.advanced_to);
+        worker.advanced_to = now;
+        let ends = worker.emulated.advance(&|_, _| 0.0, now, step);
+        let lease_end = worker.emulated.lease_end();
+        for end in &ends {
+            let has_lapsed = end.outcome == worker::Outcome::Lapsed;
+            let at = if has_lapsed { lease_end.min(now) } else { now };
+            self.recorder.ended(index, end, self.unix_millis(at));
         }
+        !ends.is_empty()
     }
 
-    /// Returns the rows that the workers write into the store: names and values.
-    pub fn entries(&self, service: &str) -> Vec<(String, String)> {
-        let entry = |(worker, address): (&emulated::Worker, &net::SocketAddr)| {
-            let registration = worker.registration();
+    /// Returns the rows that the workers write into the store, in the order of the workers: names
+    /// and values without addresses.
+    pub fn entries(&self, service: &str) -> Vec<(String, Value)> {
+        let entry = |worker: &Worker| {
+            let registration = worker.emulated.registration();
             let size = registration.size;
             let value = json!({
-                "Service": service, "Address": address.to_string(), "Zone": "a", "Version": "v1",
+                "Service": service, "Zone": worker.domain, "Version": "v1",
                 "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Machine": registration.vm,
                 "Capacity": {"Cpu": size.cores, "MemMb": size.memory, "Gpu": 0},
                 "Labels": registration.labels, "ClockMs": 1, "Seq": 1,
                 "born": registration.incarnation.0
             });
-            (registration.id.0, value.to_string())
+            (registration.id.0, value)
         };
-        self.workers.iter().zip(&self.addresses).map(entry).collect()
+        self.workers.iter().map(entry).collect()
     }
 
     /// Executes an order to a worker; returns the status and the body of the response.
     pub fn order(&mut self, index: usize, path: &str, body: &Value) -> (u16, Value) {
-        self.advance();
+        self.advance(index);
         let now = self.now();
-        let clock = millis(self.workers[index].clock(now));
+        let clock = millis(self.workers[index].emulated.clock(now));
         let token = body["FencingToken"].as_u64().unwrap_or(0);
         let attempt = body["Attempt"].as_u64().unwrap_or(0);
         let task = body["Task"].as_str().and_then(|text| text.parse::<task::TaskId>().ok());
         let reply = match (path, task) {
             ("/run-start", Some(task)) => self.start(index, token, task, attempt, body),
-            ("/run-stop", Some(task)) => self.workers[index].stop(token, task, attempt, now),
+            ("/run-stop", Some(task)) => {
+                self.workers[index].emulated.stop(token, task, attempt, now)
+            }
             ("/pace", Some(_)) => worker::OrderReply::Done,
             _ => return (400, json!({"Reason": "unknown"})),
         };
@@ -168,19 +175,23 @@
             ticket: None,
         };
         let behaviour = behaviour(&order.spec);
-        let was_running = self.workers[index].runs.contains_key(&task);
-        let reply = self.workers[index].start(token, &order, behaviour, now);
-        if reply == worker::OrderReply::Done && !was_running {
-            let started = millis(now);
-            let task = task.to_string();
-            self.runs.push(Run {
-                task,
+        let worker = &mut self.workers[index];
+        let running = worker.emulated.runs.get(&task).map(|run| run.attempt);
+        let reply = worker.emulated.start(token, &order, behaviour, now);
+        if reply == worker::OrderReply::Done && running != Some(attempt) {
+            let domain = worker.domain.clone();
+            let run = Run {
+                task: task.to_string(),
                 attempt,
                 worker: index,
-                started,
+                domain,
+                token,
+                started: self.unix_millis(now),
                 ended: None,
                 outcome: None,
-            });
+                acknowledged: None,
+            };
+            self.recorder.started(task, run);
         }
         reply
     }
@@ -188,7 +199,7 @@
     /// Replies to a poll. Returns `None` while it is not timed out and no run has ended since the
     /// acknowledged one.
     pub fn poll(&mut self, index: usize, body: &Value, is_timed_out: bool) -> Option<(u16, Value)> {
-        self.advance();
+        self.advance(index);
         let now = self.now();
         let acknowledged = body["AckCursor"].as_u64().unwrap_or(0);
         let request = worker::PollRequest {
@@ -197,12 +208,14 @@
             lease: body["DeadlineMs"].as_u64().map(timestamp),
             wait: model::Span::ZERO,
         };
-        let worker = &mut self.workers[index];
+        let worker = &mut self.workers[index].emulated;
         let clock = millis(worker.clock(now));
         let Some(reply) = worker.poll(&request, now) else {
             return Some((409, json!({"ClockMs": clock, "Reason": "fence"})));
         };
-        if !is_timed_out && !worker.has_end_after(acknowledged) {
+        let has_new_end = worker.has_end_after(acknowledged);
+        self.recorder.acknowledged(index, acknowledged, self.unix_millis(now));
+        if !is_timed_out && !has_new_end {
             return None;
         }
         let running: Vec<_> = reply.running.iter().map(running_json).collect();
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -4,9 +4,8 @@
 use std::{collections, net, time};
 
 use gl_standin::{
-    fleet::{self, client, daemon},
+    fleet::{self, client, daemon, deployment},
     http,
-    process::{self, Process},
 };
 use serde_json::json;
 
@@ -15,65 +14,10 @@
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
-/// A running store, three workers and daemons.
-struct Hosted {
-    dir: tempfile::TempDir,
-    _fleet: Process,
-    store: net::SocketAddr,
-    daemons: Vec<daemon::Daemon>,
-}
-
-impl Hosted {
-    async fn start(daemons: usize) -> Self {
-        let dir = tempfile::tempdir().unwrap();
-        let arguments = ["fleet", "desk-a", "3"].map(str::to_owned);
-        let program = process::program_path("standin").unwrap();
-        let fleet = Process::start(&program, &arguments, &dir.path().join("fleet.log")).unwrap();
-        let store = fleet.address();
-        let config = json!({
-            "Version": 3,
-            "Routes": [{
-                "Name": "bookings", "Host": client::HOST, "PathPrefix": "/book/",
-                "Kind": "non_idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 250,
-                "Priority": 0, "Service": "desk-a", "MaxAttempts": 3, "SlackFactor": 1.5
-            }],
-            "Services": [{"Name": "desk-a", "EnforcesCapacity": false}],
-            "Limits": {"MaxBodyBytes": 65536}
-        });
-        http::post(&format!("http://{store}/admin/config"), &config).await.unwrap();
-        let mut hosted = Self { store, daemons: Vec::new(), _fleet: fleet, dir };
-        for n in 0..daemons {
-            hosted.start_daemon(&format!("d{n}")).await;
-        }
-        hosted
-    }
-
-    async fn start_daemon(&mut self, name: &str) {
-        let daemon = daemon::Daemon::start(self.dir.path(), name, self.store).await.unwrap();
-        self.daemons.push(daemon);
-    }
-
-    fn address(&self, n: usize) -> net::SocketAddr {
-        self.daemons[n].client_address
-    }
-
-    async fn runs(&self) -> Vec<fleet::Run> {
-        http::get(&format!("http://{}/admin/runs", self.store)).await.unwrap()
-    }
-
-    async fn set_store_down(&self, is_down: bool) {
-        http::post(&format!("http://{}/admin/down", self.store), &is_down).await.unwrap();
-    }
-
-    /// Returns the daemon whose log has the claim with the highest fencing token.
-    fn owner(&self) -> usize {
-        let last_claim = |daemon: &daemon::Daemon| {
-            let lines = daemon.log_lines();
-            let claims = lines.iter().filter(|line| line["event"] == "claimed");
-            claims.filter_map(|line| line["token"].as_u64()).max().unwrap_or(0)
-        };
-        (0..self.daemons.len()).max_by_key(|n| last_claim(&self.daemons[*n])).unwrap()
-    }
+/// Starts a store, three workers and daemons in one failure domain.
+async fn start(daemons: usize) -> deployment::Deployment {
+    let settings = deployment::Settings { daemons, ..deployment::Settings::default() };
+    deployment::Deployment::start(settings).await.unwrap()
 }
 
 fn job_path(n: u64) -> String {
@@ -86,7 +30,7 @@
 }
 
 /// Submits a long-running job of two tasks, and waits until it runs.
-async fn run_long_running_job(hosted: &Hosted) {
+async fn run_long_running_job(hosted: &deployment::Deployment) {
     let phase = json!({"Count": 2, "Cpu": 1000, "LongRunning": true});
     let body = json!({"Spec": "{\"lasting\":true}", "Phases": [phase]}).to_string();
     assert_eq!(
@@ -114,7 +58,7 @@
 
 #[ntex::test]
 async fn job_submitted_through_any_daemon_runs_once_in_phase_order() {
-    let hosted = Hosted::start(2).await;
+    let hosted = start(2).await;
     let body = two_phase_job("{\"work-ms\":150}");
     for daemon in [0, 1, 0] {
         let status =
@@ -122,7 +66,7 @@
         assert_eq!(status, Some(200), "the same job through daemon {daemon}");
     }
     assert!(client::wait_for_state(hosted.address(1), &job_path(1), "complete", TIMEOUT).await);
-    let runs = hosted.runs().await;
+    let runs = hosted.runs().await.unwrap();
     check_runs(&runs);
     assert_eq!(runs.len(), 8);
     let of_phase =
@@ -136,7 +80,7 @@
 
 #[ntex::test]
 async fn request_that_cannot_be_served_is_refused_with_the_reason() {
-    let hosted = Hosted::start(1).await;
+    let hosted = start(1).await;
     let address = hosted.address(0);
     let unknown = client::send(address, "GET", &job_path(404), "").await.unwrap();
     assert_eq!(unknown.status, 410);
@@ -153,7 +97,7 @@
     let long = json!({"Spec": "x", "Phases": vec![phase; 85]}).to_string();
     let refused = client::send(address, "POST", &job_path(2), &long).await.unwrap();
     assert_eq!(refused.status, 413, "{:?}", refused.body);
-    hosted.set_store_down(true).await;
+    hosted.set_store_down(true).await.unwrap();
     let body = two_phase_job("{}");
     let started = time::Instant::now();
     let refused = client::send(address, "POST", &job_path(3), &body).await.unwrap();
@@ -165,20 +109,20 @@
         started.elapsed() < time::Duration::from_secs(1),
         "the refusal must take less than a second"
     );
-    hosted.set_store_down(false).await;
+    hosted.set_store_down(false).await.unwrap();
     assert_eq!(client::request_status(address, "GET", &job_path(3), "").await, Some(410));
 }
 
 #[ntex::test]
 async fn killed_owner_is_replaced_and_no_task_runs_twice() {
-    let mut hosted = Hosted::start(3).await;
+    let mut hosted = start(3).await;
     let body = two_phase_job("{\"work-ms\":700}");
     assert_eq!(
         client::request_status(hosted.address(0), "POST", &job_path(1), &body).await,
         Some(200)
     );
     ntex::time::sleep(time::Duration::from_millis(300)).await;
-    let owner = hosted.owner();
+    let owner = hosted.owner().await.unwrap();
     hosted.daemons[owner].process.kill();
     let other = (owner + 1) % 3;
     assert_eq!(
@@ -190,16 +134,16 @@
             client::wait_for_state(hosted.address(other), &job_path(n), "complete", TIMEOUT).await
         );
     }
-    let runs = hosted.runs().await;
+    let runs = hosted.runs().await.unwrap();
     check_runs(&runs);
     assert_eq!(runs.len(), 16, "running tasks must not be restarted: {runs:?}");
 }
 
 #[ntex::test]
 async fn stopping_owner_hands_over_its_cell_and_exits() {
-    let mut hosted = Hosted::start(2).await;
+    let mut hosted = start(2).await;
     let body = two_phase_job("{\"work-ms\":400}");
-    let owner = hosted.owner();
+    let owner = hosted.owner().await.unwrap();
     assert_eq!(
         client::request_status(hosted.address(owner), "POST", &job_path(1), &body).await,
         Some(200)
@@ -210,14 +154,14 @@
     );
     let code = hosted.daemons[owner].process.wait_for_exit(TIMEOUT).await;
     assert_eq!(code, Some(0));
-    check_runs(&hosted.runs().await);
+    check_runs(&hosted.runs().await.unwrap());
 }
 
 #[ntex::test]
 async fn paused_owner_is_fenced_after_it_resumes() {
-    let hosted = Hosted::start(2).await;
+    let hosted = start(2).await;
     let body = two_phase_job("{\"work-ms\":900}");
-    let owner = hosted.owner();
+    let owner = hosted.owner().await.unwrap();
     let other = 1 - owner;
     assert_eq!(
         client::request_status(hosted.address(other), "POST", &job_path(1), &body).await,
@@ -235,12 +179,12 @@
         Some(200)
     );
     assert!(client::wait_for_state(hosted.address(owner), &job_path(3), "complete", TIMEOUT).await);
-    check_runs(&hosted.runs().await);
+    check_runs(&hosted.runs().await.unwrap());
 }
 
 #[ntex::test]
 async fn accepted_job_completes_after_all_daemons_were_killed() {
-    let mut hosted = Hosted::start(2).await;
+    let mut hosted = start(2).await;
     let body = two_phase_job("{\"work-ms\":600}");
     assert_eq!(
         client::request_status(hosted.address(0), "POST", &job_path(1), &body).await,
@@ -249,22 +193,22 @@
     for daemon in &mut hosted.daemons {
         daemon.process.kill();
     }
-    hosted.start_daemon("again").await;
+    hosted.start_daemon("again", 0).await.unwrap();
     assert!(client::wait_for_state(hosted.address(2), &job_path(1), "complete", TIMEOUT).await);
-    check_runs(&hosted.runs().await);
+    check_runs(&hosted.runs().await.unwrap());
 }
 
 /// The outage lasts longer than any lease that was granted before it.
 #[ntex::test]
 async fn long_running_tasks_continue_through_an_outage_of_the_store() {
-    let hosted = Hosted::start(3).await;
+    let hosted = start(3).await;
     run_long_running_job(&hosted).await;
-    hosted.set_store_down(true).await;
+    hosted.set_store_down(true).await.unwrap();
     let outage = time::Duration::from_millis(daemon::MAX_LEASE_MS * 3 / 2);
     ntex::time::sleep(outage).await;
-    hosted.set_store_down(false).await;
+    hosted.set_store_down(false).await.unwrap();
     ntex::time::sleep(time::Duration::from_secs(2)).await;
-    let runs = hosted.runs().await;
+    let runs = hosted.runs().await.unwrap();
     check_runs(&runs);
     assert_eq!(runs.len(), 2, "tasks must not be restarted: {runs:?}");
     assert!(runs.iter().all(|run| run.ended.is_none()), "{runs:?}");
@@ -274,9 +218,9 @@
 /// store add up to seconds.
 #[ntex::test]
 async fn new_owner_reads_the_stored_state_at_the_same_time() {
-    let mut hosted = Hosted::start(0).await;
+    let mut hosted = start(0).await;
     http::post(&format!("http://{}/admin/slow", hosted.store), &300).await.unwrap();
-    hosted.start_daemon("only").await;
+    hosted.start_daemon("only", 0).await.unwrap();
     let body = two_phase_job("{}");
     let (address, path) = (hosted.address(0), job_path(1));
     let deadline = time::Instant::now() + TIMEOUT;
@@ -293,7 +237,7 @@
 /// Guards against requests that get 404 without a trace of the routing that they were looked up in.
 #[ntex::test]
 async fn request_without_a_queue_is_logged_with_the_age_of_the_routing() {
-    let hosted = Hosted::start(1).await;
+    let hosted = start(1).await;
     let status = client::request_status(hosted.address(0), "GET", "/no-such/", "").await;
     assert_eq!(status, Some(404));
     let is_logged = |line: &serde_json::Value| {
@@ -313,9 +257,9 @@
 /// though it may have been added meanwhile.
 #[ntex::test]
 async fn daemon_with_stale_routing_does_not_deny_that_a_queue_exists() {
-    let hosted = Hosted::start(1).await;
+    let hosted = start(1).await;
     for (is_down, expected) in [(false, 404), (true, 503), (false, 404)] {
-        hosted.set_store_down(is_down).await;
+        hosted.set_store_down(is_down).await.unwrap();
         let until = time::Instant::now() + TIMEOUT;
         let mut status = None;
         while status != Some(expected) {
@@ -330,7 +274,7 @@
 /// and against a daemon that drops the queues of the previous version.
 #[ntex::test]
 async fn configuration_that_cannot_be_decoded_is_logged_once_and_keeps_the_previous_one() {
-    let hosted = Hosted::start(1).await;
+    let hosted = start(1).await;
     let url = format!("http://{}/admin/config", hosted.store);
     for version in [4, 5] {
         http::post(&url, &json!({"Version": version, "Routes": "none"})).await.unwrap();
@@ -338,9 +282,9 @@
         ntex::time::sleep(time::Duration::from_millis(2_500)).await;
     }
     // After an outage, all rows are read again.
-    hosted.set_store_down(true).await;
+    hosted.set_store_down(true).await.unwrap();
     ntex::time::sleep(time::Duration::from_millis(1_200)).await;
-    hosted.set_store_down(false).await;
+    hosted.set_store_down(false).await.unwrap();
     ntex::time::sleep(time::Duration::from_millis(2_500)).await;
     let lines = hosted.daemons[0].log_lines();
     let logged = lines.iter().filter(|line| line["event"] == "unreadable");
@@ -354,7 +298,7 @@
 #[ntex::test]
 async fn stopping_daemon_answers_a_request_whose_body_arrives_slowly() {
     use std::io::{Read as _, Write as _};
-    let hosted = Hosted::start(2).await;
+    let hosted = start(2).await;
     let body = two_phase_job("{}");
     let (first, rest) = body.split_at(20);
     let (path, host, length) = (job_path(1), client::HOST, body.len());
