feat(gl-standin): judge the runs of the fleet's workers

The tests of jobs use it in place of a check of their own, and still check that no task was done twice, acknowledged or not.

--- a/gl-standin/src/fleet/mod.rs
+++ b/gl-standin/src/fleet/mod.rs
@@ -1,13 +1,14 @@
 //! A stand-in of the users' platform: a store and workers that speak its published protocol, so
 //! that `geraniumlatchd --hosted` can be tested as a process without the users' own test bench.
 //!
-//! The failure domains reach each other and the store through a [`network`] that can be cut.
-//! [`deployment`] starts the stand-in and the daemons.
+//! The failure domains reach each other and the store through a [`network`] that can be cut, and
+//! [`judge`] checks what the workers have run. [`deployment`] starts the stand-in and the daemons.
 
 mod admin;
 pub mod client;
 pub mod daemon;
 pub mod deployment;
+pub mod judge;
 pub mod network;
 pub mod ports;
 mod recorder;
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -4,7 +4,7 @@
 use std::{collections, net, time};
 
 use gl_standin::{
-    fleet::{self, client, daemon, deployment},
+    fleet::{self, client, daemon, deployment, judge},
     http,
 };
 use serde_json::json;
@@ -42,18 +42,11 @@
 
 /// Asserts that no two runs of a task overlapped and that each task was done at most once.
 fn check_runs(runs: &[fleet::Run]) {
-    let mut by_task = collections::BTreeMap::<&str, Vec<&fleet::Run>>::new();
-    for run in runs {
-        by_task.entry(&run.task).or_default().push(run);
-    }
-    for (task, runs) in by_task {
-        for pair in runs.windows(2) {
-            let ended = pair[0].ended.unwrap_or(u64::MAX);
-            assert!(ended <= pair[1].started, "{task}: {runs:?}");
-        }
-        let is_done = |run: &&&fleet::Run| run.outcome == Some(gl_jobs::worker::Outcome::Done);
-        assert!(runs.iter().filter(is_done).count() <= 1, "{task}: {runs:?}");
-    }
+    assert_eq!(judge::violations(runs), Vec::new());
+    let is_done = |run: &&fleet::Run| run.outcome == Some(gl_jobs::worker::Outcome::Done);
+    let mut done: Vec<_> = runs.iter().filter(is_done).map(|run| &run.task).collect();
+    done.sort();
+    assert!(done.windows(2).all(|pair| pair[0] != pair[1]), "done twice: {runs:?}");
 }
 
 #[ntex::test]
--- a/gl-standin/tests/process/mod.rs
+++ b/gl-standin/tests/process/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod end_to_end;
 mod hosted;
+mod judge;
 mod network;
 mod plans;
 mod ports;
