test(gl-standin): an owner that is cut off with its failure domain for long

Real processes: three failure domains with two daemons and three workers each. The owner's domain loses the store and the other domains for 26 s. After 20 s the owner does not count the followers any more that it cannot hear. The one that it hears reports that the store is down, so it orders starts, while a daemon of another domain has owned the cell for 18 s.

--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -11,6 +11,7 @@
 
 mod cancellations;
 mod events;
+mod domain_cuts;
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
