feat(gl-standin): detect callers that give up on a held link, and clients that keep connections

A forwarder kept the connections that were opened on a held link until the link was open again, also those whose callers had given up, which are thousands with hundreds of workers. It now closes them at once. `fleet::client::Client` sends its requests on connections that stay open, as real clients do.

--- a/gl-standin/src/fleet/client.rs
+++ b/gl-standin/src/fleet/client.rs
@@ -20,25 +20,46 @@
     pub retry_after: Option<String>,
 }
 
-/// Sends a request and returns the response, or `None` if there is no complete one.
+/// A client that keeps its connections open.
+pub struct Client {
+    http: ntex::client::Client,
+}
+
+impl Client {
+    /// Creates a client without connections.
+    pub async fn new() -> Self {
+        Self { http: ntex::client::Client::new().await }
+    }
+
+    /// Sends a request and returns the response, or `None` if there is no complete one.
+    pub async fn send(
+        &self,
+        address: net::SocketAddr,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<Response> {
+        let method = method.parse::<http::Method>().ok()?;
+        let request = self.http.request(method, format!("http://{address}{path}"));
+        let request = request.timeout(RESPONSE_TIMEOUT).set_header("Host", HOST);
+        let response = request.send_body(body.to_owned()).await.ok()?;
+        let status = response.status().as_u16();
+        let retry_after = response.headers().get("retry-after");
+        let retry_after = retry_after.and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let bytes = response.body().await.ok()?;
+        let body = serde_json::from_slice(&bytes).unwrap_or_default();
+        Some(Response { status, body, retry_after })
+    }
+}
+
+/// Sends a request on a connection of its own, as [`Client::send()`] does.
 pub async fn send(
     address: net::SocketAddr,
     method: &str,
     path: &str,
     body: &str,
 ) -> Option<Response> {
-    let client = ntex::client::Client::new().await;
-    let method = method.parse::<http::Method>().ok()?;
-    let request =
-        client.request(method, format!("http://{address}{path}")).timeout(RESPONSE_TIMEOUT);
-    let request = request.set_header("Host", HOST);
-    let response = request.send_body(body.to_owned()).await.ok()?;
-    let status = response.status().as_u16();
-    let retry_after = response.headers().get("retry-after");
-    let retry_after = retry_after.and_then(|v| v.to_str().ok()).map(str::to_owned);
-    let bytes = response.body().await.ok()?;
-    let body = serde_json::from_slice(&bytes).unwrap_or_default();
-    Some(Response { status, body, retry_after })
+    Client::new().await.send(address, method, path, body).await
 }
 
 /// Sends a request and returns the status of the response, or `None` if there is no complete one.
--- a/gl-standin/src/fleet/network/connection.rs
+++ b/gl-standin/src/fleet/network/connection.rs
@@ -85,22 +85,20 @@
     /// caller has not waited.
     async fn wait_until_established(&mut self) -> io::Result<Vec<u8>> {
         let mut sent = Vec::new();
-        if *self.link.borrow() == State::Open {
-            return Ok(sent);
+        let mut buffer = [0; BUFFER_BYTES];
+        while *self.link.borrow_and_update() == State::Held {
+            tokio::select! {
+                changed = self.link.changed() => changed.map_err(io::Error::other)?,
+                read = self.caller.read(&mut buffer) => match read? {
+                    0 => return Err(io::ErrorKind::ConnectionAborted.into()),
+                    count => sent.extend_from_slice(&buffer[..count]),
+                },
+            }
         }
-        let is_lost = self.link.wait_for(|state| *state != State::Held).await.is_err();
-        if is_lost || is_broken(&self.link.borrow()) {
+        if is_broken(&self.link.borrow()) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        loop {
-            let mut buffer = [0; BUFFER_BYTES];
-            match self.caller.try_read(&mut buffer) {
-                Ok(0) => return Err(io::ErrorKind::ConnectionAborted.into()),
-                Ok(count) => sent.extend_from_slice(&buffer[..count]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(sent),
-                Err(error) => return Err(error),
-            }
-        }
+        Ok(sent)
     }
 }
 
