--- /dev/null
+++ b/gl-standin/examples/soak/plan.rs
@@ -0,0 +1,209 @@
+//! Seeded series of disturbances that overlap.
+
+use std::time::Duration;
+
+use gl_standin::fleet::network::{Scope, State};
+use rand::{Rng as _, SeedableRng as _, rngs};
+
+/// Something that is disturbed: a failure domain or a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// The owner, or its failure domain, at the start of the disturbance.
+    Owner,
+    /// That with this index.
+    Index(usize),
+}
+
+/// How the store is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// It refuses all requests. The rows of workers stay.
+    Down,
+    /// It refuses the requests of the failure domains.
+    Refusing,
+    /// The network to it is cut.
+    Cut(State),
+}
+
+/// A kind of disturbance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The network of a failure domain is cut.
+    Cut,
+    /// The store is away, for all or some failure domains.
+    Store,
+    /// A daemon is suspended.
+    Pause,
+    /// A daemon is killed, and started again at the end.
+    Kill,
+}
+
+/// All kinds, with their names in arguments and reports and their weights.
+pub const KINDS: [(Kind, &str, u32); 4] = [
+    (Kind::Cut, "cut", 4),
+    (Kind::Store, "store", 3),
+    (Kind::Pause, "pause", 2),
+    (Kind::Kill, "kill", 2),
+];
+
+/// What a disturbance does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// See [`Kind::Cut`].
+    Cut { domain: Target, scope: Scope, state: State },
+    /// See [`Kind::Store`]. Without a list, it is away for all failure domains.
+    Store { domains: Option<Vec<usize>>, outage: Outage },
+    /// See [`Kind::Pause`].
+    Pause(Target),
+    /// See [`Kind::Kill`].
+    Kill(Target),
+}
+
+impl Action {
+    /// Returns the kind.
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::Cut { .. } => Kind::Cut,
+            Self::Store { .. } => Kind::Store,
+            Self::Pause(_) => Kind::Pause,
+            Self::Kill(_) => Kind::Kill,
+        }
+    }
+}
+
+/// A disturbance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The time from the start of the series.
+    pub at: Duration,
+    /// The end.
+    pub until: Duration,
+    /// What it does.
+    pub action: Action,
+}
+
+/// The size of a series.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// The failure domains.
+    pub domains: usize,
+    /// The daemons in all.
+    pub daemons: usize,
+    /// The length of the series.
+    pub length: Duration,
+    /// The kinds of disturbances.
+    pub kinds: Vec<Kind>,
+}
+
+/// The time before the first disturbance.
+const CALM: Duration = Duration::from_secs(3);
+/// The range of the times between the starts of two disturbances, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 500..9_000;
+
+struct Generator {
+    random: rngs::SmallRng,
+    size: Size,
+}
+
+/// Returns the series of a seed.
+pub fn series(seed: u64, size: Size) -> Vec<Step> {
+    let random = rngs::SmallRng::seed_from_u64(seed);
+    let mut generator = Generator { random, size };
+    let mut steps = Vec::new();
+    let mut at = CALM;
+    while at < generator.size.length {
+        generator.disturb(at, &mut steps);
+        at += generator.millis(GAP_MS);
+    }
+    steps
+}
+
+impl Generator {
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.random.random_range(range))
+    }
+
+    fn kind(&mut self) -> Kind {
+        let kinds = KINDS.iter().filter(|(kind, ..)| self.size.kinds.contains(kind));
+        let total = kinds.clone().map(|(.., weight)| weight).sum::<u32>().max(1);
+        let mut left = self.random.random_range(0..total);
+        for (kind, _, weight) in kinds {
+            match left.checked_sub(*weight) {
+                Some(rest) => left = rest,
+                None => return *kind,
+            }
+        }
+        Kind::Cut
+    }
+
+    fn target(&mut self, count: usize) -> Target {
+        if self.random.random_bool(0.5) {
+            Target::Owner
+        } else {
+            Target::Index(self.random.random_range(0..count))
+        }
+    }
+
+    fn state(&mut self) -> State {
+        [State::Held, State::Reset, State::Refused][self.random.random_range(0..3)]
+    }
+
+    fn disturb(&mut self, at: Duration, steps: &mut Vec<Step>) {
+        let kind = self.kind();
+        let (action, length) = match kind {
+            Kind::Cut => {
+                let domain = self.target(self.size.domains);
+                let scopes = [Scope::All, Scope::All, Scope::Domains];
+                let scope = scopes[self.random.random_range(0..scopes.len())];
+                (Action::Cut { domain, scope, state: self.state() }, self.millis(3_000..30_000))
+            }
+            Kind::Store => return self.disturb_store(at, steps),
+            Kind::Pause => {
+                (Action::Pause(self.target(self.size.daemons)), self.millis(500..25_000))
+            }
+            Kind::Kill => (Action::Kill(self.target(self.size.daemons)), self.millis(50..6_000)),
+        };
+        self.push(Step { at, until: at + length, action }, steps);
+    }
+
+    fn disturb_store(&mut self, at: Duration, steps: &mut Vec<Step>) {
+        let outage = match self.random.random_range(0..3) {
+            0 => Outage::Refusing,
+            _ => Outage::Cut(self.state()),
+        };
+        let length = self.millis(3_000..30_000);
+        let one = self.random.random_range(0..self.size.domains);
+        match self.random.random_range(0..4) {
+            0 => {
+                let all = Action::Store { domains: None, outage: Outage::Down };
+                self.push(Step { at, until: at + length, action: all }, steps);
+            }
+            1 => {
+                let all = Action::Store { domains: None, outage };
+                self.push(Step { at, until: at + length, action: all }, steps);
+            }
+            2 => {
+                let one = Action::Store { domains: Some(vec![one]), outage };
+                self.push(Step { at, until: at + length, action: one }, steps);
+            }
+            // One failure domain after the other, each with the time of several renewals.
+            _ => {
+                let mut start = at;
+                let mut domain = one;
+                while start < at + length {
+                    let until = start + self.millis(1_000..5_000);
+                    let action = Action::Store { domains: Some(vec![domain]), outage };
+                    self.push(Step { at: start, until, action }, steps);
+                    (start, domain) = (until, (domain + 1) % self.size.domains);
+                }
+            }
+        }
+    }
+
+    fn push(&self, step: Step, steps: &mut Vec<Step>) {
+        let until = step.until.min(self.size.length);
+        if step.at < until {
+            steps.push(Step { until, ..step });
+        }
+    }
+}
--- /dev/null
+++ b/gl-standin/examples/soak/series.rs
@@ -0,0 +1,133 @@
+//! Carries out a series of disturbances on a deployment.
+
+use std::{collections, io, time};
+
+use gl_standin::{
+    fleet::{
+        deployment::Deployment,
+        network::{Cut, Scope},
+    },
+    process::Process,
+};
+
+use crate::plan::{Action, Outage, Step, Target};
+
+/// A series in progress.
+pub struct Series<'a> {
+    deployment: &'a mut Deployment,
+    domains: usize,
+    /// The disturbances in force, with their targets as indices, by their place in the series.
+    active: collections::BTreeMap<usize, Action>,
+    /// What was done, for the report: the time in seconds and the change.
+    pub log: Vec<String>,
+}
+
+impl<'a> Series<'a> {
+    /// Prepares a series on a deployment of this many failure domains.
+    pub fn new(deployment: &'a mut Deployment, domains: usize) -> Self {
+        Self { deployment, domains, active: collections::BTreeMap::new(), log: Vec::new() }
+    }
+
+    /// Carries out all steps, and ends all disturbances.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not respond or a daemon does not start.
+    pub async fn run(&mut self, steps: &[Step]) -> io::Result<()> {
+        let started = time::Instant::now();
+        let mut events: Vec<_> = steps
+            .iter()
+            .enumerate()
+            .flat_map(|(n, step)| [(step.at, n, true), (step.until, n, false)])
+            .collect();
+        events.sort_by_key(|(at, n, is_start)| (*at, *is_start, *n));
+        for (at, n, is_start) in events {
+            ntex::time::sleep(at.saturating_sub(started.elapsed())).await;
+            let change =
+                if is_start { self.begin(n, &steps[n].action).await? } else { self.end(n).await? };
+            self.log.push(format!("{:.1} {change}", started.elapsed().as_secs_f64()));
+        }
+        Ok(())
+    }
+
+    async fn begin(&mut self, n: usize, action: &Action) -> io::Result<String> {
+        let action = match action {
+            Action::Cut { domain, scope, state } => {
+                let domain = self.index(*domain).await % self.domains;
+                Action::Cut { domain: Target::Index(domain), scope: *scope, state: *state }
+            }
+            Action::Store { .. } => action.clone(),
+            Action::Pause(target) => Action::Pause(Target::Index(self.index(*target).await)),
+            Action::Kill(target) => Action::Kill(Target::Index(self.index(*target).await)),
+        };
+        match &action {
+            Action::Pause(Target::Index(daemon)) => self.signal(*daemon, Process::pause),
+            Action::Kill(Target::Index(daemon)) => self.deployment.daemons[*daemon].process.kill(),
+            _ => {}
+        }
+        let change = format!("{action:?}");
+        self.active.insert(n, action);
+        self.apply().await?;
+        Ok(change)
+    }
+
+    /// Returns the index of a target. While the owner is not known, that is the first one.
+    async fn index(&self, target: Target) -> usize {
+        match target {
+            Target::Owner => self.deployment.owner().await.unwrap_or_default(),
+            Target::Index(index) => index,
+        }
+    }
+
+    async fn end(&mut self, n: usize) -> io::Result<String> {
+        let Some(action) = self.active.remove(&n) else { return Ok(String::new()) };
+        let is_last = !self.active.values().any(|other| *other == action);
+        match &action {
+            Action::Pause(Target::Index(daemon)) if is_last => {
+                self.signal(*daemon, Process::resume);
+            }
+            Action::Kill(Target::Index(daemon)) if is_last => {
+                self.deployment.daemons[*daemon].restart()?;
+            }
+            _ => {}
+        }
+        self.apply().await?;
+        Ok(format!("end of {action:?}"))
+    }
+
+    /// Sends a signal to a daemon, unless its process has ended.
+    fn signal(&mut self, daemon: usize, send: fn(&Process)) {
+        let process = &mut self.deployment.daemons[daemon].process;
+        if process.exit_code().is_none() {
+            send(process);
+        }
+    }
+
+    /// Sets the network and the store to what the disturbances in force require.
+    async fn apply(&self) -> io::Result<()> {
+        let (mut cuts, mut refused, mut is_down) = (Vec::new(), Vec::new(), false);
+        for action in self.active.values() {
+            match action {
+                Action::Cut { domain: Target::Index(domain), scope, state } => {
+                    cuts.push(Cut { domain: *domain, scope: *scope, state: *state });
+                }
+                Action::Store { domains, outage } => {
+                    let domains = domains.clone().unwrap_or_else(|| (0..self.domains).collect());
+                    match outage {
+                        Outage::Down => is_down = true,
+                        Outage::Refusing => refused.extend(domains),
+                        Outage::Cut(state) => cuts.extend(domains.into_iter().map(|domain| Cut {
+                            domain,
+                            scope: Scope::Store,
+                            state: *state,
+                        })),
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.deployment.set_store_down(is_down).await?;
+        self.deployment.set_refused(&refused).await?;
+        self.deployment.set_cuts(&cuts).await
+    }
+}
