fix: store a claimant when it is first heard, and bound by 12 s what others wait for

Two tests with processes failed on the fix of the claimants, as it was: long-running tasks lapsed in an outage that began 0.15 s after the first claim, as the row was written each 0.3 s and named nobody yet; and a daemon that is started after all others were killed waited 64 s for a claim, as it cannot tell a killed owner from one that is cut off with all claimants.

Change: a follower that was not known wakes the loop that stores the names; an owner goes on without the store for 12 s after its last renewal, and daemons that it does not ask claim after 13 s. Starts end with that limit as well. Considered: limits of their own for starts and for leases, so that leases survive outages of a minute; each later owner would have to know of the longer one, and outages of the store of more than 9 s are not usual.

--- a/geraniumlatchd/src/jobs/claimants.rs
+++ b/geraniumlatchd/src/jobs/claimants.rs
@@ -8,8 +8,8 @@
 use super::{lease, ownership, rows};
 use crate::clock;
 
-/// Interval at which changes are stored; a heartbeat's interval.
-const STORE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(300);
+/// Interval at which it is checked whether claimants were silent for too long, or a write has failed.
+const CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(300);
 
 /// Stores the names of the claimants whenever they change, until the ownership ends.
 pub async fn run(ownership: rc::Rc<ownership::Ownership>) {
@@ -21,7 +21,8 @@
         if let Some(names) = names.filter(|_| is_store_up) {
             version = store(&ownership, names, version).await;
         }
-        ntex::time::sleep(STORE_INTERVAL).await;
+        // The next check follows both a new follower and the time-out.
+        let _ = ntex::time::timeout(CHECK_INTERVAL, ownership.follower_wake.notified()).await;
     }
 }
 
--- a/geraniumlatchd/src/jobs/followers.rs
+++ b/geraniumlatchd/src/jobs/followers.rs
@@ -3,7 +3,7 @@
 use gl_jobs::followers::{self, Silence};
 use gl_model::time;
 
-use super::{event, lease, outage_rule, ownership};
+use super::{event, outage_rule, ownership};
 use crate::clock;
 
 impl ownership::Ownership {
@@ -18,7 +18,12 @@
         if let Some(wall) = wall {
             self.wall_clock.borrow_mut().heard(&daemon, wall, now);
         }
-        let silence = self.followers.borrow_mut().heard(daemon, report, now);
+        let mut followers = self.followers.borrow_mut();
+        if !followers.is_known(&daemon) {
+            self.follower_wake.notify_one();
+        }
+        let silence = followers.heard(daemon, report, now);
+        drop(followers);
         if let Some(Silence { daemon, span }) = silence {
             let silent_ms = span.as_millis();
             event::emit(&event::Event::FollowerBack { follower: &daemon, silent_ms });
@@ -40,8 +45,7 @@
             let silent_ms = span.as_millis();
             event::emit(&event::Event::FollowerSilent { follower: &daemon, silent_ms });
         }
-        let renewed = self.lease_until.get() - lease::DURATION;
-        self.claimants.borrow().cut_off_after(&followers, renewed, now)
+        self.claimants.borrow().cut_off_after(&followers, self.renewed_at(), now)
     }
 
     /// Reports the followers in the metrics, and in the log if `state` tells that the owner has begun or
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -30,7 +30,7 @@
     pub(super) is_loaded: cell::Cell<bool>,
     is_ended: cell::Cell<bool>,
     starts_allowed: cell::Cell<bool>,
-    pub(super) lease_until: cell::Cell<time::Timestamp>,
+    lease_until: cell::Cell<time::Timestamp>,
     pub(super) started_at: time::Timestamp,
     /// What earlier owners may still do, from `started_at` on.
     pub(super) predecessors: election::Predecessors,
@@ -61,6 +61,8 @@
     pub(super) pass_meter: cell::RefCell<pass_meter::PassMeter>,
     /// Wakes the placement of waiting tasks.
     placement_wake: Notify,
+    /// Wakes the loop that stores the claimants.
+    pub(super) follower_wake: Notify,
     /// Actions that are not carried out yet.
     pub(super) pending_actions: cell::RefCell<action_queue::ActionQueue>,
     /// Limits the polls that may be many at a time.
@@ -119,6 +121,7 @@
         timer_delay: cell::Cell::new(time::Span::ZERO),
         pass_meter: cell::RefCell::default(),
         placement_wake: Notify::new(),
+        follower_wake: Notify::new(),
         pending_actions: cell::RefCell::default(),
         poll_gate: poll_gate::PollGate::new(node.settings.owner.order_window),
         connections: ordering::Connections::new(node.settings.budget),
@@ -213,6 +216,11 @@
         self.node.set_role(node::Role::OwnerUnknown);
     }
 
+    /// Returns the time at which the last renewal was sent.
+    pub(super) fn renewed_at(&self) -> time::Timestamp {
+        self.lease_until.get() - lease::DURATION
+    }
+
     /// Extends the lease after a renewal that was sent at `sent`.
     pub fn lease_renewed(&self, sent: time::Timestamp) {
         self.lease_until.set(sent + lease::DURATION);
@@ -313,7 +321,9 @@
         if !is_valid && !is_new && is_cut_off && self.is_store_up_for_follower(now) {
             return self.step_down("another daemon can reach the store and this daemon cannot");
         }
-        let outage_until = cut_off_after.map_or(now, |after| after + followers::REPORT_VALIDITY);
+        let outage_end = self.renewed_at() + claimants::OUTAGE_LIMIT;
+        let reported_until = cut_off_after.map(|after| after + followers::REPORT_VALIDITY);
+        let outage_until = reported_until.map_or(now, |until| until.min(outage_end));
         let may_start = allowed && !self.node.is_draining.get();
         let until = if may_start { self.lease_until.get().max(outage_until) } else { now };
         let mut owner = self.owner.borrow_mut();
--- a/gl-emulate/src/simulation/daemons.rs
+++ b/gl-emulate/src/simulation/daemons.rs
@@ -114,9 +114,10 @@
             cut_off_after: ownership.claimants.cut_off_after(known, renewed, now),
             is_stale: ownership.is_stale,
         };
-        let leased_until = ownership.renewed_at + LEASE_DURATION;
         let reported = outage.cut_off_after.map_or(now, |after| after + followers::REPORT_VALIDITY);
-        let until = if ownership.is_stale { now } else { leased_until.max(reported) };
+        let outage_until = reported.min(renewed + claimants::OUTAGE_LIMIT);
+        let leased_until = renewed + LEASE_DURATION;
+        let until = if ownership.is_stale { now } else { leased_until.max(outage_until) };
         ownership.owner.allow_starts(until);
         let is_store_down = outage.owner_cut_off && outage.cut_off_after.is_some();
         ownership.owner.set_store_down(is_store_down);
--- a/gl-jobs/src/claimants.rs
+++ b/gl-jobs/src/claimants.rs
@@ -10,11 +10,12 @@
 
 use crate::followers;
 
-/// The longest time after its last renewal for which an owner goes on without the store.
-const OUTAGE_LIMIT: time::Span = time::Span::seconds(60);
+/// The longest time after its last renewal for which an owner goes on without the store. If all claimants
+/// are gone, a new daemon has to wait for as long.
+pub const OUTAGE_LIMIT: time::Span = time::Span::seconds(12);
 /// The time after which a daemon that is not asked may claim the cell, from the time at which it first read
-/// the last renewal. Longer than the limit by the drift of clocks and the validity of the lease.
-pub const OUTSIDER_TIMEOUT: time::Span = time::Span::seconds(64);
+/// the last renewal. Longer than the limit by the drift of clocks.
+pub const OUTSIDER_TIMEOUT: time::Span = time::Span::seconds(13);
 
 /// The names of daemons.
 pub type Names = collections::BTreeSet<String>;
--- a/gl-jobs/src/followers.rs
+++ b/gl-jobs/src/followers.rs
@@ -97,6 +97,11 @@
         silence
     }
 
+    /// Returns whether a follower was heard within the retention.
+    pub fn is_known(&self, daemon: &str) -> bool {
+        self.known.contains_key(daemon)
+    }
+
     /// Forgets the followers that were silent for too long, and returns them.
     pub fn drop_silent(&mut self, now: time::Timestamp) -> Vec<Silence> {
         let is_silent = |heartbeat: &Heartbeat| now.since(heartbeat.at) >= RETENTION;
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -10,8 +10,8 @@
 use serde_json::json;
 
 mod cancellations;
-mod events;
 mod domain_cuts;
+mod events;
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
