test(gl-emulate): slow calls between owners and workers, and owners that load slowly

Messages took 2 ms in the simulation, in the order in which they were sent, and a new owner knew the stored rows at its claim. With real sockets replies wait, overtake each other, or arrive after the owner has given the call up although the worker has carried it out; and reading the rows takes seconds.

A new owner that loads slowly starts jobs that were accepted after its claim although an earlier owner, which was alive, has started them. A poll that is carried out late acknowledges ends of a worker's next lifetime.

--- a/gl-emulate/src/simulation/claims.rs
+++ b/gl-emulate/src/simulation/claims.rs
@@ -35,18 +35,8 @@
         self.last_renewal = self.now;
         self.version += 1;
         let token = self.version;
-        let moment = self.moment();
-        let mut owner = owner::Owner::new(self.settings.owner, token, self.now);
-        owner.workers_listed(&self.listed_workers(), self.now, self.now);
+        let owner = owner::Owner::new(self.settings.owner, token, self.now);
         let skips_recovery = self.settings.disabled.recovery;
-        let stored = self.jobs.iter().map(|(id, job)| owner::StoredJob {
-            id: *id,
-            job: self.settings.arrivals[job.arrival].job.clone(),
-            progress: job.progress(),
-            pages: job.pages.keys().copied().collect(),
-            is_cancelled: job.cancelled.is_some(),
-            is_inherited: !skips_recovery && job.version < token,
-        });
         let ended_at = self.ownerships.last().and_then(|ownership| ownership.ended_at);
         let last = election::LastOwner {
             ended: ended_at.map(|at| election::Ended { at, outstanding: self.outstanding }),
@@ -63,19 +53,8 @@
         let starts = election::starts_left(&last, LEASE_DURATION, settings.clock_drift, self.now);
         let starts = if skips_recovery { time::Span::ZERO } else { starts };
         self.earlier_starts = starts;
-        let takeover = owner::Takeover {
-            jobs: stored.collect(),
-            roster: self.roster.values().cloned().collect(),
-            vacating: self.vacating.values().cloned().collect(),
-            outstanding,
-            starts,
-        };
-        owner.store_clock_read(store_clock(self.now));
-        owner.recover(takeover, &moment);
-        owner.work_read(self.now);
         let carried = outstanding.unwrap_or(settings.horizon).max(settings.lease);
         self.outstanding = Some(carried);
-        owner.restore_model(&self.stored_model);
         self.ownerships.push(Ownership {
             owner,
             token,
@@ -87,6 +66,9 @@
             followers: followers::Followers::default(),
             refused_since: None,
             ended_at: None,
+            loaded_at: self.now + self.settings.load_time,
+            is_loaded: false,
+            inherited_until: outstanding.map(|left| self.now + left),
             superseded_at: self.now + starts,
             paused_until: time::Timestamp::default(),
             renewed_at: self.now,
@@ -97,6 +79,45 @@
             feed_read: self.now,
             is_stale: false,
         });
+        self.load_due(self.ownerships.len() - 1);
+    }
+
+    /// Loads the stored state for an owner once it has had the time for that.
+    pub(super) fn load_due(&mut self, n: usize) {
+        let now = self.now;
+        let is_up = self.is_store_up_for(n);
+        let ownership = &self.ownerships[n];
+        if !is_up || ownership.is_loaded || now < ownership.loaded_at {
+            return;
+        }
+        let skips_recovery = self.settings.disabled.recovery;
+        let stored = self.jobs.iter().map(|(id, job)| owner::StoredJob {
+            id: *id,
+            job: self.settings.arrivals[job.arrival].job.clone(),
+            progress: job.progress(),
+            pages: job.pages.keys().copied().collect(),
+            is_cancelled: job.cancelled.is_some(),
+            is_inherited: !skips_recovery && job.version < ownership.token,
+        });
+        let takeover = owner::Takeover {
+            jobs: stored.collect(),
+            roster: self.roster.values().cloned().collect(),
+            vacating: self.vacating.values().cloned().collect(),
+            outstanding: ownership.inherited_until.map(|until| until.since(now)),
+            starts: ownership.superseded_at.since(now),
+        };
+        let (list, moment) = (self.listed_workers(), self.moment());
+        let newest = self.version;
+        let ownership = &mut self.ownerships[n];
+        let owner = &mut ownership.owner;
+        owner.workers_listed(&list, now, now);
+        owner.store_clock_read(store_clock(now));
+        owner.recover(takeover, &moment);
+        owner.work_read(now);
+        owner.restore_model(&self.stored_model);
+        ownership.is_loaded = true;
+        ownership.feed_version = newest;
+        ownership.feed_read = now;
     }
 
     /// Ends the ownership as a daemon does that is shutting down: pending decisions are stored, and
--- a/gl-emulate/src/simulation/faults.rs
+++ b/gl-emulate/src/simulation/faults.rs
@@ -95,6 +95,7 @@
             Fault::SplitOwner(_) => {}
             Fault::StoreOutage(span) => self.outage_end = now + *span,
             Fault::DelayOrders(span, share) => self.order_delay = Some((now + *span, *share)),
+            Fault::SlowCalls(span, slowest) => self.slow_calls = Some((now + *span, *slowest)),
             Fault::Worker(n, span, worker_fault) => {
                 self.workers[*n].fault = *worker_fault;
                 self.fault_ends.push((now + *span, *n));
--- a/gl-emulate/src/simulation/messages.rs
+++ b/gl-emulate/src/simulation/messages.rs
@@ -7,7 +7,7 @@
 use rand::Rng as _;
 
 use super::settings::MAX_ORDER_DELAY;
-use super::{ORDER_TIMEOUT, Simulation};
+use super::{MESSAGE_DELAY, ORDER_TIMEOUT, Simulation};
 
 /// A message. Numbers after a task are its attempt and, in `SetCpuLimit`, the limit in percent. The
 /// flag of a poll says that the worker replies immediately instead of holding the poll back.
@@ -28,6 +28,23 @@
     Heartbeat(usize, followers::Report),
 }
 
+/// How the reply to a call reaches the owner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Call {
+    /// The time that the reply takes.
+    pub reply_after: time::Span,
+    /// The time at which the owner gives the call up, if its reply may be slow.
+    pub expires: Option<time::Timestamp>,
+    /// Whether the owner has given it up before the worker gets it.
+    pub is_given_up: bool,
+}
+
+impl Default for Call {
+    fn default() -> Self {
+        Self { reply_after: MESSAGE_DELAY, expires: None, is_given_up: false }
+    }
+}
+
 /// A message that is delivered at a given time, in the order of the numbers.
 #[derive(Debug)]
 pub(super) struct Delivery {
@@ -37,6 +54,8 @@
     pub worker: usize,
     /// The incarnation of the worker that delays the message. If it ends, the message is lost.
     pub held_by: Option<model::Incarnation>,
+    /// How the reply reaches the owner, if this is a call.
+    pub call: Call,
     pub message: Message,
 }
 
@@ -67,7 +86,58 @@
     ) {
         self.sequence += 1;
         let (at, number) = (self.now + after, self.sequence);
-        self.deliveries.push(Delivery { at, number, owner, worker, held_by: None, message });
+        let (held_by, call) = (None, Call::default());
+        self.deliveries.push(Delivery { at, number, owner, worker, held_by, call, message });
+    }
+
+    /// Sends a call to a worker. While calls are slow, the worker may carry it out after the owner has
+    /// given it up, and the replies to later calls may arrive first.
+    pub(super) fn call(&mut self, owner: usize, worker: usize, message: Message) {
+        let now = self.now;
+        let Some((_, slowest)) = self.slow_calls.filter(|(until, _)| now < *until) else {
+            return self.send(owner, worker, MESSAGE_DELAY, message);
+        };
+        let [after, reply_after] = [(); 2].map(|()| self.transit(slowest));
+        let wait = match &message {
+            Message::Poll(request, ..) => request.wait,
+            _ => time::Span::ZERO,
+        };
+        let expires = now + wait + ORDER_TIMEOUT;
+        let is_given_up = now + after > expires;
+        let call = Call { reply_after, expires: Some(expires), is_given_up };
+        if let Some(lost) = lost_reply(&message).filter(|_| is_given_up) {
+            self.send(owner, worker, expires.since(now), lost);
+        }
+        self.sequence += 1;
+        self.deliveries.push(Delivery {
+            at: now + after,
+            number: self.sequence,
+            owner,
+            worker,
+            held_by: Some(self.workers[worker].incarnation),
+            call,
+            message,
+        });
+    }
+
+    /// Returns the time that a message takes while calls are slow. Half of the messages are quick.
+    fn transit(&mut self, slowest: time::Span) -> time::Span {
+        if self.rng.random_bool(0.5) {
+            return MESSAGE_DELAY;
+        }
+        time::Span::millis(self.rng.random_range(2..=slowest.as_millis().max(2)))
+    }
+
+    /// Sends the reply to a call, unless it would be too late for the owner.
+    pub(super) fn reply(&mut self, call: Call, owner: usize, worker: usize, message: Message) {
+        if call.is_given_up {
+            return;
+        }
+        let expires = call.expires.filter(|at| self.now + call.reply_after > *at);
+        match (expires, lost_reply(&message)) {
+            (Some(at), Some(lost)) => self.send(owner, worker, at.since(self.now), lost),
+            _ => self.send(owner, worker, call.reply_after, message),
+        }
     }
 
     pub(super) fn deliver(&mut self) {
@@ -84,7 +154,7 @@
             if is_for_owner {
                 self.deliver_to_owner(delivery);
             } else {
-                self.deliver_to_worker(delivery);
+                self.deliver_to_worker(&delivery);
             }
         }
     }
@@ -110,6 +180,7 @@
             owner: n,
             worker,
             held_by: Some(self.workers[worker].incarnation),
+            call: Call { is_given_up: true, ..Call::default() },
             message,
         });
     }
@@ -130,3 +201,22 @@
         }
     }
 }
+
+/// Returns what the owner gets in place of the reply to a call, or of this reply.
+pub(super) const fn lost_reply(message: &Message) -> Option<Message> {
+    Some(match message {
+        Message::Start(order) => {
+            Message::Started(order.task, order.attempt, model::OrderReply::Lost)
+        }
+        Message::Started(task, attempt, _) => {
+            Message::Started(*task, *attempt, model::OrderReply::Lost)
+        }
+        Message::Stop(task, attempt) | Message::Stopped(task, attempt, _) => {
+            Message::Stopped(*task, *attempt, model::OrderReply::Lost)
+        }
+        Message::Poll(_, sent, is_immediate) => Message::PollReply(*sent, None, *is_immediate),
+        Message::HeldPoll(_, sent, _) => Message::PollReply(*sent, None, false),
+        Message::PollReply(sent, _, is_immediate) => Message::PollReply(*sent, None, *is_immediate),
+        Message::SetCpuLimit(..) | Message::Commit(_) | Message::Heartbeat(..) => return None,
+    })
+}
--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -54,6 +54,8 @@
     outage_end: time::Timestamp,
     /// The end of the period in which orders are delayed, and the share of delayed orders.
     order_delay: Option<(time::Timestamp, f64)>,
+    /// The end of the period in which calls are slow, and the longest time that a message takes then.
+    slow_calls: Option<(time::Timestamp, time::Span)>,
     fault_ends: Vec<(time::Timestamp, usize)>,
     restarts: Vec<(time::Timestamp, usize)>,
     terminations: Vec<(time::Timestamp, usize)>,
@@ -120,6 +122,7 @@
             next_fault: 0,
             outage_end: time::Timestamp::default(),
             order_delay: None,
+            slow_calls: None,
             fault_ends: Vec::new(),
             restarts: Vec::new(),
             terminations: Vec::new(),
@@ -223,7 +226,8 @@
             let mut active: Vec<_> = active.collect();
             // One daemon announces the job, to the owner that it follows.
             let followed = usize::try_from(version).unwrap_or_default() % active.len().max(1);
-            if let Some(ownership) = active.get_mut(followed) {
+            // An owner that has not loaded the stored state yet reads the job with it.
+            if let Some(ownership) = active.get_mut(followed).filter(|o| o.is_loaded) {
                 ownership.owner.add_job(arrival.id, arrival.job, &moment);
             }
         }
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -5,8 +5,8 @@
 use gl_jobs::{claimants, followers, owner, worker as model};
 use gl_model::time;
 
+use super::Simulation;
 use super::messages::{Delivery, Message};
-use super::{MESSAGE_DELAY, Simulation};
 
 /// The time that the store takes to commit.
 const COMMIT_DELAY: time::Span = time::Span::millis(10);
@@ -40,6 +40,12 @@
     pub refused_since: Option<time::Timestamp>,
     /// The time at which it released the cell.
     pub ended_at: Option<time::Timestamp>,
+    /// The time at which it has loaded the stored state.
+    pub loaded_at: time::Timestamp,
+    /// Whether it has.
+    pub is_loaded: bool,
+    /// The time until which leases may last that earlier owners have extended, if it is known.
+    pub inherited_until: Option<time::Timestamp>,
     /// The time from which on no earlier owner orders starts.
     pub superseded_at: time::Timestamp,
     pub paused_until: time::Timestamp,
@@ -166,12 +172,22 @@
                 if !ownership.is_ended {
                     ownership.renewed_at = now;
                     ownership.owner.lease_renewed(now);
-                    self.outstanding = Some(ownership.owner.outstanding(now));
+                    let settings = &self.settings.owner;
+                    let inherited = ownership.inherited_until.map(|until| until.since(now));
+                    let unloaded = inherited.unwrap_or(settings.horizon).max(settings.lease);
+                    let is_loaded = ownership.is_loaded;
+                    let outstanding =
+                        if is_loaded { ownership.owner.outstanding(now) } else { unloaded };
+                    self.outstanding = Some(outstanding);
                     self.earlier_starts = ownership.superseded_at.since(now);
                     self.last_renewal = now;
                     self.store_claimants(n);
                 }
             }
+            self.load_due(n);
+            if !self.ownerships[n].is_loaded {
+                continue;
+            }
             if self.is_due(WORKER_LIST_INTERVAL) && is_up {
                 let list = self.listed_workers();
                 self.ownerships[n].owner.workers_listed(&list, now, now);
@@ -217,7 +233,7 @@
 
     /// Places tasks and carries out the owner's decisions: actions, polls and commits.
     pub(super) fn apply_decisions(&mut self, n: usize) {
-        if !is_active(&self.ownerships[n], self.now) {
+        if !is_active(&self.ownerships[n], self.now) || !self.ownerships[n].is_loaded {
             return;
         }
         let now = self.now;
@@ -261,7 +277,7 @@
         } else {
             ownership.polling.insert(worker);
         }
-        self.send(n, worker, MESSAGE_DELAY, Message::Poll(request, now, is_immediate));
+        self.call(n, worker, Message::Poll(request, now, is_immediate));
     }
 
     pub(super) fn execute(&mut self, n: usize, action: owner::Action) {
@@ -290,7 +306,7 @@
             self.send_delayed(n, worker, message);
             return;
         }
-        self.send(n, worker, MESSAGE_DELAY, message);
+        self.call(n, worker, message);
     }
 }
 
--- a/gl-emulate/src/simulation/settings.rs
+++ b/gl-emulate/src/simulation/settings.rs
@@ -22,6 +22,9 @@
     /// For the given time, the given share of the orders gets no reply and is carried out seconds
     /// later.
     DelayOrders(time::Span, f64),
+    /// For the given time, half of the messages between owners and workers take up to the given time
+    /// each. A call whose reply is late counts as lost, and is carried out.
+    SlowCalls(time::Span, time::Span),
     /// A worker has a fault for the given time.
     Worker(usize, time::Span, worker::Fault),
     /// A worker is down for the given time and restarts with the same identifier.
@@ -50,6 +53,7 @@
                 time::Span::ZERO
             }
             Self::DelayOrders(span, _) => time::Span(span.0 + MAX_ORDER_DELAY.0),
+            Self::SlowCalls(span, slowest) => time::Span(span.0 + slowest.0),
             Self::PauseOwner(span)
             | Self::SplitOwner(span)
             | Self::StoreOutage(span)
@@ -86,6 +90,8 @@
     pub faults: Vec<ScheduledFault>,
     /// The settings of the owners.
     pub owner: owner::Settings,
+    /// The time that a new owner takes to load the stored state.
+    pub load_time: time::Span,
     /// The factor by which tasks away from their rack or data take longer.
     pub remote_factor: f64,
     /// Mechanisms that are disabled, to show that they are necessary.
@@ -105,6 +111,7 @@
                 horizon: time::Span::seconds(8),
                 ..owner::Settings::default()
             },
+            load_time: time::Span::ZERO,
             remote_factor: 1.0,
             disabled: Disabled::default(),
             trace: None,
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -4,18 +4,18 @@
 use gl_model::time;
 
 use super::checks::PendingEnd;
-use super::messages::{Delivery, Message};
-use super::{MESSAGE_DELAY, ORDER_TIMEOUT, Simulation, TIME_STEP};
+use super::messages::{Call, Delivery, Message, lost_reply};
+use super::{ORDER_TIMEOUT, Simulation, TIME_STEP};
 use crate::{load, report, worker};
 
 /// The time from the start of a task to the crash of its worker, if the task causes one.
 const CRASH_DELAY: time::Span = time::Span::millis(10);
 
 impl Simulation {
-    pub(super) fn deliver_to_worker(&mut self, delivery: Delivery) {
-        let n = delivery.worker;
+    pub(super) fn deliver_to_worker(&mut self, delivery: &Delivery) {
+        let (n, call) = (delivery.worker, delivery.call);
         if delivery.held_by.is_some_and(|by| by != self.workers[n].incarnation) {
-            return;
+            return self.lose(delivery.owner, n, call, &delivery.message);
         }
         let is_connected = self.is_connected(delivery.owner, n);
         let is_reachable =
@@ -26,53 +26,52 @@
         } else {
             self.ownerships[delivery.owner].token
         };
-        match delivery.message {
+        match delivery.message.clone() {
             Message::Start(mut order) if is_reachable => {
                 if self.settings.disabled.deadlines {
                     order.deadline = self.workers[n].clock(now);
                 }
                 let (task, attempt) = (order.task, order.attempt);
                 let reply = self.start(n, token, &order);
-                self.send(delivery.owner, n, MESSAGE_DELAY, Message::Started(task, attempt, reply));
-            }
-            Message::Start(order) => {
-                let lost = Message::Started(order.task, order.attempt, model::OrderReply::Lost);
-                self.send(delivery.owner, n, ORDER_TIMEOUT, lost);
+                self.reply(call, delivery.owner, n, Message::Started(task, attempt, reply));
             }
+            message @ Message::Start(_) => self.lose(delivery.owner, n, call, &message),
             Message::Stop(task, attempt) if is_reachable => {
                 let reply = self.workers[n].stop(token, task, attempt, now);
-                self.send(delivery.owner, n, MESSAGE_DELAY, Message::Stopped(task, attempt, reply));
+                self.reply(call, delivery.owner, n, Message::Stopped(task, attempt, reply));
             }
             Message::SetCpuLimit(task, attempt, percent) if is_reachable => {
                 self.workers[n].set_cpu_limit(token, task, attempt, percent);
             }
             Message::Poll(request, sent, is_immediate) if is_reachable => {
-                self.poll(delivery.owner, n, token, request, sent, is_immediate);
-            }
-            Message::Poll(_, sent, is_immediate) => {
-                self.send(
-                    delivery.owner,
-                    n,
-                    ORDER_TIMEOUT,
-                    Message::PollReply(sent, None, is_immediate),
-                );
+                self.poll(delivery, token, request, sent, is_immediate);
             }
+            message @ Message::Poll(..) => self.lose(delivery.owner, n, call, &message),
             Message::HeldPoll(request, sent, until) => {
-                self.continue_poll(delivery.owner, n, request, sent, until)
+                self.continue_poll(delivery, request, sent, until);
             }
             _ => {}
         }
     }
 
-    pub(super) fn poll(
+    /// Lets a call that did not reach its worker time out.
+    fn lose(&mut self, owner: usize, worker: usize, call: Call, message: &Message) {
+        let Some(lost) = lost_reply(message).filter(|_| !call.is_given_up) else {
+            return;
+        };
+        let after = call.expires.map_or(ORDER_TIMEOUT, |at| at.since(self.now));
+        self.send(owner, worker, after, lost);
+    }
+
+    fn poll(
         &mut self,
-        owner: usize,
-        n: usize,
+        delivery: &Delivery,
         token: u64,
         mut request: model::PollRequest,
         sent: time::Timestamp,
         is_immediate: bool,
     ) {
+        let (owner, n, call) = (delivery.owner, delivery.worker, delivery.call);
         request.token = token;
         let Some(reply) = self.workers[n].poll(&request, self.now) else {
             self.ownerships[owner].is_ended = true;
@@ -84,29 +83,36 @@
             && !self.workers[n].has_end_after(request.acknowledged);
         if is_held {
             let until = self.now + request.wait;
-            self.send(owner, n, TIME_STEP, Message::HeldPoll(request, sent, until));
-            return;
+            return self.hold(delivery, Message::HeldPoll(request, sent, until));
         }
-        self.send(owner, n, MESSAGE_DELAY, Message::PollReply(sent, Some(reply), is_immediate));
+        self.reply(call, owner, n, Message::PollReply(sent, Some(reply), is_immediate));
+    }
+
+    /// Looks at a poll again that the worker holds back.
+    fn hold(&mut self, delivery: &Delivery, message: Message) {
+        self.sequence += 1;
+        let Delivery { owner, worker, held_by, call, .. } = *delivery;
+        let (at, number) = (self.now + TIME_STEP, self.sequence);
+        self.deliveries.push(Delivery { at, number, owner, worker, held_by, call, message });
     }
 
-    pub(super) fn continue_poll(
+    fn continue_poll(
         &mut self,
-        owner: usize,
-        n: usize,
+        delivery: &Delivery,
         mut request: model::PollRequest,
         sent: time::Timestamp,
         until: time::Timestamp,
     ) {
+        let (owner, n) = (delivery.owner, delivery.worker);
         let is_reachable = self.is_connected(owner, n) && !self.workers[n].fault.is_partitioned;
         if !is_reachable || self.workers[n].is_down {
             let left = until.since(self.now) + ORDER_TIMEOUT;
-            self.send(owner, n, left, Message::PollReply(sent, None, false));
-            return;
+            let expires = delivery.call.expires.unwrap_or(self.now + left);
+            let call = Call { expires: Some(expires), ..delivery.call };
+            return self.lose(owner, n, call, &Message::HeldPoll(request, sent, until));
         }
         if self.now < until && !self.workers[n].has_end_after(request.acknowledged) {
-            self.send(owner, n, TIME_STEP, Message::HeldPoll(request, sent, until));
-            return;
+            return self.hold(delivery, Message::HeldPoll(request, sent, until));
         }
         request.lease = None;
         let reply = self.workers[n].poll(&request, self.now);
@@ -114,7 +120,7 @@
             self.ownerships[owner].is_ended = true;
             return;
         }
-        self.send(owner, n, MESSAGE_DELAY, Message::PollReply(sent, reply, false));
+        self.reply(delivery.call, owner, n, Message::PollReply(sent, reply, false));
     }
 
     pub(super) fn start(
--- a/gl-emulate/tests/simulation/main.rs
+++ b/gl-emulate/tests/simulation/main.rs
@@ -5,4 +5,5 @@
 mod handover;
 mod scenarios;
 mod sizes;
+mod slow;
 mod uneven;
