test(gl-jobs): calls for a worker's earlier lifetime that its next one carries out

Calls name the worker and not its lifetime, and deadlines are by the clock of the lifetime that was known. The owner ends all runs of the earlier lifetime but those that are reported or have not been answered, and forgets the latest lease that it has sent.

--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -19,6 +19,7 @@
 mod identity;
 mod interference;
 mod leases;
+mod lifetimes;
 mod order;
 mod orders;
 mod pages;
