test(gl-jobs): what a new owner learns late from workers

Workers reply to a new owner one after the other, so that it may learn of a run before it learns that the phase before it is done; and a worker with 500 ends or more lists them in parts.

--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -33,6 +33,7 @@
 mod routing;
 mod second_runs;
 mod silence;
+mod takeover;
 mod throttle;
 mod tombstones;
 mod uneven;
