test(gl-jobs): lists of workers that miss live ones or have odd entries end no runs

The list of workers was one of the suspects for tasks that ran twice: in an outage the entries of live workers lapse at once, and another writer may leave copies or older entries. None of these had a test.

A worker that is not listed keeps its runs and its leases for as long as it replies; a copy of an entry under another name, with the same start, and an older entry of the same worker end nothing.

--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -20,6 +20,7 @@
 mod interference;
 mod leases;
 mod lifetimes;
+mod lists;
 mod order;
 mod orders;
 mod pages;
