test(gl-standin): a daemon that loses the cell and regains it in the same process

Two daemons are paused in turn, each until the other one has claimed the cell, beside running tasks.

--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -12,6 +12,7 @@
 mod cancellations;
 mod domain_cuts;
 mod events;
+mod regained;
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
