test(gl-jobs): replies of a worker that seem to be from an earlier lifetime

A worker whose machine's clock was set back before it started again seems to be an earlier lifetime.

--- a/gl-jobs/tests/jobs/lifetimes.rs
+++ b/gl-jobs/tests/jobs/lifetimes.rs
@@ -94,3 +94,25 @@
     let again = starts_within(&mut cell, n, left);
     assert!(again.iter().all(|again| again.task != here[0].task), "{again:?}");
 }
+
+/// Guards against tasks that are never started again: the clock of a worker's machine was set back, so that
+/// its next lifetime seems to be an earlier one, whose replies say nothing.
+#[test]
+fn runs_end_with_their_lease_if_all_replies_are_from_a_seemingly_earlier_lifetime() {
+    let (mut cell, start, n) = ordered();
+    cell.start_replied(&start, worker::OrderReply::Done);
+    cell.poll(n, &[cell::running(&start, 10.0, 900.0)]);
+    let mut again = Vec::new();
+    for _ in 0..30 {
+        cell.owner.poll_request(&cell::worker(n), cell::at(cell.now));
+        let reply = worker::PollReply {
+            clock: cell::at(NEW_CLOCK),
+            incarnation: worker::Incarnation(0),
+            ..worker::PollReply::default()
+        };
+        let now = cell::at(cell.now);
+        cell.owner.poll_replied(&cell::worker(n), now, &reply, now);
+        again.extend(starts_within(&mut cell, n, 500));
+    }
+    assert_eq!(again.first().map(|again| again.task), Some(start.task), "at {} ms", cell.now);
+}
