test(gl-emulate): an owner that refuses connections gets no heartbeats

In the simulation an owner whose address refuses all others still got their reports of an outage, and went on without the store although a claim counts on the reverse: that no report has reached the owner since.

--- a/gl-emulate/src/simulation/daemons.rs
+++ b/gl-emulate/src/simulation/daemons.rs
@@ -51,6 +51,9 @@
         let own_side = split.filter(|_| self.is_split_off(daemon)).map(|split| split.owner);
         let owner = own_side.or(newest).filter(|owner| self.ownerships[*owner].daemon != daemon);
         let Some(owner) = owner else { return };
+        if self.ownerships[owner].refused_since.is_some_and(|at| self.now >= at) {
+            return;
+        }
         let other_side = split.filter(|split| own_side.is_none() && split.owner == owner);
         let after = match other_side {
             None => MESSAGE_DELAY,
