fix: wait for all workers with jobs that were accepted between a claim and the load of the rows

Cause: an owner that another daemon has replaced may start jobs until it notices the claim, and these wait in the new owner until all workers have replied. Whether that is so was decided when the rows had been loaded: once the last owner's lease had ended by then, all jobs that were accepted since the claim counted as the new owner's own. Reading the rows of hundreds of workers takes seconds.

Change: what counts is whether the last owner could order starts at the claim. All jobs that are loaded with the rows then wait for the workers, each some milliseconds if it can be reached.

--- a/geraniumlatchd/src/jobs/predecessors.rs
+++ b/geraniumlatchd/src/jobs/predecessors.rs
@@ -112,9 +112,16 @@
         self.predecessors.outstanding.map(|left| (self.started_at + left).since(now))
     }
 
+    /// Returns the time from which on no earlier owner orders starts; `None` if none did any more at the
+    /// claim.
+    pub(super) fn superseded_at(&self) -> Option<time::Timestamp> {
+        let starts = self.predecessors.starts;
+        (starts > time::Span::ZERO).then(|| self.started_at + starts)
+    }
+
     /// Returns the longest time for which earlier owners may order starts at `now`.
     pub(super) fn earlier_starts(&self, now: time::Timestamp) -> time::Span {
-        (self.started_at + self.predecessors.starts).since(now)
+        self.superseded_at().map_or(time::Span::ZERO, |at| at.since(now))
     }
 
     /// Returns the longest time for which leases of workers may last at `now` if this owner extends
--- a/geraniumlatchd/src/jobs/recovery.rs
+++ b/geraniumlatchd/src/jobs/recovery.rs
@@ -117,9 +117,9 @@
             let mut owner = self.owner.borrow_mut();
             owner.workers_listed(&list.workers, listed_at, moment.now);
             let outstanding = self.inherited_lease(moment.now);
-            let starts = self.earlier_starts(moment.now);
+            let superseded_at = self.superseded_at();
             let takeover =
-                owner::Takeover { jobs: stored.jobs, roster, vacating, outstanding, starts };
+                owner::Takeover { jobs: stored.jobs, roster, vacating, outstanding, superseded_at };
             owner.recover(takeover, &moment);
             owner.work_read(sent);
             for model in &model {
--- a/gl-emulate/src/simulation/claims.rs
+++ b/gl-emulate/src/simulation/claims.rs
@@ -69,7 +69,7 @@
             loaded_at: self.now + self.settings.load_time,
             is_loaded: false,
             inherited_until: outstanding.map(|left| self.now + left),
-            superseded_at: self.now + starts,
+            superseded_at: (starts > time::Span::ZERO).then(|| self.now + starts),
             paused_until: time::Timestamp::default(),
             renewed_at: self.now,
             is_committing: false,
@@ -104,7 +104,7 @@
             roster: self.roster.values().cloned().collect(),
             vacating: self.vacating.values().cloned().collect(),
             outstanding: ownership.inherited_until.map(|until| until.since(now)),
-            starts: ownership.superseded_at.since(now),
+            superseded_at: ownership.superseded_at,
         };
         let (list, moment) = (self.listed_workers(), self.moment());
         let newest = self.version;
--- a/gl-emulate/src/simulation/owners.rs
+++ b/gl-emulate/src/simulation/owners.rs
@@ -46,8 +46,8 @@
     pub is_loaded: bool,
     /// The time until which leases may last that earlier owners have extended, if it is known.
     pub inherited_until: Option<time::Timestamp>,
-    /// The time from which on no earlier owner orders starts.
-    pub superseded_at: time::Timestamp,
+    /// The time from which on no earlier owner orders starts; `None` if none did at the claim.
+    pub superseded_at: Option<time::Timestamp>,
     pub paused_until: time::Timestamp,
     pub renewed_at: time::Timestamp,
     pub is_committing: bool,
@@ -179,7 +179,9 @@
                     let outstanding =
                         if is_loaded { ownership.owner.outstanding(now) } else { unloaded };
                     self.outstanding = Some(outstanding);
-                    self.earlier_starts = ownership.superseded_at.since(now);
+                    let superseded_at = ownership.superseded_at;
+                    self.earlier_starts =
+                        superseded_at.map_or(time::Span::ZERO, |at| at.since(now));
                     self.last_renewal = now;
                     self.store_claimants(n);
                 }
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -43,8 +43,9 @@
     /// The longest time for which leases of workers may last, if the last owner is known to extend
     /// none any more.
     pub outstanding: Option<time::Span>,
-    /// The longest time for which earlier owners may order starts; see [`crate::election::starts_left()`].
-    pub starts: time::Span,
+    /// The time from which on no earlier owner orders starts; `None` if none did any more at the claim. See
+    /// [`crate::election::starts_left()`].
+    pub superseded_at: Option<time::Timestamp>,
 }
 
 /// The state of a recovery that is not complete. Until then the owner starts no task of an earlier
@@ -102,8 +103,7 @@
         let settings = self.settings;
         let outstanding = takeover.outstanding.unwrap_or(settings.horizon);
         self.inherited_lease = outstanding.min(settings.horizon);
-        let is_unended = takeover.starts > time::Span::ZERO;
-        self.superseded_at = is_unended.then(|| moment.now + takeover.starts);
+        self.superseded_at = takeover.superseded_at;
         for entry in takeover.roster {
             self.add_enrolled(entry, moment.now);
         }
@@ -175,7 +175,8 @@
 
     fn restore(&mut self, row: StoredJob, moment: &Moment) {
         let mut entry = crate::owner::JobEntry::new(row.job, time::Timestamp::default(), moment);
-        entry.is_inherited = row.is_inherited || self.may_precede(moment.now);
+        // It may have been accepted before the last owner noticed the claim, however late it is read.
+        entry.is_inherited = row.is_inherited || self.superseded_at.is_some();
         entry.restore(row.progress.unwrap_or_default(), row.pages);
         if entry.final_state.is_none() && row.is_cancelled {
             entry.final_state = Some(job::State::Cancelled);
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -135,7 +135,7 @@
     let takeover = owner::Takeover {
         jobs,
         roster: listed.to_vec(),
-        starts: time::Span::millis(1_900),
+        superseded_at: Some(cell::at(6_900)),
         ..owner::Takeover::default()
     };
     owner.recover(takeover, &cell::moment(5_000));
@@ -156,6 +156,29 @@
     assert_eq!(started(&mut owner, 6_970), 2, "w-1 has seen the fencing token");
 }
 
+/// Guards against second runs of a job that was accepted after a claim and read once no earlier owner could
+/// order starts any more: the last owner may have started it meanwhile.
+#[test]
+fn jobs_that_a_slow_owner_has_loaded_late_wait_for_all_workers() {
+    let mut owner = owner::Owner::new(owner::Settings::default(), 9, cell::at(5_000));
+    let listed = [cell::registration(0), cell::registration(1)];
+    owner.workers_listed(&listed, cell::at(5_000), cell::at(5_000));
+    let jobs = vec![owner::StoredJob {
+        is_inherited: false,
+        ..cell::stored(1, cell::job(vec![cell::phase(1, 1_000)]), record::Progress::default())
+    }];
+    let superseded_at = Some(cell::at(6_900));
+    let roster = listed.to_vec();
+    let takeover = owner::Takeover { jobs, roster, superseded_at, ..owner::Takeover::default() };
+    owner.lease_renewed(cell::at(8_000));
+    owner.allow_starts(cell::at(10_000));
+    owner.recover(takeover, &cell::moment(8_000));
+    poll_replied(&mut owner, 0, &empty(8_050), 8_050);
+    assert_eq!(started(&mut owner, 8_060), 0, "w-1 may run the task");
+    poll_replied(&mut owner, 1, &empty(8_070), 8_070);
+    assert_eq!(started(&mut owner, 8_080), 1);
+}
+
 #[test]
 fn failure_reported_again_counts_once() {
     let failures = [(0, vec![3, 4])].into();
