fix(gl-jobs): wait for the lease that a worker gets after it has listed a part of its ends

By reading, no callers' report. A new owner goes on waiting for a worker that lists 500 of its ends, as the others may be runs that were done, and extends its lease meanwhile. The wait counted from the worker's last reply and the lease from the poll after it, so that the tasks could start elsewhere 0.13 s before the lease ended.

Change: the wait is extended with each lease that is granted.

--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -231,8 +231,8 @@
         }
     }
 
-    /// Keeps waiting for a worker that has listed a part of its ends only. Its leases are extended
-    /// meanwhile, so that the others may be runs that were done.
+    /// Keeps waiting for a worker whose lease is extended at `now`, as it has listed a part of its ends only.
+    /// The others may be runs that were done.
     pub(in crate::owner) fn keep_pending(&mut self, id: &worker::WorkerId, now: time::Timestamp) {
         let lease = self.settings.lease;
         let until = now + lease + lease.scaled(self.settings.clock_drift);
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -175,6 +175,9 @@
             calm_wait
         };
         let acknowledged = if worker.may_have_restarted() { 0 } else { worker.stored_end };
+        if lease.is_some() {
+            self.keep_pending(id, now);
+        }
         Some(worker::PollRequest { token, acknowledged, lease, wait })
     }
 
@@ -223,10 +226,8 @@
         self.unread.hold(id, unsettled);
         let reported = self.record_running(id, reply, now);
         let recorded = self.workers.get(id).map_or(0, |worker| worker.runs.len());
-        if reply.is_partial {
-            // A run that is not reported may have ended, and its end may not be listed yet.
-            self.keep_pending(id, now);
-        } else {
+        // A run that a partial reply does not report may have ended, and its end may not be listed yet.
+        if !reply.is_partial {
             if reported < recorded {
                 self.end_missing(id, sent, reply, now);
             }
