fix(gl-jobs): start a task again whose run ended before its phase was opened

A new owner adopts a run of a later phase before it has learnt that the phase before is done. If that run ends without being done, its task was not queued, as the phase was not open, and was missing when it was opened.

Change: the task waits in its phase, which is placed once it is open.

Evidence: task_whose_run_ended_before_its_phase_was_opened_starts_again failed, and passes.

--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -221,7 +221,7 @@
         let Some(state) = entry.phases.get_mut(&(task.phase.occurrence, task.phase.phase)) else {
             return;
         };
-        if state.done.contains(task.index) || !state.is_open {
+        if state.done.contains(task.index) {
             return;
         }
         if state.waiting.is_empty() {
@@ -229,6 +229,10 @@
         }
         state.waiting.insert(task.index);
         state.interrupted.entry(task.index).or_insert(now);
+        // Its phase is opened once the ends of the phases before it are known.
+        if !state.is_open {
+            return;
+        }
         let is_gang = entry.spec(task.phase.phase).is_some_and(|spec| spec.gang);
         self.open_phases.insert(task.phase);
         if is_gang {
