review: one crash in a burst keeps jobs waiting on an idle service

A worker crashes while a burst of small jobs is on it. Their tasks start again two at a time, each alone on a worker, and jobs have nothing running for 31 s on end with nearly all capacity free.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -18,6 +18,8 @@
         "foreign-entry" => foreign_entry(record, has_trouble),
         "advice" => advice(record, has_trouble),
         "crashes" => crashes(record, has_trouble),
+        "lasting" => lasting(record, has_trouble),
+        "burst" => burst(record, has_trouble),
         _ => Err(io::Error::other(format!("there is no case {name}"))),
     }
 }
@@ -147,3 +149,141 @@
     Ok(verdict(&world, text))
 }
 
+/// LOST: a worker with all tasks of a job that lasts is lost, and the owner is killed. The next owner
+/// keeps room on the worker that is held for short tasks, and the tasks wait.
+fn lasting(record: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    let options = Options { workers: 14, daemons: 3, allowed: None, cpu: 64_000 };
+    let mut world = World::start(options, record)?;
+    thread::sleep(Duration::from_secs(2));
+    let job = |count: u64, image: &str| {
+        let fields = format!(r#","LongRunning":true,"Image":"{image}""#);
+        world::job("lasts", count, 8_000, 1_000, &fields)
+    };
+    let short = world::job("work=700", 5, 8_000, 700, "");
+    let mut number = 0;
+    let mut next_short = |world: &World| {
+        number += 1;
+        world.submit(&format!("{:016x}", 0xd000 + number), &short);
+    };
+    for _ in 0..3 {
+        next_short(&world);
+        thread::sleep(Duration::from_millis(900));
+    }
+    let (id, others) = ("00000000000000d1", "00000000000000d2");
+    if !world.submit(id, &job(8, "image-b")) {
+        return Err(cannot("the job was not accepted"));
+    }
+    thread::sleep(Duration::from_millis(500));
+    next_short(&world);
+    if !world.submit(others, &job(96, "image-a")) {
+        return Err(cannot("the other job was not accepted"));
+    }
+    for _ in 0..5 {
+        next_short(&world);
+        thread::sleep(Duration::from_millis(900));
+    }
+    let at_work = world.fleet.running(id);
+    let workers: BTreeSet<usize> = at_work.iter().map(|(index, _)| *index).collect();
+    if at_work.len() != 8 || workers.len() != 1 || world.fleet.running(others).len() != 96 {
+        let text = format!("{} tasks run on {workers:?}, and {} others", at_work.len(),
+            world.fleet.running(others).len());
+        return Err(cannot(&text));
+    }
+    let lost = workers.iter().next().copied().unwrap_or_default();
+    let mut life = None;
+    if has_trouble {
+        life = world.fleet.crash(lost);
+        let owner = world.owner().ok_or_else(|| cannot("there is no owner"))?;
+        world.signal(owner, world::SIGKILL);
+        thread::sleep(Duration::from_millis(1_500));
+        world.launch(owner)?;
+    }
+    let started = std::time::Instant::now();
+    let mut longest = Duration::ZERO;
+    let mut since = None;
+    while started.elapsed() < Duration::from_secs(50) {
+        next_short(&world);
+        for _ in 0..18 {
+            thread::sleep(Duration::from_millis(50));
+            if started.elapsed() > Duration::from_millis(3_300) {
+                if let Some(life) = life.take() {
+                    world.fleet.expire(&life);
+                }
+            }
+            // The disruptions, and the time for which they count, are over by then.
+            let is_calm = started.elapsed() > Duration::from_secs(20);
+            let has_room = world.fleet.most_room() >= 2 * 8_000;
+            let is_waiting = is_calm && has_room && world.fleet.running(id).len() < 8;
+            since = since.filter(|_| is_waiting).or(is_waiting.then(std::time::Instant::now));
+            longest = since.map_or(longest, |since| longest.max(since.elapsed()));
+        }
+    }
+    let text = (longest > Duration::from_secs(10)).then(|| {
+        format!(
+            "LOST: tasks of the job that lasts have waited for {} ms on end, with room for two of them on a worker",
+            longest.as_millis()
+        )
+    });
+    Ok(verdict(&world, text))
+}
+
+/// LOST: a worker crashes in a burst of small jobs, and these wait for long on an idle service.
+fn burst(record: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    const JOBS: u64 = 40;
+    let options = Options { workers: 8, daemons: 3, allowed: None, cpu: 64_000 };
+    let world = World::start(options, record)?;
+    thread::sleep(Duration::from_secs(2));
+    let id = |n: u64| format!("{:016x}", 0xe000 + n);
+    let body = world::job("work=2000", 4, 250, 2_000, "");
+    let accepted = thread::scope(|scope| {
+        let calls: Vec<_> = (0..JOBS)
+            .map(|n| {
+                let (world, body) = (&world, &body);
+                scope.spawn(move || {
+                    let reply = world.call(n as usize % world.daemons.len(), "POST", &id(n), body);
+                    reply.is_some_and(|(status, _)| status == 200)
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap_or(false)).collect::<Vec<_>>()
+    });
+    let jobs: Vec<String> = (0..JOBS).zip(accepted).filter(|(_, ok)| *ok).map(|(n, _)| id(n)).collect();
+    if jobs.len() < JOBS as usize {
+        return Err(cannot("some jobs were not accepted"));
+    }
+    if has_trouble {
+        thread::sleep(Duration::from_millis(100));
+        let busiest = world.fleet.busiest();
+        world.fleet.crash(busiest);
+        thread::sleep(Duration::from_millis(1_000));
+        world.fleet.begin(busiest, true);
+    }
+    let ended = std::time::Instant::now();
+    let mut idle_since: Vec<Option<std::time::Instant>> = vec![None; jobs.len()];
+    let mut worst: Option<(String, Duration)> = None;
+    while ended.elapsed() < Duration::from_secs(45) {
+        thread::sleep(Duration::from_millis(50));
+        let finished = ended.elapsed() > FINISH;
+        // A run has a quarter of a core of 512 in all.
+        let is_idle = world.fleet.runs() < 4 * 512 / 2;
+        for (job, since) in jobs.iter().zip(&mut idle_since) {
+            let done = world.record.runs().iter().filter(|run| run.task.starts_with(job.as_str()) && run.how == "done").count();
+            let is_waiting = finished && is_idle && done < 4 && world.fleet.running(job).is_empty();
+            *since = since.filter(|_| is_waiting).or(is_waiting.then(std::time::Instant::now));
+            let span = since.map_or(Duration::ZERO, |since| since.elapsed());
+            if span > Duration::from_secs(3) && worst.as_ref().is_none_or(|(_, longest)| span > *longest) {
+                worst = Some((job.clone(), span));
+            }
+        }
+    }
+    let text = worst.map(|(job, span)| {
+        format!(
+            "LOST: from {} s after the end of the traffic on, job {job} has nothing running for {} ms, on a service under half in use",
+            FINISH.as_secs(), span.as_millis()
+        )
+    });
+    Ok(verdict(&world, text))
+}
+
+/// `finish_s`.
+const FINISH: Duration = Duration::from_secs(14);
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -65,6 +65,8 @@
     task: String,
     attempt: u64,
     how: &'static str,
+    /// Whether the lease has lapsed since, so that the end is not taken note of any more.
+    has_lapsed: bool,
 }
 
 /// One life of a worker.
@@ -263,6 +265,27 @@
         self.changed.notify_all();
     }
 
+    /// Returns the most processors that are free on one worker. All tasks have 8 cores.
+    pub fn most_room(&self) -> u64 {
+        let workers = self.lock();
+        let lives = workers.iter().filter_map(|worker| worker.life.as_ref());
+        let free = lives.map(|life| self.settings.cpu.saturating_sub(8_000 * life.runs.len() as u64));
+        free.max().unwrap_or(0)
+    }
+
+    /// Returns the worker with the most runs.
+    pub fn busiest(&self) -> usize {
+        let workers = self.lock();
+        let runs = |worker: &Worker| worker.life.as_ref().map_or(0, |life| life.runs.len());
+        (0..workers.len()).max_by_key(|index| runs(&workers[*index])).unwrap_or(0)
+    }
+
+    /// Returns the number of runs.
+    pub fn runs(&self) -> usize {
+        let workers = self.lock();
+        workers.iter().filter_map(|worker| worker.life.as_ref()).map(|life| life.runs.len()).sum()
+    }
+
     /// Returns the workers on which a task of the job runs.
     pub fn running(&self, job: &str) -> Vec<(usize, String)> {
         let workers = self.lock();
@@ -281,7 +304,7 @@
         life.next_end += 1;
         let barred = life.barred.entry(task.to_owned()).or_default();
         *barred = (*barred).max(run.attempt);
-        life.ends.push(End { number, task: task.to_owned(), attempt: run.attempt, how });
+        life.ends.push(End { number, task: task.to_owned(), attempt: run.attempt, how, has_lapsed: false });
     }
 
     fn advance(&self) {
@@ -292,6 +315,9 @@
         for worker in workers.iter_mut() {
             let Some(life) = &mut worker.life else { continue };
             let has_lapsed = life.clock() > life.lease_ms;
+            if has_lapsed {
+                life.ends.iter_mut().for_each(|end| end.has_lapsed = true);
+            }
             let tasks: Vec<String> = life.runs.keys().cloned().collect();
             for task in tasks {
                 let run = &life.runs[&task];
@@ -411,7 +437,7 @@
             "/hold" => {
                 let cursor = body.get("AckCursor").whole();
                 life.acknowledged = life.acknowledged.max(cursor);
-                for end in life.ends.iter().filter(|end| end.number <= cursor) {
+                for end in life.ends.iter().filter(|end| end.number <= cursor && !end.has_lapsed) {
                     self.record.noted(&end.task, end.attempt, end.how);
                 }
                 life.ends.retain(|end| end.number > cursor);
