--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -4,11 +4,11 @@
     io::{self, BufRead as _, BufReader, Read as _, Write as _},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
-    thread, time::Duration,
+    thread,
+    time::Duration,
 };
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -124,14 +124,14 @@
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let (first, headers) = read_head(reader)?;
     let mut words = first.split(' ');
-    let method = words.next()?.to_owned();
+    let _method = words.next()?;
     let target = words.next()?;
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(key, value)| (decode(key), decode(value))).collect();
     let path = decode(path);
     let body = read_body(reader, &headers)?;
-    Some(Request { method, path, query, headers, body })
+    Some(Request { path, query, headers, body })
 }
 
 fn decode(text: &str) -> String {
