review: a scheduled job is never shown as complete after a kill of all daemons

All daemons are killed while a task of the first occurrence is at work and the later occurrences are done. The next owner takes note of its end before it has opened the others, and does not look again whether the job is done.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -17,6 +17,7 @@
         "foreign-entry" => foreign_entry(record, has_trouble),
         "advice" => advice(record, has_trouble),
         "lasting" => lasting(record, has_trouble),
+        "schedule" => schedule(record, has_trouble),
         "burst" => burst(record, has_trouble),
         _ => Err(io::Error::other(format!("there is no case {name}"))),
     }
@@ -260,3 +261,40 @@
 
 /// `finish_s`.
 const FINISH: Duration = Duration::from_secs(14);
+
+/// LOST: a scheduled job all of whose tasks have ended `done` is never shown as complete, as all daemons
+/// were killed while a task of its first occurrence was at work.
+fn schedule(record: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    let options = Options { workers: 4, daemons: 3, allowed: None, cpu: 64_000 };
+    let mut world = World::start(options, record)?;
+    thread::sleep(Duration::from_secs(2));
+    let id = "00000000000000a7";
+    let start = crate::fleet::unix_ms() + 500;
+    let body = format!(
+        r#"{{"Spec":"work=400 first=3000","Phases":[{{"Count":1,"Cpu":2000,"MemMb":64,"EstimateMs":400}}],"RepeatCount":3,"StartAtMs":{start},"IntervalMs":400}}"#
+    );
+    if !world.submit(id, &body) {
+        return Err(cannot("the job was not accepted"));
+    }
+    thread::sleep(Duration::from_millis(2_700));
+    if has_trouble {
+        for n in 0..3 {
+            world.signal(n, world::SIGKILL);
+        }
+        thread::sleep(Duration::from_millis(1_500));
+        for n in 0..3 {
+            world.launch(n)?;
+        }
+    }
+    let mut state = None;
+    world::wait_for(Duration::from_secs(30), || {
+        thread::sleep(Duration::from_millis(500));
+        state = world.state(id);
+        state.as_deref() == Some("complete")
+    });
+    let done = world.record.runs().iter().filter(|run| run.how == "done").count();
+    let is_stuck = done == 3 && state.as_deref() != Some("complete");
+    let text = is_stuck
+        .then(|| format!("LOST: all 3 tasks have ended `done`, the job is shown as {state:?}"));
+    Ok(verdict(&world, text))
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -25,18 +25,21 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
-/// What a task does, as its `Spec` says: `work=MS` or `lasts`.
+/// What a task does, as its `Spec` says: `work=MS`, `first=MS` for those of the first occurrence, or
+/// `lasts`.
 #[derive(Clone, Default)]
 struct Behaviour {
     work_ms: u64,
     lasts: bool,
 }
 
-fn behaviour(spec: &str) -> Behaviour {
+fn behaviour(spec: &str, task: &str) -> Behaviour {
+    let is_first = task.split('.').nth(1) == Some("0");
     let mut found = Behaviour { work_ms: 200, ..Behaviour::default() };
     for word in spec.split(' ') {
         match word.split_once('=') {
             Some(("work", ms)) => found.work_ms = ms.parse().unwrap_or(200),
+            Some(("first", ms)) if is_first => found.work_ms = ms.parse().unwrap_or(200),
             _ if word == "lasts" => found.lasts = true,
             _ => {}
         }
@@ -356,7 +359,7 @@
                     return refuse(life, "ticket");
                 }
                 life.extend(deadline);
-                let behaviour = behaviour(body.get("Spec").text());
+                let behaviour = behaviour(body.get("Spec").text(), &task);
                 let since = Instant::now();
                 let record = self.record.started(&task, attempt, index, &life.id, token);
                 let run = Run { attempt, since, behaviour, stopping: None, record };
