--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -6,6 +6,7 @@
     fs::{self, File},
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -30,8 +31,12 @@
 
 unsafe extern "C" {
     safe fn kill(pid: i32, signal: i32) -> i32;
+    safe fn prctl(option: i32, argument: usize) -> i32;
 }
 
+/// The option that has a process killed when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGCONT: i32 = 18;
 
@@ -225,7 +230,15 @@
         let daemon = &mut self.daemons[n];
         let log = self.dir.join(format!("{}.log", daemon.name));
         let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // SAFETY: the closure makes one system call, and allocates nothing.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("--hosted")
             .env("GERANIUMLATCH_CONFIG", &daemon.settings)
             .stdin(Stdio::null())
