--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,6 @@
-//! The stand-ins and the cases: `cases NAME FOLDER` plays one, and writes `record.txt` into the folder.
-//! `TROUBLE=0` leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, and 2 if
-//! the case could not run.
+//! The stand-ins and the cases: `cases NAME FOLDER TROUBLE` plays one, and writes `record.txt` into the
+//! folder. With `0` for `TROUBLE` the disruption is left out. Exits with 1 if the rule was broken, 0 if
+//! it held, and 2 if the case could not run.
 
 mod cases;
 mod fleet;
@@ -14,11 +14,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
-    let [name, folder] = &arguments[..] else {
-        eprintln!("usage: cases NAME FOLDER");
+    let [name, folder, trouble] = &arguments[..] else {
+        eprintln!("usage: cases NAME FOLDER TROUBLE");
         return ExitCode::from(2);
     };
-    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = trouble != "0";
     let record = PathBuf::from(folder).join("record.txt");
     let code = match cases::play(name, &record, has_trouble) {
         Ok(cases::Verdict::Held) => 0,
