test: crowds of clients that do not behave, seen to fail

Clients that send many large bodies at once, mostly short of their end, and stay open ended a process: it ran out of memory. These tests start the real programs on loopback with lowered limits and a small crowd, and check that each process lives within the memory and the descriptors of its VM, that the balancer's check is answered, and that an ordinary request is answered while the crowd stays. They run one at a time, and have no bounds on time nor on shares of requests.

Crowds and bounds are fixed here, before any change of the product.

The stand-in of the store now cuts responses off at 500 rows or 1 MB, as the published protocol does, so that the jobs of a crowd can be read at all, and its transactions can be slow.

--- a/gl-standin/examples/soak/main.rs
+++ b/gl-standin/examples/soak/main.rs
@@ -104,6 +104,7 @@
             size: Size { workers: count("workers", 60)?, domains: count("zones", 3)? },
             daemons: count("daemons", 3)?,
             max_lease_ms: number("lease", 10_000)?,
+            ..deployment::Settings::default()
         },
         length: Duration::from_secs(number("seconds", 90)?),
         settling: Duration::from_secs(number("settling", 30)?),
--- a/gl-standin/src/fleet/admin.rs
+++ b/gl-standin/src/fleet/admin.rs
@@ -27,6 +27,7 @@
         .service(web::resource("/admin/refused").route(web::post().to(set_refused)))
         .service(web::resource("/admin/late").route(web::post().to(set_late_write)))
         .service(web::resource("/admin/slow").route(web::post().to(set_read_time)))
+        .service(web::resource("/admin/slow-writes").route(web::post().to(set_write_time)))
         .service(web::resource("/admin/peers").route(web::post().to(add_peer)))
         .service(web::resource("/admin/cuts").route(web::post().to(set_cuts)))
         .service(web::resource("/admin/reads").route(web::get().to(get_read_together)))
@@ -76,6 +77,15 @@
     web::HttpResponse::Ok().finish()
 }
 
+/// Sets the time that a transaction takes, in milliseconds.
+async fn set_write_time(
+    fleet: web::types::State<Fleet>,
+    body: web::types::Json<u64>,
+) -> web::HttpResponse {
+    fleet.store.lock().write_time = time::Duration::from_millis(*body);
+    web::HttpResponse::Ok().finish()
+}
+
 /// Has the other failure domains reach a daemon through the network.
 async fn add_peer(
     fleet: web::types::State<Fleet>,
--- a/gl-standin/src/fleet/daemon.rs
+++ b/gl-standin/src/fleet/daemon.rs
@@ -18,6 +18,17 @@
     pub store: net::SocketAddr,
     /// The maximum lease of a worker, in milliseconds.
     pub max_lease_ms: u64,
+    /// The limits of the process, if the settings state any.
+    pub limits: Option<Limits>,
+}
+
+/// The limits of a process, as its settings state them.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub descriptors: usize,
 }
 
 /// A running daemon, its addresses and its log.
@@ -66,6 +77,9 @@
         let (client_address, ready_address) =
             (address(ports::reserve_port()?), address(ports::reserve_port()?));
         let mesh_port = ports::reserve_port_pair()?;
+        let limits = settings
+            .limits
+            .map(|limits| json!({"MemoryMb": limits.memory_mb, "MaxFds": limits.descriptors}));
         let file = json!({
             "NodeName": settings.name, "Role": "scheduler", "MachineClass": "frontend",
             "Ip": "127.0.0.1", "Zone": settings.domain, "Bootstrap": true, "HeartbeatMs": 300,
@@ -76,7 +90,8 @@
                 "GraceS": 6, "HoldMaxMs": settings.max_lease_ms, "StopTimeoutMs": 900,
                 "DrainMs": 2_000, "ConfigApplyMs": 2_000, "status_s": 120
             },
-            "platform": {"Address": settings.store}
+            "platform": {"Address": settings.store},
+            "Limits": limits
         });
         let settings_path = dir.join(format!("{}.json", settings.name));
         std::fs::write(&settings_path, file.to_string())?;
--- a/gl-standin/src/fleet/deployment.rs
+++ b/gl-standin/src/fleet/deployment.rs
@@ -21,6 +21,10 @@
     pub daemons: usize,
     /// The maximum lease of a worker, in milliseconds.
     pub max_lease_ms: u64,
+    /// The limits of each daemon, if the settings state any.
+    pub limits: Option<daemon::Limits>,
+    /// The largest body of a request, in bytes.
+    pub max_body_bytes: usize,
 }
 
 impl Default for Settings {
@@ -29,6 +33,8 @@
             size: Size { workers: 3, domains: 1 },
             daemons: 3,
             max_lease_ms: daemon::MAX_LEASE_MS,
+            limits: None,
+            max_body_bytes: 65_536,
         }
     }
 }
@@ -71,7 +77,7 @@
                 "Priority": 0, "Service": SERVICE, "MaxAttempts": 3, "SlackFactor": 1.5
             }],
             "Services": [{"Name": SERVICE, "EnforcesCapacity": false}],
-            "Limits": {"MaxBodyBytes": 65536}
+            "Limits": {"MaxBodyBytes": settings.max_body_bytes}
         });
         let mut deployment = Self { store, daemons: Vec::new(), settings, dir, fleet };
         deployment.post("config", &config).await?;
@@ -93,6 +99,7 @@
             domain: server::domain_name(domain),
             store,
             max_lease_ms: self.settings.max_lease_ms,
+            limits: self.settings.limits,
         };
         let mut daemon = daemon::Daemon::start(self.dir.path(), settings)?;
         self.post("peers", &Peer { domain, mesh: daemon.mesh_address }).await?;
--- a/gl-standin/src/fleet/store.rs
+++ b/gl-standin/src/fleet/store.rs
@@ -26,6 +26,8 @@
     pub late_write: Option<time::Duration>,
     /// The time that a read of a range takes.
     pub read_time: time::Duration,
+    /// The time that a transaction takes.
+    pub write_time: time::Duration,
     /// The tables of the reads in progress, one entry for each read.
     pub reading: Vec<String>,
     /// The largest set of tables that were being read at the same time.
@@ -37,6 +39,11 @@
 /// The length of the longest row, as the settings of the daemons state it.
 const MAX_ROW_BYTES: usize = 65_536;
 
+/// The largest number of rows in a response, as published.
+const MAX_PAGE_ROWS: usize = 500;
+/// The largest size of the rows in a response, in bytes, as published.
+const MAX_PAGE_BYTES: usize = 1 << 20;
+
 fn text(value: &Value, field: &str) -> String {
     value[field].as_str().unwrap_or_default().to_owned()
 }
@@ -151,25 +158,47 @@
         (200, json!({"Ver": self.version, "NowMs": self.clock_ms()}))
     }
 
-    /// Returns the rows of a partition with keys from `from` up to but excluding `to`.
+    /// Returns the first rows of a partition with keys from `from` up to but excluding `to`, as many as
+    /// one response holds.
     pub fn range(&self, table: &str, partition: &str, from: &str, to: Option<&str>) -> Value {
         let first = (table.to_owned(), partition.to_owned(), from.to_owned());
         let is_in_range = |key: &&RowKey| {
             key.0 == table && key.1 == partition && to.is_none_or(|to| key.2.as_str() < to)
         };
-        let following = self.rows.range(first..).map(|(key, _)| key);
-        let rows: Vec<_> =
-            following.take_while(is_in_range).map(|key| self.row_json(key)).collect();
-        json!({"rows": rows, "Truncated": false, "Ver": self.version, "NowMs": self.clock_ms()})
+        let following = self.rows.range(first..).map(|(key, _)| key).take_while(is_in_range);
+        let mut bytes = 0;
+        let fits = |(number, key): &(usize, &RowKey)| {
+            bytes += self.rows.get(*key).map_or(0, |row| row.value.len());
+            *number < MAX_PAGE_ROWS && (*number == 0 || bytes <= MAX_PAGE_BYTES)
+        };
+        let page = following.clone().enumerate().take_while(fits);
+        let rows: Vec<_> = page.map(|(_, key)| self.row_json(key)).collect();
+        let is_truncated = following.count() > rows.len();
+        json!({
+            "rows": rows, "Truncated": is_truncated, "Ver": self.version, "NowMs": self.clock_ms()
+        })
     }
 
-    /// Returns the rows of a table that changed after a version.
+    /// Returns the rows of a table that changed after a version, as many as one response holds. The rest
+    /// follows after the version of the response.
     pub fn changes(&self, table: &str, after: u64) -> Value {
         let first = self.history.partition_point(|(version, _)| *version <= after);
-        let is_of_table = |(_, key): &&(u64, RowKey)| key.0 == table;
-        let keys: collections::BTreeSet<_> =
-            self.history[first..].iter().filter(is_of_table).map(|(_, key)| key.clone()).collect();
+        let mut keys = collections::BTreeSet::new();
+        let (mut bytes, mut last, mut included) = (0, self.version, after);
+        for (version, key) in &self.history[first..] {
+            if key.0 != table || keys.contains(key) {
+                continue;
+            }
+            bytes += self.rows.get(key).map_or(0, |row| row.value.len());
+            let is_full = keys.len() >= MAX_PAGE_ROWS || bytes > MAX_PAGE_BYTES;
+            if is_full && *version > included && included > after {
+                last = included;
+                break;
+            }
+            included = *version;
+            keys.insert(key.clone());
+        }
         let rows: Vec<_> = keys.iter().map(|key| self.row_json(key)).collect();
-        json!({"rows": rows, "Ver": self.version, "NowMs": self.clock_ms()})
+        json!({"rows": rows, "Ver": last, "NowMs": self.clock_ms()})
     }
 }
--- a/gl-standin/src/fleet/store_api.rs
+++ b/gl-standin/src/fleet/store_api.rs
@@ -57,6 +57,10 @@
         ntex::time::sleep(LOST_REPLY).await;
         return unavailable();
     }
+    let write_time = fleet.store.lock().write_time;
+    if !write_time.is_zero() {
+        ntex::time::sleep(write_time).await;
+    }
     if !fleet.is_available(*caller) {
         return unavailable();
     }
--- a/gl-standin/src/lib.rs
+++ b/gl-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`worker`] is a worker's agent together with its tasks, which serve calls; [`runs`] holds what
 //!   it records and the checks on these records.
 //! * [`caller`] sends calls and checks every response.
+//! * [`crowd`] opens many connections at once that send requests in part and stay open.
 //! * [`fleet`] stands in for the users' platform, whose protocol `geraniumlatchd --hosted` speaks.
 //! * [`cluster`] starts the stand-ins and the daemons as processes ([`process`]) on loopback.
 //!
@@ -11,6 +12,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod crowd;
 pub mod fleet;
 pub mod http;
 pub mod platform;
--- a/gl-standin/src/process.rs
+++ b/gl-standin/src/process.rs
@@ -145,6 +145,10 @@
     pub cpu_time: time::Duration,
     /// Resident memory, in kilobytes.
     pub resident_kb: u64,
+    /// The largest resident memory so far, in kilobytes.
+    pub peak_kb: u64,
+    /// Open file descriptors.
+    pub descriptors: usize,
 }
 
 /// Clock ticks per second in `/proc/PID/stat` (`USER_HZ`).
@@ -166,16 +170,38 @@
             .collect();
         let millis = fields.iter().sum::<u64>() * 1_000 / TICKS_PER_SECOND;
         let status = read_file("status");
-        let resident_line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let resident_kb =
-            resident_line.and_then(|rest| rest.split_whitespace().next()?.parse().ok());
+        let kilobytes = |field: &str| {
+            let rest = status.lines().find_map(|line| line.strip_prefix(field));
+            rest.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+        };
+        let descriptors = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
         ResourceUsage {
             cpu_time: time::Duration::from_millis(millis),
-            resident_kb: resident_kb.unwrap_or(0),
+            resident_kb: kilobytes("VmRSS:"),
+            peak_kb: kilobytes("VmHWM:"),
+            descriptors: descriptors.map_or(0, Iterator::count),
         }
     }
 }
 
+/// Returns the bytes that have arrived on connections to a local port and were not read yet.
+pub fn unread_bytes(port: u16) -> u64 {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let unread = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (_, local_port) = fields.get(1)?.split_once(':')?;
+        let is_local = u16::from_str_radix(local_port, 16).ok()? == port;
+        let is_connected = *fields.get(3)? != LISTENING;
+        let (_, received) = fields.get(4)?.split_once(':')?;
+        let received = u64::from_str_radix(received, 16).ok()?;
+        (is_local && is_connected).then_some(received)
+    };
+    table.lines().skip(1).filter_map(unread).sum()
+}
+
+/// The state of listening sockets in `/proc/net/tcp`, whose queue counts connections.
+const LISTENING: &str = "0A";
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/gl-standin/src/worker.rs
+++ b/gl-standin/src/worker.rs
@@ -299,6 +299,9 @@
         .body(reason.to_owned())
 }
 
+/// The longest body of a call, in bytes.
+const MAX_BODY_BYTES: usize = 2 << 20;
+
 /// Serves a call: waits for a slot, records it, lets its execution time pass, returns its body.
 async fn serve_call(
     request: web::HttpRequest,
@@ -419,6 +422,7 @@
     });
     web::HttpServer::new(async move || {
         web::App::new()
+            .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
             .state(state.clone())
             .state(rc::Rc::new(tokio::sync::Semaphore::new(slots)))
             .state(web::types::JsonConfig::default().limit(16 << 20))
