fix: read request bodies within a budget of memory

Callers saw: a daemon ended as it ran out of memory, after clients had sent many bodies of legal size, most of them short of their last byte.

Cause: the ingress collected each body whole before anything was decided, with no bound on all bodies together and no time limit, and `Limits.MemoryMb` was not read. 1,776 connections with 262,144 bytes each are 466 MB; the smallest VMs have 160 MB.

Change: the new package gl-intake keeps the bodies that are arriving or wait to be decoded within an eighth of the process's memory. If a body needs more than is left, the oldest large bodies are given up: those of clients that send without pauses are complete long before. An eighth of the budget is for bodies up to 8 KiB only, so ordinary jobs are accepted while large ones use the rest, and a body that is alone may be as large as the configuration permits. A large body is not read at all if the request is refused anyway, for its length, address or method.

What a body takes once it is decoded is not bounded yet.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -235,6 +235,11 @@
         self.node.outages.store_retry_after(retry_after::key_of(path), clock::steady())
     }
 
+    fn body_unread(&self, path: &str, cause: &'static str) -> time::Span {
+        self.node.metrics.body_unread(cause);
+        self.node.outages.crowd_retry_after(retry_after::key_of(path), clock::steady())
+    }
+
     fn request_opened(&self) {
         self.node.open_requests.set(self.node.open_requests.get() + 1);
     }
--- a/geraniumlatchd/src/jobs/outages.rs
+++ b/geraniumlatchd/src/jobs/outages.rs
@@ -69,6 +69,11 @@
         self.owner.borrow().retry_after(key, now)
     }
 
+    /// Returns the time after which a request should be repeated that found too many others.
+    pub fn crowd_retry_after(&self, key: u64, now: time::Timestamp) -> time::Span {
+        self.queue.borrow().retry_after(key, now)
+    }
+
     /// Returns the time after which a job should be submitted again that was refused for `cause`.
     pub fn submit_retry_after(
         &self,
@@ -77,7 +82,7 @@
         now: time::Timestamp,
     ) -> time::Span {
         match cause {
-            submission::Cause::QueueFull => self.queue.borrow().retry_after(key, now),
+            submission::Cause::QueueFull => self.crowd_retry_after(key, now),
             _ => self.store_retry_after(key, now),
         }
     }
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -2,7 +2,8 @@
 
 use std::{cell, net, rc, sync};
 
-use gl_fleet::{budget, ingress, settings};
+use gl_fleet::{budget as connections, ingress, settings};
+use gl_intake::{budget, memory};
 use gl_jobs::election;
 use gl_model::time;
 use gl_peer::rpc;
@@ -112,7 +113,12 @@
     }
     let node = create_node(settings, log, metrics).await.unwrap_or_else(error::exit);
     let node = rc::Rc::new(node);
-    let ingress = ingress::Ingress { api: rc::Rc::new(api::Handler::new(rc::Rc::clone(&node))) };
+    let memory = settings.memory.map_or_else(memory::Division::default, memory::Division::new);
+    let bodies = budget::Budget::new(budget::Settings::with_limit(memory.bodies));
+    let ingress = ingress::Ingress {
+        api: rc::Rc::new(api::Handler::new(rc::Rc::clone(&node))),
+        bodies: sync::Arc::new(bodies),
+    };
     INGRESS.set(Some(ingress.clone()));
     start_tasks(&node, mesh);
     ingress
@@ -169,15 +175,18 @@
 
 /// Divides the file descriptors that the platform permits, or else those that the operating system
 /// permits.
-fn connection_budget(settings: &settings::Settings) -> budget::Budget {
+fn connection_budget(settings: &settings::Settings) -> connections::Budget {
     let limit = || rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
     let limit = || limit().and_then(|limit| usize::try_from(limit).ok());
-    settings.descriptors.or_else(limit).map_or_else(budget::Budget::default, budget::Budget::new)
+    settings
+        .descriptors
+        .or_else(limit)
+        .map_or_else(connections::Budget::default, connections::Budget::new)
 }
 
 fn owner_settings(
     settings: &settings::Settings,
-    budget: budget::Budget,
+    budget: connections::Budget,
 ) -> gl_jobs::owner::Settings {
     let defaults = gl_jobs::owner::Settings::default();
     // The other connections for orders are left to stop and CPU-limit orders.
--- /dev/null
+++ b/gl-intake/src/budget.rs
@@ -0,0 +1,213 @@
+//! The memory of the request bodies of one process.
+
+use std::{collections, ops, sync};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+/// The size of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The memory for all bodies, in bytes. A body that is alone may be larger.
+    pub limit: usize,
+    /// The part of it that is kept for small bodies, in bytes.
+    pub reserve: usize,
+    /// The largest body that counts as small, in bytes.
+    pub small: usize,
+}
+
+impl Settings {
+    /// Returns a budget of `limit` bytes, an eighth of which is kept for small bodies.
+    pub const fn with_limit(limit: usize) -> Self {
+        Self { limit, reserve: limit / RESERVE_SHARE, small: SMALL_BODY_BYTES }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::with_limit(DEFAULT_LIMIT)
+    }
+}
+
+/// The default limit, in bytes: an eighth of a VM with 160 MB.
+const DEFAULT_LIMIT: usize = 20 << 20;
+/// The part of the limit that is kept for small bodies, as a divisor.
+const RESERVE_SHARE: usize = 8;
+/// The largest body that counts as small, in bytes.
+const SMALL_BODY_BYTES: usize = 8 << 10;
+
+/// The body was given up, as the memory was short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("too many request bodies are arriving at the same time")]
+pub struct Evicted;
+
+/// The bodies that are being read, and the memory of those that are read but still in use.
+///
+/// If a body needs more memory than is left, the oldest of the other bodies are given up: those of
+/// clients that send without pauses are complete long before they are the oldest. Large bodies are
+/// given up before small ones.
+#[derive(Debug, Default)]
+pub struct Budget {
+    settings: Settings,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// The memory of all bodies, in bytes.
+    used: usize,
+    next: u64,
+    /// The bodies that are being read, in the order in which they were opened.
+    open: collections::BTreeMap<u64, OpenBody>,
+    evicted: u64,
+}
+
+#[derive(Debug, Default)]
+struct OpenBody {
+    data: Vec<u8>,
+    eviction: sync::Arc<Notify>,
+}
+
+impl State {
+    /// Gives a body up, and releases its memory at once.
+    fn evict(&mut self, number: u64) {
+        if let Some(body) = self.open.remove(&number) {
+            self.used -= body.data.capacity();
+            self.evicted += 1;
+            body.eviction.notify_one();
+        }
+    }
+
+    /// Returns the oldest body that may be given up for the body `number`: large ones first, and small
+    /// ones only if that body is small too.
+    fn victim(&self, number: u64, small: usize, is_small: bool) -> Option<u64> {
+        let others = || self.open.iter().filter(|(n, b)| **n != number && b.data.capacity() > 0);
+        let large = others().find(|(_, body)| body.data.capacity() > small);
+        let oldest = large.or_else(|| others().next().filter(|_| is_small));
+        oldest.map(|(number, _)| *number)
+    }
+}
+
+impl Budget {
+    /// Creates a budget without bodies.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, state: Mutex::default() }
+    }
+
+    /// Opens an empty body.
+    pub fn open(self: &sync::Arc<Self>) -> Body {
+        let eviction = sync::Arc::<Notify>::default();
+        let mut state = self.state.lock();
+        let number = state.next;
+        state.next += 1;
+        let body = OpenBody { data: Vec::new(), eviction: sync::Arc::clone(&eviction) };
+        state.open.insert(number, body);
+        Body { budget: sync::Arc::clone(self), number, eviction }
+    }
+
+    /// Returns the memory of all bodies, in bytes.
+    pub fn used(&self) -> usize {
+        self.state.lock().used
+    }
+
+    /// Returns the number of bodies that were given up.
+    pub fn evicted(&self) -> u64 {
+        self.state.lock().evicted
+    }
+}
+
+/// A body that is being read. It is discarded when it is dropped.
+#[derive(Debug)]
+pub struct Body {
+    budget: sync::Arc<Budget>,
+    number: u64,
+    eviction: sync::Arc<Notify>,
+}
+
+impl Body {
+    /// Appends a part of the body, which is expected to have `expected` bytes in all.
+    ///
+    /// # Errors
+    ///
+    /// If the body was given up, or is given up now as no other body can be.
+    pub fn push(&self, part: &[u8], expected: usize) -> Result<(), Evicted> {
+        let settings = self.budget.settings;
+        let mut state = self.budget.state.lock();
+        let body = state.open.get(&self.number).ok_or(Evicted)?;
+        let (length, capacity) = (body.data.len() + part.len(), body.data.capacity());
+        let wanted =
+            if length > capacity { (2 * capacity).min(expected).max(length) } else { capacity };
+        let is_small = wanted <= settings.small;
+        let limit = settings.limit - if is_small { 0 } else { settings.reserve };
+        while state.used + (wanted - capacity) > limit && state.used > capacity {
+            match state.victim(self.number, settings.small, is_small) {
+                Some(victim) => state.evict(victim),
+                None => {
+                    state.evict(self.number);
+                    return Err(Evicted);
+                }
+            }
+        }
+        let body = state.open.get_mut(&self.number).ok_or(Evicted)?;
+        body.data.reserve_exact(wanted - body.data.len());
+        body.data.extend_from_slice(part);
+        let grown = body.data.capacity() - capacity;
+        state.used += grown;
+        Ok(())
+    }
+
+    /// Returns the number of bytes so far.
+    pub fn len(&self) -> usize {
+        self.budget.state.lock().open.get(&self.number).map_or(0, |body| body.data.len())
+    }
+
+    /// Returns whether there are no bytes so far.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Waits until the body is given up.
+    pub async fn evicted(&self) {
+        self.eviction.notified().await;
+    }
+
+    /// Returns the complete body, which cannot be given up any more.
+    ///
+    /// # Errors
+    ///
+    /// If the body was given up.
+    pub fn finish(self) -> Result<Complete, Evicted> {
+        let body = self.budget.state.lock().open.remove(&self.number).ok_or(Evicted)?;
+        Ok(Complete { data: body.data, budget: sync::Arc::clone(&self.budget) })
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        let mut state = self.budget.state.lock();
+        if let Some(body) = state.open.remove(&self.number) {
+            state.used -= body.data.capacity();
+        }
+    }
+}
+
+/// A complete body, which counts in the budget until it is dropped.
+#[derive(Debug)]
+pub struct Complete {
+    data: Vec<u8>,
+    budget: sync::Arc<Budget>,
+}
+
+impl ops::Deref for Complete {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+impl Drop for Complete {
+    fn drop(&mut self) {
+        self.budget.state.lock().used -= self.data.capacity();
+    }
+}
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -55,6 +55,10 @@
     /// read the routing yet.
     fn start_retry_after(&self, path: &str) -> time::Span;
 
+    /// Records that the body of a request to `path` was not read to its end, by cause, and returns the
+    /// time after which the client may retry.
+    fn body_unread(&self, path: &str, cause: &'static str) -> time::Span;
+
     /// Records that the head of a request was read. A daemon that shuts down waits for it to close.
     fn request_opened(&self);
 
--- a/gl-jobs/src/queue.rs
+++ b/gl-jobs/src/queue.rs
@@ -46,11 +46,12 @@
 }
 
 impl Routing {
-    /// Returns the queue of a request: of the queues of its host, the one with the longest matching
-    /// prefix.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
+    /// Returns the index of the queue of a request: of the queues of its host, the one with the longest
+    /// matching prefix.
+    pub fn position(&self, host: &str, path: &str) -> Option<usize> {
         let host = host.split(':').next().unwrap_or(host);
-        let fits = |q: &&Queue| q.host.eq_ignore_ascii_case(host) && path.starts_with(&q.prefix);
-        self.queues.iter().filter(fits).max_by_key(|q| q.prefix.len())
+        let fits = |q: &Queue| q.host.eq_ignore_ascii_case(host) && path.starts_with(&q.prefix);
+        let fitting = self.queues.iter().enumerate().filter(|(_, queue)| fits(queue));
+        fitting.max_by_key(|(_, queue)| queue.prefix.len()).map(|(index, _)| index)
     }
 }
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -15,6 +15,7 @@
     exporter: export::Exporter,
     submits: metrics::Counter<u64>,
     submit_time: metrics::Histogram<f64>,
+    unread: metrics::Counter<u64>,
     starts: metrics::Counter<u64>,
     start_time: metrics::Histogram<f64>,
     ends: metrics::Counter<u64>,
@@ -42,6 +43,10 @@
         Ok(Self {
             submits: count("geraniumlatch.jobs.submitted", "Submitted jobs, by outcome"),
             submit_time: seconds("geraniumlatch.jobs.submit", "Time until a job is stored"),
+            unread: count(
+                "geraniumlatch.bodies.unread",
+                "Requests whose body was not read to its end, by cause",
+            ),
             starts: count("geraniumlatch.runs.started", "Start orders, by reply"),
             start_time: seconds("geraniumlatch.runs.start", "Time from a start order to its reply"),
             ends: count("geraniumlatch.runs.ended", "Ended runs, by cause"),
@@ -71,6 +76,11 @@
         self.submit_time.record(took.as_seconds(), &[]);
     }
 
+    /// Records a request whose body was not read to its end.
+    pub fn body_unread(&self, cause: &'static str) {
+        self.unread.add(1, &[opentelemetry::KeyValue::new("cause", cause)]);
+    }
+
     /// Records the reply to a start order, or its loss.
     pub fn start(&self, reply: worker::OrderReply, took: time::Span) {
         let reply = match reply {
--- a/gl-standin/src/crowd.rs
+++ b/gl-standin/src/crowd.rs
@@ -134,16 +134,6 @@
         Self { tasks, received }
     }
 
-    /// Returns the statuses of the last response on each connection that got one.
-    pub fn statuses(&self) -> Vec<u16> {
-        let status = |bytes: &Vec<u8>| {
-            let text = String::from_utf8_lossy(bytes);
-            let (_, line) = text.rsplit_once("HTTP/1.1 ")?;
-            line.get(..3)?.parse().ok()
-        };
-        self.received.borrow().iter().filter_map(status).collect()
-    }
-
     /// Returns the number of responses with a status, on all connections.
     pub fn count(&self, status: u16) -> usize {
         let line = format!("HTTP/1.1 {status}");
--- a/gl-standin/tests/crowd/bodies.rs
+++ b/gl-standin/tests/crowd/bodies.rs
@@ -70,3 +70,16 @@
     check_ordinary_request(hosted.address(0)).await;
     check_daemons(&mut hosted, LIMITS).await;
 }
+
+/// A connection that is closed with unread bytes is reset, and a reset discards the response.
+#[ntex::test]
+async fn refusals_reach_clients_that_are_still_sending() {
+    let _alone = run_alone().await;
+    let hosted = start(1, LIMITS).await;
+    let body = crowd::padded(&small_job(), 2 * MAX_BODY_BYTES);
+    for (path, status) in [("/other/0000000000000001", 404), (job_path(1).as_str(), 413)] {
+        let messages = vec![crowd::whole_request(path, &body); 20];
+        let crowd = crowd::Crowd::start(hosted.address(0), messages).await;
+        assert_eq!(crowd.count(status), 20, "responses with {status}");
+    }
+}
