fix: refuse lists of phases that are too long before they are built

Callers saw: a daemon that did not answer the readiness check or ordinary requests, after clients had sent bodies like {"Phases":[{},{},...]} of 262,144 bytes.

Cause: the decoder built all phases before their number was checked. A `{}` of three bytes becomes a phase of some 300 bytes, so one body took 28 MB and 60 ms of a whole core, and bodies that were complete at the same time were decoded in a row, while polls, leases and readiness checks waited.

Change: the deserializer refuses the 201st phase, or entry of `After`, when it meets it.

The response names the remedy (hosted::request_that_cannot_be_served_is_refused_with_the_reason).

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -115,10 +115,8 @@
     let node = rc::Rc::new(node);
     let memory = settings.memory.map_or_else(memory::Division::default, memory::Division::new);
     let bodies = budget::Budget::new(budget::Settings::with_limit(memory.bodies));
-    let ingress = ingress::Ingress {
-        api: rc::Rc::new(api::Handler::new(rc::Rc::clone(&node))),
-        bodies: sync::Arc::new(bodies),
-    };
+    let api = rc::Rc::new(api::Handler::new(rc::Rc::clone(&node)));
+    let ingress = ingress::Ingress::new(api, bodies);
     INGRESS.set(Some(ingress.clone()));
     start_tasks(&node, mesh);
     ingress
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -86,6 +86,11 @@
     assert_eq!(not_json.status, 400);
     let empty = client::send(address, "POST", &job_path(2), "{\"Phases\":[]}").await.unwrap();
     assert_eq!(empty.body["Error"], "the job has no phase; give at least one");
+    let phases = json!({"Phases": vec![json!({"Count": 1}); 201]}).to_string();
+    let refused = client::send(address, "POST", &job_path(2), &phases).await.unwrap();
+    let remedy = "the list has more than 200 elements; split the job into several";
+    assert_eq!(refused.status, 400);
+    assert!(refused.body["Error"].as_str().unwrap().starts_with(remedy), "{:?}", refused.body);
     let large = json!({"Spec": "x".repeat(70_000), "Phases": [{"Count": 1}]}).to_string();
     assert_eq!(client::request_status(address, "POST", &job_path(2), &large).await, Some(413));
     // Shorter than the limit of the body, and longer than a row of the store.
