fix: close the connections that wait longest, and serve each address on its own

Callers saw: no answer, and the load balancer's check not accepted, while clients kept as many requests open as a daemon has connections. Nothing ever closed them.

Cause: one limit counted the connections of clients, of the readiness check and of the metrics together, and a server that has reached it accepts none. Each address served all routes, too, so a client could have the metrics rendered, and a body could be sent to the address of the check.

If one more is opened, the connection that has waited longest for its client is closed: for a request, or for the rest of one. Connections whose request is carried out are not closed.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -248,7 +248,8 @@
         self.node.open_requests.set(self.node.open_requests.get().saturating_sub(1));
     }
 
-    fn metrics(&self) -> String {
+    fn metrics(&self, connections_closed: u64) -> String {
+        self.node.metrics.connections_closed(connections_closed);
         if let Some(log) = &self.node.log {
             self.node.metrics.lines_dropped(log.dropped());
         }
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -2,12 +2,12 @@
 
 use std::{cell, net, rc, sync};
 
-use gl_fleet::{budget as connections, ingress, settings};
-use gl_intake::{budget, memory};
+use gl_fleet::{budget as descriptors, ingress, settings};
+use gl_intake::{budget, connections, memory};
 use gl_jobs::election;
 use gl_model::time;
 use gl_peer::rpc;
-use ntex::{http, web};
+use ntex::{http, server, web};
 
 use super::{api, event, lease, log_writer, mesh, node, ordering, routing, shutdown, submission};
 use crate::error;
@@ -81,23 +81,48 @@
     let mesh = sync::Arc::new(sockets.mesh);
     let metrics = gl_meter::jobs::Metrics::new().map_err(setup_error("the metrics"))?;
     let metrics = sync::Arc::new(metrics);
-    let max_clients = connection_budget(&settings).clients;
+    let accepted = connection_budget(&settings).accepted();
+    let start = async move || start_once(&settings, &log, &metrics, &mesh).await;
+    let (on_clients, on_ready, on_metrics) = (start.clone(), start.clone(), start);
+    let server = server::build()
+        .workers(1)
+        .maxconn(accepted.total)
+        .disable_signals()
+        .listen("clients", sockets.clients, async move |config| {
+            config.config(http_settings());
+            let ingress = on_clients().await;
+            let connections = rc::Rc::clone(&ingress.connections);
+            let app = web::App::new().state(ingress).configure(ingress::clients);
+            connections::Limited::new(http::HttpService::new(app), connections)
+        })
+        .and_then(|server| {
+            server.listen("readiness", sockets.ready, async move |config| {
+                config.config(http_settings());
+                let app = web::App::new().state(on_ready().await).configure(ingress::readiness);
+                let connections = connections::Connections::new(accepted.checks);
+                let connections = rc::Rc::new(connections);
+                connections::Limited::new(http::HttpService::new(app), connections)
+            })
+        })
+        .and_then(|server| {
+            server.listen("metrics", sockets.metrics, async move |config| {
+                config.config(http_settings());
+                let app = web::App::new().state(on_metrics().await).configure(ingress::metrics);
+                let connections = connections::Connections::new(accepted.checks);
+                let connections = rc::Rc::new(connections);
+                connections::Limited::new(http::HttpService::new(app), connections)
+            })
+        })
+        .map_err(setup_error("the server"))?;
+    server.run().await.map_err(setup_error("the server"))
+}
+
+/// Returns the settings of the HTTP server.
+fn http_settings() -> ntex::SharedCfg {
     let config = http::HttpServiceConfig::new()
         .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE))
         .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 64);
-    let server = web::HttpServer::new(async move || {
-        let ingress = start_once(&settings, &log, &metrics, &mesh).await;
-        web::App::new().state(ingress).configure(ingress::configure)
-    })
-    .workers(1)
-    .maxconn(max_clients)
-    .disable_signals()
-    .config(ntex::SharedCfg::new("geraniumlatchd").add(config))
-    .listen(sockets.clients)
-    .and_then(|server| server.listen(sockets.ready))
-    .and_then(|server| server.listen(sockets.metrics))
-    .map_err(setup_error("the server"))?;
-    server.run().await.map_err(setup_error("the server"))
+    ntex::SharedCfg::new("geraniumlatchd").add(config).into()
 }
 
 /// Starts the daemon on the server's only thread when the server sets up the first of its sockets,
@@ -116,7 +141,9 @@
     let memory = settings.memory.map_or_else(memory::Division::default, memory::Division::new);
     let bodies = budget::Budget::new(budget::Settings::with_limit(memory.bodies));
     let api = rc::Rc::new(api::Handler::new(rc::Rc::clone(&node)));
-    let ingress = ingress::Ingress::new(api, bodies);
+    let limit = connection_budget(settings).accepted().clients;
+    let connections = rc::Rc::new(connections::Connections::new(limit));
+    let ingress = ingress::Ingress::new(api, bodies, connections);
     INGRESS.set(Some(ingress.clone()));
     start_tasks(&node, mesh);
     ingress
@@ -173,18 +200,18 @@
 
 /// Divides the file descriptors that the platform permits, or else those that the operating system
 /// permits.
-fn connection_budget(settings: &settings::Settings) -> connections::Budget {
+fn connection_budget(settings: &settings::Settings) -> descriptors::Budget {
     let limit = || rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
     let limit = || limit().and_then(|limit| usize::try_from(limit).ok());
     settings
         .descriptors
         .or_else(limit)
-        .map_or_else(connections::Budget::default, connections::Budget::new)
+        .map_or_else(descriptors::Budget::default, descriptors::Budget::new)
 }
 
 fn owner_settings(
     settings: &settings::Settings,
-    budget: connections::Budget,
+    budget: descriptors::Budget,
 ) -> gl_jobs::owner::Settings {
     let defaults = gl_jobs::owner::Settings::default();
     // The other connections for orders are left to stop and CPU-limit orders.
--- a/gl-jobs/src/api.rs
+++ b/gl-jobs/src/api.rs
@@ -65,8 +65,9 @@
     /// Records that a request has its response, or that its client is gone.
     fn request_closed(&self);
 
-    /// Returns the metrics in their text format.
-    fn metrics(&self) -> String;
+    /// Returns the metrics in their text format, with the number of connections that were closed as
+    /// there were too many.
+    fn metrics(&self, connections_closed: u64) -> String;
 
     /// Returns the time of day.
     fn time_of_day(&self) -> time::Timestamp;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -238,6 +238,11 @@
         self.level("log-lines-dropped", total);
     }
 
+    /// Records the total number of connections that were closed as there were too many.
+    pub fn connections_closed(&self, total: u64) {
+        self.level("connections-closed", total);
+    }
+
     fn level(&self, kind: &'static str, value: u64) {
         self.levels.record(value as f64, &[opentelemetry::KeyValue::new("kind", kind)]);
     }
