fix: bound the heads of requests and the buffers of connections

Callers saw: a daemon of 64 MB at 94 MB, after 800 clients had sent 60 KB of a head each.

Cause: the HTTP library reads heads of up to 64 KB, and doubles a read buffer of 16 KB until they fit. At the limit of connections that is more than the memory of the smallest VMs.

Change: a head has 8 KiB at most; a larger one gets 431 with the remedy. Read buffers begin with 4 KiB and response pages have 4 KiB.

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -3,11 +3,11 @@
 use std::{cell, net, rc, sync};
 
 use gl_fleet::{budget as descriptors, ingress, settings};
-use gl_intake::{budget, connections, memory};
+use gl_intake::{budget, connections, head, memory};
 use gl_jobs::election;
 use gl_model::time;
 use gl_peer::rpc;
-use ntex::{http, server, web};
+use ntex::{http, io, server, util, web};
 
 use super::{api, event, lease, log_writer, mesh, node, ordering, routing, shutdown, submission};
 use crate::error;
@@ -25,6 +25,14 @@
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
 /// Time that a client may take to send the head of a request.
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(5);
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// The size of a connection's read buffer, in bytes. Ordinary requests fit into it.
+const READ_BUFFER_BYTES: usize = 4 << 10;
+/// The space that a read needs, in bytes.
+const MIN_READ_BYTES: usize = 1 << 10;
+/// The number of unused buffers that are kept.
+const CACHED_BUFFERS: usize = 16;
 /// Interval at which the cost of interference is logged and added to the metrics.
 const IMPACT_INTERVAL: gl_model::time::Span = gl_model::time::Span::seconds(10);
 
@@ -93,7 +101,8 @@
             let ingress = on_clients().await;
             let connections = rc::Rc::clone(&ingress.connections);
             let app = web::App::new().state(ingress).configure(ingress::clients);
-            connections::Limited::new(http::HttpService::new(app), connections)
+            let service = http::HttpService::new(app).h1_control(head::control);
+            connections::Limited::new(service, connections)
         })
         .and_then(|server| {
             server.listen("readiness", sockets.ready, async move |config| {
@@ -101,7 +110,8 @@
                 let app = web::App::new().state(on_ready().await).configure(ingress::readiness);
                 let connections = connections::Connections::new(accepted.checks);
                 let connections = rc::Rc::new(connections);
-                connections::Limited::new(http::HttpService::new(app), connections)
+                let service = http::HttpService::new(app).h1_control(head::control);
+                connections::Limited::new(service, connections)
             })
         })
         .and_then(|server| {
@@ -110,7 +120,8 @@
                 let app = web::App::new().state(on_metrics().await).configure(ingress::metrics);
                 let connections = connections::Connections::new(accepted.checks);
                 let connections = rc::Rc::new(connections);
-                connections::Limited::new(http::HttpService::new(app), connections)
+                let service = http::HttpService::new(app).h1_control(head::control);
+                connections::Limited::new(service, connections)
             })
         })
         .map_err(setup_error("the server"))?;
@@ -121,8 +132,12 @@
 fn http_settings() -> ntex::SharedCfg {
     let config = http::HttpServiceConfig::new()
         .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE))
-        .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 64);
-    ntex::SharedCfg::new("geraniumlatchd").add(config).into()
+        .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 64)
+        .set_max_buf_size(MAX_HEAD_BYTES);
+    let buffers = io::IoConfig::new()
+        .set_read_buf(READ_BUFFER_BYTES, MIN_READ_BYTES, CACHED_BUFFERS)
+        .set_write_page_size(util::BytePageSize::Size4);
+    ntex::SharedCfg::new("geraniumlatchd").add(config).add(buffers).into()
 }
 
 /// Starts the daemon on the server's only thread when the server sets up the first of its sockets,
--- a/gl-intake/src/lib.rs
+++ b/gl-intake/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`budget`] holds the bodies of requests that have not arrived whole, and gives up the oldest of
 //! them when the memory is short. [`body`] reads a body into it. [`refusal`] answers a client that is
-//! still sending. [`connections`] closes the connection that has waited longest for its client when
+//! still sending, and [`head`] one whose head is too large. [`connections`] closes the connection that has waited longest for its client when
 //! there are too many. [`memory`] divides the memory of a process.
 //!
 //! ```
@@ -21,5 +21,6 @@
 pub mod body;
 pub mod budget;
 pub mod connections;
+pub mod head;
 pub mod memory;
 pub mod refusal;
--- a/gl-standin/tests/crowd/connections.rs
+++ b/gl-standin/tests/crowd/connections.rs
@@ -78,3 +78,12 @@
     check_daemons(&mut hosted, LIMITS).await;
     drop(crowd);
 }
+
+#[ntex::test]
+async fn head_that_is_too_large_is_refused_with_the_remedy() {
+    let _alone = run_alone().await;
+    let hosted = start(1, LIMITS).await;
+    let message = crowd::unfinished_head(&job_path(1), 12_000);
+    let crowd = crowd::Crowd::start(hosted.address(0), vec![message; 20]).await;
+    assert_eq!(crowd.count(431), 20, "refusals");
+}
