fix: bound what arrives on a connection before it is read

Callers saw: no accepted job within 20 s and four retries, while 500 clients sent 300 KB of requests each without a wait for the responses; with turns for pipelined requests, 57 MB of these bytes were in the receive buffers of a daemon with 64 MB.

Cause: the system enlarges the receive buffer of a connection on which much arrives, by default to megabytes, and what is received counts towards the memory of the VM.

Change: the receive buffers of all accepted connections have 8 KiB, which Linux doubles.

--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -27,6 +27,8 @@
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(5);
 /// The largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 8 << 10;
+/// The size of the system's receive buffer of a connection, in bytes. Linux doubles it.
+const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
 /// The size of a connection's read buffer, in bytes. Ordinary requests fit into it.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// The space that a read needs, in bytes.
@@ -51,7 +53,12 @@
 fn bind(field: &'static str, address: net::SocketAddr) -> Result<net::TcpListener, error::Error> {
     let to_error =
         |e: std::io::Error| error::Error::Listen { field, address, detail: e.to_string() };
-    net::TcpListener::bind(address).map_err(to_error)
+    let socket = net::TcpListener::bind(address).map_err(to_error)?;
+    // Accepted connections inherit it. Without it, the system enlarges the buffers of clients that send
+    // faster than they are served.
+    let bounded = rustix::net::sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES);
+    bounded.map_err(|e| to_error(e.into()))?;
+    Ok(socket)
 }
 
 fn setup_error<E: std::fmt::Display>(part: &'static str) -> impl FnOnce(E) -> error::Error {
--- a/gl-standin/tests/crowd/connections.rs
+++ b/gl-standin/tests/crowd/connections.rs
@@ -87,3 +87,11 @@
     let crowd = crowd::Crowd::start(hosted.address(0), vec![message; 20]).await;
     assert_eq!(crowd.count(431), 20, "refusals");
 }
+
+/// What has arrived and was not read counts towards the memory of the VM.
+#[ntex::test]
+async fn requests_that_arrive_faster_than_they_are_carried_out() {
+    let path = format!("/book/{}", "x".repeat(2_000));
+    let message = crowd::pipelined_requests(&path, 150);
+    check_crowd(LIMITS, |daemon| daemon.client_address, vec![message; 500]).await;
+}
