fix: bound the store calls of queries and cancellations

Callers saw: nothing yet. By the division of the descriptors, 1,776 clients that ask for jobs that do not exist take as many connections to the store beside their own, and leave none for workers.

Cause: an owner that does not know a job has its rows read in the store, and a cancellation is written there, each on a connection. The client of the store allows 2,000 of them, where the division of the descriptors has 300 for the store and all daemons.

Change: 128 such calls at a time; a request that waits for longer than 0.9 s is repeated until its deadline, then refused with 503. Calls that store jobs and those of the owner are not affected.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -15,18 +15,25 @@
 const OWNER_STORE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(900);
 /// Part of a client's time-out that is reserved for the transmission of the reply.
 const REPLY_RESERVE: time::Span = time::Span::millis(100);
+/// Largest number of simultaneous store calls on behalf of clients, apart from those that store jobs. Each
+/// takes a connection.
+const MAX_STORE_CALLS: usize = 128;
+/// Time to wait until one more of them may be sent.
+const STORE_PERMIT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(900);
 /// Pause between attempts.
 const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(60);
 
 /// Handles clients' requests to one daemon.
 pub struct Handler {
     node: rc::Rc<node::Node>,
+    /// Permits for store calls on behalf of clients, apart from those that store jobs.
+    store_calls: tokio::sync::Semaphore,
 }
 
 impl Handler {
     /// Creates the handler of `node`.
-    pub const fn new(node: rc::Rc<node::Node>) -> Self {
-        Self { node }
+    pub fn new(node: rc::Rc<node::Node>) -> Self {
+        Self { node, store_calls: tokio::sync::Semaphore::new(MAX_STORE_CALLS) }
     }
 
     /// Stores a job, or has the owner store it while this daemon cannot reach the store.
@@ -93,11 +100,24 @@
         }
     }
 
+    /// Waits until a store call on behalf of a client may be sent.
+    async fn store_permit(
+        &self,
+        operation: &'static str,
+    ) -> Result<tokio::sync::SemaphorePermit<'_>, platform::StoreError> {
+        let permit = tokio::time::timeout(STORE_PERMIT_TIMEOUT, self.store_calls.acquire()).await;
+        permit.ok().and_then(Result::ok).ok_or_else(|| {
+            let detail = "too many requests wait for the store".to_owned();
+            platform::StoreError::Refused { operation, detail }
+        })
+    }
+
     /// Reads a job's state from the store; `None` if there is no such job.
     async fn read_state(
         &self,
         id: task::JobId,
     ) -> Result<Option<job::State>, platform::StoreError> {
+        let _permit = self.store_permit("read a job").await?;
         let store = &self.node.platform.store;
         let work = store.range(&rows::work_of_job(id)).await;
         self.node.record_store_result(&work, clock::steady());
@@ -129,6 +149,7 @@
             writes: vec![platform::Write { key: rows::cancel(id), value }],
             ..platform::Transaction::default()
         };
+        let _permit = self.store_permit("cancel a job").await?;
         let result = self.node.platform.store.transact(&txn).await;
         self.node.record_store_result(&result, clock::steady());
         result.map(|_| ())
--- a/gl-standin/tests/crowd/connections.rs
+++ b/gl-standin/tests/crowd/connections.rs
@@ -95,3 +95,18 @@
     let message = crowd::pipelined_requests(&path, 150);
     check_crowd(LIMITS, |daemon| daemon.client_address, vec![message; 500]).await;
 }
+
+/// An owner that does not know a job has its rows read in the store, each time on a connection.
+#[ntex::test]
+async fn queries_of_jobs_that_do_not_exist() {
+    let _alone = run_alone().await;
+    let mut hosted = start(1, LIMITS).await;
+    let message = crowd::pipelined_requests(&job_path(1), 100);
+    let crowd = crowd::Crowd::start(hosted.address(0), vec![message; 500]).await;
+    check_ordinary_request(hosted.address(0)).await;
+    check_daemons(&mut hosted, LIMITS).await;
+    // The crowd's own, and those that the division of the descriptors has for the store and daemons.
+    let usage = hosted.daemons[0].process.resource_usage();
+    assert!(usage.descriptors <= 500 + 300, "{} descriptors", usage.descriptors);
+    drop(crowd);
+}
