fix: bound the memory of jobs, from their submission to the owner

Callers saw: the owner of a cell at 146 MB of 64 after clients had submitted 1,000 legal jobs of 46 KB that no worker can run, and the next owner, which loads them all, as well; 137 MB at the owner when they came through another daemon, and 105 MB at that daemon while the store was slow.

Cause: jobs were limited by number (200 that wait for each partition of the store, 100,000 tasks of one job), never by memory. An accepted job stays at the owner until it has ended, and some minutes beyond; a daemon keeps several copies of a job that is being stored.

Change: the owner estimates the memory of its jobs, and refuses new ones from a fifth of the memory of the smallest machine on that may own the cell after it; followers tell theirs with their heartbeats. An eighth of that is for small jobs only. A follower stores jobs by itself as far as its share of the rest reaches, which the replies to heartbeats tell, and has the owner store others, so that one large job is accepted wherever it arrives. A job that fits into no owner gets 413. The texts of an ended job are discarded. Jobs that are being stored have a sixteenth of the memory, and transactions fewer rows where that is little. Messages for the owner wait for the connection with 2 MiB at most; one that is lost is found in the store.

--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -2,11 +2,11 @@
 
 use std::rc;
 
-use gl_jobs::{api, job, queue, record, retry_after, task};
+use gl_jobs::{api, job, owner, queue, record, retry_after, task};
 use gl_model::time;
 use gl_platform::cell as platform;
 
-use super::{event, lease, mesh, node, rows, submission, tombstones};
+use super::{admission, event, lease, mesh, node, rows, submission, tombstones};
 use crate::clock;
 
 /// Time to wait for the owner's reply before the rows are read instead.
@@ -36,18 +36,41 @@
         Self { node, store_calls: tokio::sync::Semaphore::new(MAX_STORE_CALLS) }
     }
 
-    /// Stores a job, or has the owner store it while this daemon cannot reach the store.
+    /// Stores a job, or has the owner store it: while this daemon cannot reach the store, and if only the
+    /// owner can tell whether it has the memory for the job.
     async fn store(
         &self,
         id: task::JobId,
         job: &job::Job,
         limit: time::Timestamp,
     ) -> submission::Outcome {
-        if lease::is_store_up(&self.node, clock::steady()) {
-            return self.node.submissions.store(id, job, limit).await;
+        let is_store_up = lease::is_store_up(&self.node, clock::steady());
+        let (role, bytes) = (self.node.role(), owner::footprint_of(job));
+        if let node::Role::Owner(ownership) = &role
+            && is_store_up
+        {
+            match ownership.admit(id, job) {
+                Ok(admission::Admission::New) => {}
+                Ok(admission::Admission::Known) => return submission::Outcome::Duplicate,
+                Err(cause) => return submission::Outcome::Refused(cause),
+            }
         }
-        let node::Role::Follower(followed) = self.node.role() else {
-            return submission::Outcome::Refused(submission::Cause::StoreUnavailable);
+        let Some(_charge) = self.node.storing.take(bytes) else {
+            return submission::Outcome::Refused(submission::Cause::QueueFull);
+        };
+        let followed = match role {
+            node::Role::Owner(_) if is_store_up => {
+                return self.node.submissions.store(id, job, limit).await;
+            }
+            _ if is_store_up && self.node.job_share.take(bytes) => {
+                return self.node.submissions.store(id, job, limit).await;
+            }
+            node::Role::Follower(followed) => followed,
+            // Nobody tells whether it was stored by an earlier request.
+            _ if is_store_up => {
+                return submission::Outcome::Unsettled(submission::Cause::OwnerUnresponsive);
+            }
+            _ => return submission::Outcome::Refused(submission::Cause::StoreUnavailable),
         };
         if !lease::has_live_owner(&self.node, clock::steady()) {
             return submission::Outcome::Refused(submission::Cause::StoreUnavailable);
@@ -282,6 +305,8 @@
             self.node.metrics.load(&load.summary, load.age(now));
         }
         if let Some(ownership) = self.node.ownership() {
+            let room = ownership.room();
+            self.node.metrics.job_memory(room.used, room.limit);
             let owner = ownership.owner();
             self.node.metrics.emptied(owner.emptied().len(), owner.emptied_runs());
         }
@@ -328,7 +353,9 @@
                 event::emit(&event::Event::Cancel { job: event::Text(id), outcome, took_ms });
                 Err(api::Error::Cancelled)
             }
-            submission::Outcome::Refused(cause @ submission::Cause::TooLong) => {
+            submission::Outcome::Refused(
+                cause @ (submission::Cause::TooLong | submission::Cause::TooLarge),
+            ) => {
                 let cause = cause.as_str();
                 event::emit(&event::Event::Refused { job: event::Text(id), queue, cause, took_ms });
                 Err(api::Error::TooLong { reason: cause })
--- a/geraniumlatchd/src/jobs/lease.rs
+++ b/geraniumlatchd/src/jobs/lease.rs
@@ -278,13 +278,23 @@
         let clock = followed.clock.get();
         let report = followers::Report::new(store_up, clock, node.has_open_claim.get());
         let after = report.after;
-        let request =
-            super::mesh::Request::Heartbeat { daemon, store_up, token, owner, wall, after };
+        let untold = node.untold_jobs();
+        let job_limit = u64::try_from(node.settings.memory.jobs).ok();
+        let request = super::mesh::Request::Heartbeat {
+            daemon,
+            store_up,
+            token,
+            owner,
+            wall,
+            after,
+            job_limit,
+        };
         let reply = followed.connection.request(request, HEARTBEAT_TIMEOUT).await;
         if clock::steady().since(sent) < time::Span::from(HEARTBEAT_TIMEOUT) {
             node.adopt_agreement(reply.as_ref(), sent);
         }
         followed.keep_state(reply.as_ref(), sent);
+        node.job_share_received(reply.as_ref(), untold);
         let reply = reply.filter(|reply| !matches!(reply, super::mesh::Response::OtherDaemon));
         handle_heartbeat_reply(&node, &followed, reply.as_ref());
         let disconnected = followed.connection.disconnected();
--- a/geraniumlatchd/src/jobs/mesh.rs
+++ b/geraniumlatchd/src/jobs/mesh.rs
@@ -3,11 +3,11 @@
 use std::rc;
 
 use gl_cost::summary;
-use gl_jobs::{election, followers, job, task};
+use gl_jobs::{election, followers, job, owner, task};
 use gl_model::time;
 use gl_peer::rpc;
 
-use super::{lease, node, ownership, submission, tombstones};
+use super::{admission, lease, node, ownership, submission, tombstones};
 use crate::clock;
 
 /// A request of one daemon to another.
@@ -31,6 +31,10 @@
         /// first one, and in earlier versions.
         #[serde(default)]
         after: Option<time::Timestamp>,
+        /// The memory that the sender would have for jobs as the owner, in bytes; `None` in earlier
+        /// versions.
+        #[serde(default)]
+        job_limit: Option<u64>,
     },
     /// Reports that a job has been stored.
     Accepted {
@@ -85,6 +89,10 @@
         /// The owner's steady clock; `None` in earlier versions.
         #[serde(default)]
         clock: Option<time::Timestamp>,
+        /// The memory of jobs, in bytes, that the sender of the heartbeat may accept until the next one;
+        /// `None` in earlier versions.
+        #[serde(default)]
+        room: Option<u64>,
     },
     /// The result of storing a job.
     Store(submission::Outcome),
@@ -134,6 +142,20 @@
     if !lease::is_store_up(node, now) {
         return submission::Outcome::Refused(submission::Cause::StoreUnavailable);
     }
+    if let Some(ownership) = node.ownership() {
+        match ownership.admit(id, job) {
+            Ok(admission::Admission::New) => {}
+            Ok(admission::Admission::Known) => return submission::Outcome::Stored,
+            // Earlier versions do not know the other causes.
+            Err(submission::Cause::TooLarge) => {
+                return submission::Outcome::Refused(submission::Cause::TooLong);
+            }
+            Err(_) => return submission::Outcome::Refused(submission::Cause::QueueFull),
+        }
+    }
+    let Some(_charge) = node.storing.take(owner::footprint_of(job)) else {
+        return submission::Outcome::Refused(submission::Cause::QueueFull);
+    };
     let limit = now + STORE_TIMEOUT;
     let outcome = node.submissions.store(id, job, limit).await;
     if let (submission::Outcome::Stored, Some(ownership)) = (outcome, node.ownership()) {
@@ -164,18 +186,21 @@
 
 fn handle_as_owner(ownership: &rc::Rc<ownership::Ownership>, request: Request) -> Response {
     match request {
-        Request::Heartbeat { daemon, store_up, wall, after, .. } => {
+        Request::Heartbeat { daemon, store_up, wall, after, job_limit, .. } => {
+            ownership.job_limit_reported(&daemon, job_limit);
             let has_wall = wall > time::Timestamp::default();
             let report = followers::Report { is_store_up: store_up, after };
             ownership.heartbeat_received(daemon, report, has_wall.then_some(wall));
             let agreed = ownership.node().agreed.get().filter(|_| has_wall);
             agreed.map_or(Response::Noted, |agreed| {
                 let now = clock::steady();
+                let room = u64::try_from(ownership.job_share()).ok();
                 Response::Confirmed {
                     wall: agreed.wall(now),
                     readings: agreed.readings,
                     load: ownership.owner().load_summary(now),
                     clock: Some(now),
+                    room,
                 }
             })
         }
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 //! and carry the decisions out. Everything runs on one thread.
 
 pub mod action_queue;
+mod admission;
 mod api;
 mod cell_rows;
 mod claimants;
--- a/geraniumlatchd/src/jobs/node.rs
+++ b/geraniumlatchd/src/jobs/node.rs
@@ -4,13 +4,14 @@
 
 use gl_cost::summary;
 use gl_fleet::budget;
-use gl_jobs::{domain, election, owner, queue, wall_clock};
+use gl_intake::{budget as intake, ledger, memory};
+use gl_jobs::{domain, election, owner, queue, room, wall_clock};
 use gl_model::time;
 use gl_peer::rpc;
 use gl_platform::cell as platform;
 use tokio::sync::Notify;
 
-use super::{event, log_writer, mesh, outages, ownership, submission};
+use super::{admission, event, log_writer, mesh, outages, ownership, submission};
 use crate::clock;
 
 /// Settings of a daemon.
@@ -27,6 +28,8 @@
     pub resources: election::Resources,
     /// Largest numbers of connections.
     pub budget: budget::Budget,
+    /// Largest amounts of memory that clients may occupy.
+    pub memory: memory::Division,
     /// Settings of the owner's decision logic.
     pub owner: owner::Settings,
 }
@@ -116,6 +119,10 @@
     pub routing_at: cell::Cell<Option<time::Timestamp>>,
     /// Jobs that wait to be stored.
     pub submissions: submission::Queue,
+    /// Memory of the jobs that are being stored.
+    pub storing: rc::Rc<ledger::Ledger>,
+    /// Jobs that this daemon may accept without asking the owner.
+    pub job_share: admission::Share,
     /// Whether this daemon has sent a claim whose outcome is not known.
     pub has_open_claim: cell::Cell<bool>,
     /// Time before which this daemon does not claim the cell; set after it failed to load the
@@ -145,7 +152,9 @@
         metrics: sync::Arc<gl_meter::jobs::Metrics>,
         log: Option<log_writer::Log>,
     ) -> Self {
-        let submissions = submission::Queue::new(settings.owner.max_row);
+        let memory = settings.memory;
+        let submissions = submission::Queue::new(settings.owner.max_row, memory.storing);
+        let storing = ledger::Ledger::new(intake::Settings::with_limit(memory.storing));
         Self {
             settings,
             platform,
@@ -155,6 +164,8 @@
             emptied: cell::RefCell::default(),
             routing_at: cell::Cell::new(None),
             submissions,
+            storing: rc::Rc::new(storing),
+            job_share: admission::Share::new(room::Room::initial_share(memory.jobs)),
             has_open_claim: cell::Cell::new(false),
             claim_after: cell::Cell::default(),
             outage_reported: cell::Cell::default(),
--- a/geraniumlatchd/src/jobs/outages.rs
+++ b/geraniumlatchd/src/jobs/outages.rs
@@ -53,7 +53,9 @@
     pub fn submitted(&self, outcome: submission::Outcome, now: time::Timestamp) {
         use submission::{Cause, Outcome};
         match outcome {
-            Outcome::Refused(Cause::QueueFull) => record(&self.queue, false, now, now),
+            Outcome::Refused(Cause::QueueFull | Cause::OwnerFull) => {
+                record(&self.queue, false, now, now)
+            }
             Outcome::Stored | Outcome::Duplicate => record(&self.queue, true, now, now),
             _ => {}
         }
@@ -82,7 +84,9 @@
         now: time::Timestamp,
     ) -> time::Span {
         match cause {
-            submission::Cause::QueueFull => self.crowd_retry_after(key, now),
+            submission::Cause::QueueFull | submission::Cause::OwnerFull => {
+                self.crowd_retry_after(key, now)
+            }
             _ => self.store_retry_after(key, now),
         }
     }
--- a/geraniumlatchd/src/jobs/ownership.rs
+++ b/geraniumlatchd/src/jobs/ownership.rs
@@ -37,6 +37,8 @@
     /// Times of day of all daemons.
     pub(super) wall_clock: cell::RefCell<wall_clock::WallClock>,
     pub(super) followers: cell::RefCell<followers::Followers>,
+    /// The memory that the followers would have for jobs as the owner, in bytes.
+    pub(super) job_limits: cell::RefCell<collections::BTreeMap<String, usize>>,
     /// The daemons that may claim the cell in an outage.
     pub(super) claimants: cell::RefCell<claimants::Claimants>,
     /// Reports when this owner goes on without the store.
@@ -109,6 +111,7 @@
         predecessors: assumed.predecessors,
         wall_clock: cell::RefCell::new(wall_clock::WallClock::new(node.agreed.get(), now)),
         followers: cell::RefCell::default(),
+        job_limits: cell::RefCell::default(),
         claimants: cell::RefCell::new(claimants::Claimants::inherit(inherited, now)),
         outage_rule: cell::RefCell::default(),
         worker_clients: cell::RefCell::default(),
--- a/geraniumlatchd/src/jobs/server.rs
+++ b/geraniumlatchd/src/jobs/server.rs
@@ -160,7 +160,7 @@
     }
     let node = create_node(settings, log, metrics).await.unwrap_or_else(error::exit);
     let node = rc::Rc::new(node);
-    let memory = settings.memory.map_or_else(memory::Division::default, memory::Division::new);
+    let memory = node.settings.memory;
     let bodies = budget::Budget::new(budget::Settings::with_limit(memory.bodies));
     let api = rc::Rc::new(api::Handler::new(rc::Rc::clone(&node)));
     let limit = connection_budget(settings).accepted().clients;
@@ -215,6 +215,7 @@
         config_apply: settings.config_apply,
         resources: election::Resources { cores: settings.cores, polls: Some(budget.polls) },
         budget,
+        memory: memory_division(settings),
         owner: owner_settings(settings, budget),
     };
     Ok(node::Node::new(node_settings, platform, sync::Arc::clone(metrics), Some(log.clone())))
@@ -231,6 +232,11 @@
         .map_or_else(descriptors::Budget::default, descriptors::Budget::new)
 }
 
+/// Divides the memory that the platform permits.
+fn memory_division(settings: &settings::Settings) -> memory::Division {
+    settings.memory.map_or_else(memory::Division::default, memory::Division::new)
+}
+
 fn owner_settings(
     settings: &settings::Settings,
     budget: descriptors::Budget,
--- a/geraniumlatchd/src/jobs/submission.rs
+++ b/geraniumlatchd/src/jobs/submission.rs
@@ -17,6 +17,8 @@
 /// Maximum total length of the rows that one transaction stores, in bytes. The store takes calls of
 /// up to 1 MB, in which rows are a third longer.
 const MAX_GROUP_BYTES: usize = 600_000;
+/// Copies of the rows of a transaction while it is sent: the rows, their encoding and its buffers.
+const COPIES: usize = 8;
 /// Maximum number of jobs that wait for one partition of the store.
 const MAX_WAITING_JOBS: usize = 200;
 /// Time for which a job that the store keeps refusing is retried. Short, as the client can send it
@@ -50,6 +52,10 @@
     Encoding,
     /// The job is longer than the rows that the store takes.
     TooLong,
+    /// The job needs more memory than an owner has for all jobs.
+    TooLarge,
+    /// The owner has no memory for more jobs.
+    OwnerFull,
     /// Too many jobs wait for the store.
     #[serde(rename = "crowded")]
     QueueFull,
@@ -75,6 +81,8 @@
         match self {
             Self::Encoding => "the job cannot be encoded",
             Self::TooLong => "the job is longer than the store takes; make it smaller or split it",
+            Self::TooLarge => "the job needs more memory than a daemon has; split it",
+            Self::OwnerFull => "the cell's owner has no memory for more jobs of this size",
             Self::QueueFull => "too many jobs are waiting to be stored",
             Self::StoreRefused => "the store refused the job",
             Self::StoreUnavailable => "the store cannot be reached",
@@ -113,6 +121,8 @@
     partitions: [Partition; rows::WORK_PARTITIONS.len()],
     /// The length of the longest row that the store takes, in bytes.
     max_row: usize,
+    /// Maximum total length of the rows that one transaction stores, in bytes.
+    group_bytes: usize,
 }
 
 /// Jobs that wait to be stored in one partition.
@@ -123,9 +133,11 @@
 }
 
 impl Queue {
-    /// Creates an empty queue for a store that takes rows of at most `max_row` bytes.
-    pub fn new(max_row: usize) -> Self {
-        Self { partitions: Default::default(), max_row }
+    /// Creates an empty queue for a store that takes rows of at most `max_row` bytes. All partitions
+    /// together may take about `memory` bytes.
+    pub fn new(max_row: usize, memory: usize) -> Self {
+        let group_bytes = MAX_GROUP_BYTES.min(memory / (COPIES * rows::WORK_PARTITIONS.len()));
+        Self { partitions: Default::default(), max_row, group_bytes }
     }
 
     /// Stores a job. Attempts end at `limit` at the latest, and the outcome may then be unknown.
@@ -152,12 +164,13 @@
 
 impl Partition {
     /// Removes the jobs of the next transaction from the queue.
-    fn take(&self) -> Vec<Submission> {
+    fn take(&self, group_bytes: usize) -> Vec<Submission> {
         let mut waiting = self.waiting.borrow_mut();
         let mut bytes = 0;
         let fits = |submission: &&Submission| {
+            let is_first = bytes == 0;
             bytes += submission.row.len();
-            bytes <= MAX_GROUP_BYTES
+            is_first || bytes <= group_bytes
         };
         let n = waiting.iter().take(MAX_GROUP_JOBS).take_while(fits).count();
         waiting.drain(..n).collect()
@@ -174,7 +187,7 @@
 async fn run(node: rc::Rc<node::Node>, n: usize) {
     loop {
         let partition = &node.submissions.partitions[n];
-        let mut group = partition.take();
+        let mut group = partition.take(node.submissions.group_bytes);
         if group.is_empty() {
             partition.wake.notified().await;
             continue;
--- a/geraniumlatchd/tests/mesh.rs
+++ b/geraniumlatchd/tests/mesh.rs
@@ -26,6 +26,7 @@
         owner: String::new(),
         wall: time::Timestamp(wall),
         after: None,
+        job_limit: None,
     };
     assert_eq!(read, heartbeat(0), "an earlier build gets no response that it does not know");
     let text = serde_json::to_string(&heartbeat(1_700)).unwrap();
@@ -48,6 +49,7 @@
         readings: 3,
         load: summary,
         clock: None,
+        room: None,
     };
     let text = serde_json::to_string(&response).unwrap();
     let mesh::Response::Confirmed { load: summary, .. } = serde_json::from_str(&text).unwrap()
@@ -73,7 +75,7 @@
     let earlier = EarlierResponse::Confirmed { wall, readings: 3, load: load.clone() };
     let confirmed = |clock| {
         let load = load.clone();
-        mesh::Response::Confirmed { wall, readings: 3, load, clock }
+        mesh::Response::Confirmed { wall, readings: 3, load, clock, room: None }
     };
     let text = serde_json::to_string(&earlier).unwrap();
     assert_eq!(serde_json::from_str::<mesh::Response>(&text).unwrap(), confirmed(None));
--- a/gl-intake/src/budget.rs
+++ b/gl-intake/src/budget.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, ops, sync};
 
+use ntex::util;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -21,6 +22,16 @@
     pub const fn with_limit(limit: usize) -> Self {
         Self { limit, reserve: limit / RESERVE_SHARE, small: SMALL_BODY_BYTES }
     }
+
+    /// Returns the memory that may be in use after something of `bytes` bytes is added to it.
+    const fn ceiling(&self, bytes: usize) -> usize {
+        if bytes <= self.small { self.limit } else { self.limit - self.reserve }
+    }
+
+    /// Returns whether something of `bytes` bytes may be added, so that `used` are in use then.
+    pub const fn fits(&self, bytes: usize, used: usize) -> bool {
+        used <= self.ceiling(bytes)
+    }
 }
 
 impl Default for Settings {
@@ -29,8 +40,8 @@
     }
 }
 
-/// The default limit, in bytes: an eighth of a VM with 160 MB.
-const DEFAULT_LIMIT: usize = 20 << 20;
+/// The default limit, in bytes: a sixteenth of a VM with 160 MB.
+const DEFAULT_LIMIT: usize = 10 << 20;
 /// The part of the limit that is kept for small bodies, as a divisor.
 const RESERVE_SHARE: usize = 8;
 /// The largest body that counts as small, in bytes.
@@ -138,8 +149,7 @@
         let wanted =
             if length > capacity { (2 * capacity).min(expected).max(length) } else { capacity };
         let is_small = wanted <= settings.small;
-        let limit = settings.limit - if is_small { 0 } else { settings.reserve };
-        while state.used + (wanted - capacity) > limit && state.used > capacity {
+        while !settings.fits(wanted, state.used + (wanted - capacity)) && state.used > capacity {
             match state.victim(self.number, settings.small, is_small) {
                 Some(victim) => state.evict(victim),
                 None => {
@@ -178,7 +188,9 @@
     /// If the body was given up.
     pub fn finish(self) -> Result<Complete, Evicted> {
         let body = self.budget.state.lock().open.remove(&self.number).ok_or(Evicted)?;
-        Ok(Complete { data: body.data, budget: sync::Arc::clone(&self.budget) })
+        let charge =
+            Charge { bytes: body.data.capacity(), budget: sync::Arc::clone(&self.budget) };
+        Ok(Complete { data: body.data, charge })
     }
 }
 
@@ -195,6 +207,20 @@
 #[derive(Debug)]
 pub struct Complete {
     data: Vec<u8>,
+    charge: Charge,
+}
+
+impl Complete {
+    /// Returns the body, and what counts it in the budget until it is dropped.
+    pub fn into_parts(self) -> (util::Bytes, Charge) {
+        (self.data.into(), self.charge)
+    }
+}
+
+/// Counts a body in the budget.
+#[derive(Debug)]
+pub struct Charge {
+    bytes: usize,
     budget: sync::Arc<Budget>,
 }
 
@@ -206,8 +232,8 @@
     }
 }
 
-impl Drop for Complete {
+impl Drop for Charge {
     fn drop(&mut self) {
-        self.budget.state.lock().used -= self.data.capacity();
+        self.budget.state.lock().used -= self.bytes;
     }
 }
--- a/gl-intake/src/lib.rs
+++ b/gl-intake/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`budget`] holds the bodies of requests that have not arrived whole, and gives up the oldest of
 //! them when the memory is short. [`body`] reads a body into it. [`refusal`] answers a client that is
 //! still sending, and [`head`] one whose head is too large. [`connections`] closes the connection that has waited longest for its client when
-//! there are too many. [`memory`] divides the memory of a process.
+//! there are too many. [`ledger`] counts what requests in progress
+//! take, and [`memory`] divides the memory of a process.
 //!
 //! ```
 //! use std::sync;
@@ -22,5 +23,6 @@
 pub mod budget;
 pub mod connections;
 pub mod head;
+pub mod ledger;
 pub mod memory;
 pub mod refusal;
--- a/gl-jobs/src/lib.rs
+++ b/gl-jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod queue;
 pub mod record;
 pub mod retry_after;
+pub mod room;
 pub mod task;
 pub mod tombstones;
 pub mod wall_clock;
--- a/gl-jobs/src/owner/commit.rs
+++ b/gl-jobs/src/owner/commit.rs
@@ -279,13 +279,16 @@
                 entry.stored_pages.insert(row.page);
                 entry.stored_state = entry.stored_state.or(row.progress.final_state);
             }
+            if row.progress.final_state.is_some() {
+                self.discard_texts(row.job);
+            }
             self.remove_pages_of_ended(row.job);
         }
         for page in &commit.removed_pages {
             self.removed_pages.remove(page);
         }
         for job in &commit.removed_jobs {
-            self.jobs.remove(job);
+            self.remove_job(*job);
             self.orphans.remove(job);
         }
         for row in &commit.enrolled {
--- a/gl-jobs/src/owner/intake.rs
+++ b/gl-jobs/src/owner/intake.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use super::{JobEntry, Moment, Owner};
+use super::{JobEntry, Moment, Owner, footprint};
 use crate::{job, task};
 
 impl Owner {
@@ -30,7 +30,7 @@
         if entry.job.schedule.is_some() {
             self.scheduled_jobs.insert(id);
         }
-        self.jobs.insert(id, entry);
+        self.insert_job(id, entry);
         self.count_arrival(id, moment.now);
         self.open_due(id, moment);
     }
@@ -54,6 +54,40 @@
         }
     }
 
+    /// Adds the entry of a job, and counts its memory.
+    pub(super) fn insert_job(&mut self, id: task::JobId, mut entry: JobEntry) {
+        entry.discard_texts();
+        entry.footprint = footprint::of(&entry.job);
+        self.job_bytes += entry.footprint;
+        if let Some(old) = self.jobs.insert(id, entry) {
+            self.job_bytes -= old.footprint;
+        }
+    }
+
+    /// Removes the entry of a job.
+    pub(super) fn remove_job(&mut self, id: task::JobId) {
+        if let Some(entry) = self.jobs.remove(&id) {
+            self.job_bytes -= entry.footprint;
+        }
+    }
+
+    /// Discards the texts of a job if its final state is stored.
+    pub(super) fn discard_texts(&mut self, id: task::JobId) {
+        let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.stored_state.is_some())
+        else {
+            return;
+        };
+        self.job_bytes -= entry.footprint;
+        entry.discard_texts();
+        entry.footprint = footprint::of(&entry.job);
+        self.job_bytes += entry.footprint;
+    }
+
+    /// Returns the estimated memory of all jobs, in bytes.
+    pub const fn job_bytes(&self) -> usize {
+        self.job_bytes
+    }
+
     /// Returns whether the owner has a job.
     pub fn has_job(&self, id: task::JobId) -> bool {
         self.jobs.contains_key(&id)
@@ -70,6 +104,7 @@
         entry.final_state = Some(job::State::Cancelled);
         entry.stored_state = Some(job::State::Cancelled);
         entry.ended_at = now;
+        self.discard_texts(id);
         self.count_end(id, job::State::Cancelled);
         self.note_decided(id, now);
         self.close_job(id, now);
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -30,6 +30,7 @@
 pub use action::{Action, Cause, LeaseBound, Note, StopReason};
 pub use commit::{Commit, Row as CommitRow};
 pub use estimate::{Estimate, Medians, Record as WorkerRecord};
+pub use footprint::of as footprint_of;
 pub use grants::{Advice, Grant};
 pub use impact::Impact;
 pub use interference::{CpuUse, ImageId, InterferenceModel};
@@ -53,7 +54,7 @@
     waits,
 };
 use recovery::{store_clock, timeouts};
-use state::{estimate, grants, jobs, pages, runs, workers};
+use state::{estimate, footprint, grants, jobs, pages, runs, workers};
 use view::{domains, roster, second_runs, unread};
 
 use crate::{record, task, worker};
@@ -66,6 +67,8 @@
     lifetimes: u64,
     last_attempt: u64,
     jobs: collections::BTreeMap<task::JobId, JobEntry>,
+    /// The estimated memory of all jobs, in bytes.
+    job_bytes: usize,
     workers: collections::BTreeMap<worker::WorkerId, Worker>,
     runs: collections::BTreeMap<task::TaskId, Run>,
     /// Runs of tasks that were started again elsewhere, as their worker became slow or silent.
@@ -188,6 +191,7 @@
             lifetimes: 0,
             last_attempt: token * ATTEMPTS_PER_TOKEN,
             jobs: collections::BTreeMap::new(),
+            job_bytes: 0,
             workers: collections::BTreeMap::new(),
             runs: collections::BTreeMap::new(),
             overtaken: collections::BTreeMap::new(),
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -212,7 +212,7 @@
             let pages = entry.pages_in_use().into_iter().chain([0]);
             self.dirty_pages.extend(pages.map(|page| (row.id, page)));
         }
-        self.jobs.insert(row.id, entry);
+        self.insert_job(row.id, entry);
         self.remove_pages_of_ended(row.id);
         self.index_suspects(row.id);
         if is_open {
--- a/gl-jobs/src/owner/state/jobs.rs
+++ b/gl-jobs/src/owner/state/jobs.rs
@@ -40,6 +40,8 @@
     /// The time that its short tasks have waited for placement, by cause.
     pub(in crate::owner) waits: Waits,
     next_occurrence: u32,
+    /// The estimated memory that it takes, in bytes.
+    pub(in crate::owner) footprint: usize,
 }
 
 /// The progress of a phase of one occurrence.
@@ -97,6 +99,20 @@
             phases: collections::BTreeMap::new(),
             waits: Waits::default(),
             next_occurrence: 0,
+            footprint: 0,
+        }
+    }
+
+    /// Discards the texts of a job whose final state is stored, as none of its tasks starts any more.
+    pub(in crate::owner) fn discard_texts(&mut self) {
+        if self.stored_state.is_none() {
+            return;
+        }
+        self.job.spec = String::new();
+        for phase in &mut self.job.phases {
+            phase.label = None;
+            phase.data_rack = None;
+            phase.image = None;
         }
     }
 
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -32,6 +32,7 @@
 mod pressure;
 mod recovery;
 mod retry_after;
+mod room;
 mod roster;
 mod routing;
 mod second_runs;
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -184,6 +184,12 @@
         self.level("emptied-runs", runs as u64);
     }
 
+    /// Records the estimated memory of the owner's jobs, and the limit for it, in bytes.
+    pub fn job_memory(&self, used: usize, limit: usize) {
+        self.level("job-bytes", used as u64);
+        self.level("job-bytes-limit", limit as u64);
+    }
+
     /// Records the number of daemons that the owner has stored as those that may claim the cell, and of the
     /// followers that were silent for long.
     pub fn followers(&self, claimants: usize, silent: usize) {
--- a/gl-peer/src/rpc.rs
+++ b/gl-peer/src/rpc.rs
@@ -21,6 +21,8 @@
 const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// The most requests that are queued for the connection.
 const QUEUE_REQUESTS: usize = 256;
+/// The most bytes of requests that are queued for the connection.
+const QUEUE_BYTES: usize = 2 << 20;
 /// Consecutive unanswered requests after which the client reconnects.
 const MAX_UNANSWERED: u32 = 2;
 /// The idle time after which the server closes a connection; several times the interval of the
@@ -66,6 +68,8 @@
 /// The client side of a connection.
 pub struct Client<T: Protocol> {
     queue: mpsc::Sender<Vec<u8>>,
+    /// The bytes of the requests in the queue.
+    queued: rc::Rc<cell::Cell<usize>>,
     pending: Pending<T::Response>,
     next: cell::Cell<u64>,
     unanswered: rc::Rc<cell::Cell<u32>>,
@@ -80,18 +84,21 @@
     pub fn new(address: net::SocketAddr) -> Self {
         let (queue, requests) = mpsc::channel(QUEUE_REQUESTS);
         let pending: Pending<T::Response> = rc::Rc::default();
+        let queued = rc::Rc::new(cell::Cell::new(0));
         let unanswered = rc::Rc::new(cell::Cell::new(0));
         let refused = rc::Rc::new(cell::Cell::new(false));
         let disconnected = rc::Rc::new(Notify::new());
         let connector = Connector {
             address,
+            queued: rc::Rc::clone(&queued),
             pending: rc::Rc::clone(&pending),
             unanswered: rc::Rc::clone(&unanswered),
             refused: rc::Rc::clone(&refused),
             disconnected: rc::Rc::clone(&disconnected),
         };
         let task = tokio::task::spawn_local(connector.run(requests));
-        Self { queue, pending, next: cell::Cell::new(0), unanswered, refused, disconnected, task }
+        let next = cell::Cell::new(0);
+        Self { queue, queued, pending, next, unanswered, refused, disconnected, task }
     }
 
     /// Returns whether the last attempt to connect was refused, rather than lost or unanswered. See
@@ -130,8 +137,13 @@
     }
 
     fn send(&self, number: u64, message: T::Request) -> bool {
-        let bytes = encode(&Envelope { number, message });
-        bytes.is_ok_and(|bytes| self.queue.try_send(bytes).is_ok())
+        let Ok(bytes) = encode(&Envelope { number, message }) else { return false };
+        let queued = self.queued.get() + bytes.len();
+        let is_sent = queued <= QUEUE_BYTES && self.queue.try_send(bytes).is_ok();
+        if is_sent {
+            self.queued.set(queued);
+        }
+        is_sent
     }
 }
 
@@ -153,6 +165,7 @@
 
 struct Connector<R> {
     address: net::SocketAddr,
+    queued: rc::Rc<cell::Cell<usize>>,
     pending: Pending<R>,
     unanswered: rc::Rc<cell::Cell<u32>>,
     refused: rc::Rc<cell::Cell<bool>>,
@@ -173,6 +186,7 @@
             }
             self.pending.borrow_mut().clear();
             while requests.try_recv().is_ok() {}
+            self.queued.set(0);
             let is_first = std::mem::take(&mut was_connected);
             if is_first {
                 self.disconnected.notify_one();
@@ -204,6 +218,7 @@
             tokio::select! {
                 request = requests.recv() => {
                     let Some(bytes) = request else { return Disconnect::Closed };
+                    self.queued.set(self.queued.get().saturating_sub(bytes.len()));
                     let message = tungstenite::Message::Binary(bytes.into());
                     let sent = tokio::time::timeout(SEND_TIMEOUT, socket.send(message)).await;
                     if !matches!(sent, Ok(Ok(()))) {
