fix: bound what callers of the proxy occupy

Cause: as at the ingress of jobs, each body was collected whole before anything was decided, without a bound on all together and without a time limit, and operators' handlers took the body before the key was checked. The connections that such clients kept open were never closed.

A call of an unknown service, and an operator's request without the key, are refused unread. The connection that waits longest is closed if there are too many.

--- a/geraniumlatchd/src/node.rs
+++ b/geraniumlatchd/src/node.rs
@@ -3,6 +3,7 @@
 use std::{collections, net, sync, sync::atomic};
 
 use gl_config::daemon as settings;
+use gl_intake::{budget, memory};
 use gl_lease::membership;
 use gl_meter::{export, metrics, totals};
 use gl_model::{config, daemon, id, time, vm};
@@ -13,6 +14,10 @@
 
 /// The state of one daemon. Locks are held for single steps and never across I/O.
 pub struct Node {
+    /// The memory for the bodies of calls and of operators' requests.
+    pub bodies: sync::Arc<budget::Budget>,
+    /// The memory for the bodies of responses.
+    pub answers: sync::Arc<budget::Budget>,
     /// The settings of this daemon.
     pub settings: settings::Settings,
     /// The identity and the addresses of this daemon.
@@ -91,7 +96,12 @@
         };
         let number = id::Version::default();
         let txn = id::TxnId::from("");
+        let memory = memory::Division::new(settings.limits.memory_mb << 20);
+        let budget =
+            |limit| sync::Arc::new(budget::Budget::new(budget::Settings::with_limit(limit)));
         Ok(Self {
+            bodies: budget(memory.calls),
+            answers: budget(memory.answers),
             settings,
             me,
             router: Mutex::new(router::Router::new(router)),
--- a/geraniumlatchd/src/operators/access.rs
+++ b/geraniumlatchd/src/operators/access.rs
@@ -1,5 +1,6 @@
-//! The check of the operators' key.
+//! The check of the operators' key, before the body of a request is read.
 
+use gl_intake::{body, budget, refusal as lingering};
 use ntex::web;
 use subtle::ConstantTimeEq as _;
 
@@ -17,3 +18,28 @@
         Fault::response(Kind::Unauthorized, message)
     })
 }
+
+/// The maximum size in bytes of a request body from an operator.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Reads the body of a request with the correct key.
+///
+/// # Errors
+///
+/// Returns the response to a request without the key, or whose body cannot be read.
+pub async fn read_body(
+    context: &Context,
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+) -> Result<budget::Complete, web::HttpResponse> {
+    let mut payload = payload.into_inner();
+    if let Some(refusal) = refusal(context, request) {
+        return Err(lingering::linger(refusal, payload));
+    }
+    let length = body::stated_length(request.headers());
+    let options = body::Options { limit: MAX_BODY_BYTES, length, ..body::Options::default() };
+    body::read(&context.node.bodies, &mut payload, options).await.map_err(|error| {
+        context.node.metrics.shed(error.as_str());
+        lingering::linger(Fault::response(Kind::Invalid, &error.to_string()), payload)
+    })
+}
--- a/geraniumlatchd/src/operators/config.rs
+++ b/geraniumlatchd/src/operators/config.rs
@@ -3,7 +3,7 @@
 use gl_model::{config, id, key, time, txn};
 use gl_peer::frame;
 use gl_platform::Table as _;
-use ntex::{util, web};
+use ntex::web;
 
 use super::{Context, Fault, Kind, access};
 use crate::{clock, transaction};
@@ -53,12 +53,13 @@
 /// if the stored configuration still has the number that the request names as its basis.
 pub async fn apply(
     request: web::HttpRequest,
-    body: util::Bytes,
+    payload: web::types::Payload,
     context: web::types::State<Context>,
 ) -> web::HttpResponse {
-    if let Some(refusal) = access::refusal(&context, &request) {
-        return refusal;
-    }
+    let body = match access::read_body(&context, &request, payload).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
     let change: Change = match serde_json::from_slice(&body) {
         Ok(change) => change,
         Err(error) => return Fault::response(Kind::Invalid, &format!("{error}; correct the file")),
--- a/geraniumlatchd/src/operators/plans.rs
+++ b/geraniumlatchd/src/operators/plans.rs
@@ -4,7 +4,7 @@
 use gl_peer::frame;
 use gl_platform::Table as _;
 use gl_schedule::plan as planning;
-use ntex::{util, web};
+use ntex::web;
 
 use super::{Context, Fault, Kind, access};
 use crate::{clock, control, transaction};
@@ -126,11 +126,11 @@
 /// Makes and stores a plan for intents.
 pub async fn submit(
     request: web::HttpRequest,
-    body: util::Bytes,
+    payload: web::types::Payload,
     context: web::types::State<Context>,
 ) -> web::HttpResponse {
     let response = async {
-        authorize(&context, &request)?;
+        let body = access::read_body(&context, &request, payload).await?;
         let file: intent::File = parse_body(&body)?;
         let plan = make_plan(&context, &file).await?;
         store_plan(&context, &plan).await?;
@@ -254,11 +254,11 @@
 /// Makes and stores a plan that cancels jobs.
 pub async fn cancel(
     request: web::HttpRequest,
-    body: util::Bytes,
+    payload: web::types::Payload,
     context: web::types::State<Context>,
 ) -> web::HttpResponse {
     let response = async {
-        authorize(&context, &request)?;
+        let body = access::read_body(&context, &request, payload).await?;
         let names: Vec<id::JobId> = parse_body(&body)?;
         let plan = make_cancel_plan(&context, &names).await?;
         store_plan(&context, &plan).await?;
--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -1,7 +1,8 @@
 //! The handling of a call from its request to its response.
 
-use std::{sync, sync::atomic};
+use std::{rc, sync, sync::atomic};
 
+use gl_intake::{body, budget, connections, refusal};
 use gl_meter::counts;
 use gl_model::{call, id, time};
 use gl_route::{call as route, outcome, service};
@@ -17,6 +18,8 @@
 const CLAIM_SHARE: f64 = 0.5;
 /// The time after which a caller may retry when no claim could be stored.
 const CLAIM_RETRY_AFTER: time::Span = time::Span::seconds(2);
+/// The time after which a caller may retry when its body was not read to its end.
+const BODY_RETRY_AFTER: time::Span = time::Span::seconds(1);
 /// The time after which a caller may retry when this daemon is shutting down.
 const CLOSED_RETRY_AFTER: time::Span = time::Span::seconds(1);
 
@@ -29,6 +32,8 @@
     pub clients: attempt::Clients,
     /// The claims on idempotency keys.
     pub claims: claims::Claims,
+    /// The connections of the thread.
+    pub connections: rc::Rc<connections::Connections>,
 }
 
 /// Counts a call as in progress until it is dropped.
@@ -82,23 +87,36 @@
         Err(error) => return response::bad_request(&error.to_string()),
     };
     let limits = node.config.lock().content.limits;
-    let body = match read_body(payload, limits.body_bytes).await {
+    let mut payload = payload.into_inner();
+    let unknown = node.router.lock().refuse_unknown(&request.call);
+    if let Some(refusal) = unknown {
+        let completion = refuse(node, &outcome::History::default(), refusal, None).completion;
+        record_completion(node, &request, &completion);
+        return refusal::linger(completion.response, payload);
+    }
+    let time_left = std::time::Duration::from(request.call.deadline.since(now));
+    let options = body::Options {
+        limit: limits.body_bytes,
+        length: body::stated_length(original.headers()),
+        timeout: time_left.max(body::Options::default().timeout),
+    };
+    let body = match body::read(&node.bodies, &mut payload, options).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => return response::too_large(limits.body_bytes),
-        Err(BodyError::Truncated) => {
-            return close_connection(response::bad_request(
-                "the body was truncated; send it again",
-            ));
-        }
+        Err(error) => return refusal::linger(body_unread(node, error), payload),
     };
+    let _in_progress = context.connections.carry_out(original.io());
+    let (body, charge) = body.into_parts();
     let completion = match (&request.key, request.call.repeat) {
         (Some(key), call::Repeat::Never) => {
             let received_call =
-                ReceivedCall { original, body, limit: limits.answer_bytes, in_flight };
+                ReceivedCall { original, body, charge, limit: limits.answer_bytes, in_flight };
             forward_detached(context.get_ref().clone(), request.clone(), key.clone(), received_call)
                 .await
         }
-        _ => forward(&context, &request, &original, body, limits.answer_bytes).await.completion,
+        _ => {
+            let _charge = charge;
+            forward(&context, &request, &original, body, limits.answer_bytes).await.completion
+        }
     };
     record_completion(node, &request, &completion);
     if node.is_draining() { close_connection(completion.response) } else { completion.response }
@@ -110,27 +128,16 @@
     response
 }
 
-/// The reason why a request's body cannot be used.
-enum BodyError {
-    TooLarge,
-    Truncated,
-}
-
-/// Reads a complete request body. A truncated body is an error, so that it is never forwarded as if
-/// it were complete.
-async fn read_body(
-    mut payload: web::types::Payload,
-    limit: usize,
-) -> Result<util::Bytes, BodyError> {
-    let mut body = util::BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|_| BodyError::Truncated)?;
-        if body.len() + chunk.len() > limit {
-            return Err(BodyError::TooLarge);
+/// Returns the response to a call whose body was not read to its end.
+fn body_unread(node: &node::Node, error: body::Error) -> web::HttpResponse {
+    match error {
+        body::Error::TooLarge { limit } => response::too_large(limit),
+        body::Error::Truncated => response::bad_request(&error.to_string()),
+        body::Error::TooSlow { .. } | body::Error::Evicted(_) => {
+            node.metrics.shed(error.as_str());
+            response::not_run(&error.to_string(), BODY_RETRY_AFTER)
         }
-        body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
 }
 
 fn record_completion(node: &node::Node, request: &request::Request, completion: &Completion) {
@@ -154,6 +161,7 @@
 struct ReceivedCall {
     original: web::HttpRequest,
     body: util::Bytes,
+    charge: budget::Charge,
     limit: usize,
     in_flight: InFlight,
 }
@@ -167,9 +175,9 @@
     received_call: ReceivedCall,
 ) -> Completion {
     let task = ntex::rt::spawn(async move {
-        let ReceivedCall { original, body, limit, in_flight } = received_call;
+        let ReceivedCall { original, body, charge, limit, in_flight } = received_call;
         let completion = forward_keyed(&context, &request, &key, &original, body, limit).await;
-        drop(in_flight);
+        drop((charge, in_flight));
         completion
     });
     let failed = || {
--- a/geraniumlatchd/src/proxy/server.rs
+++ b/geraniumlatchd/src/proxy/server.rs
@@ -1,17 +1,18 @@
 //! The HTTP server for callers and operators.
 
-use std::{io, net, rc, sync};
+use std::{net, rc, sync};
 
+use gl_intake::connections;
 use gl_model::time;
-use ntex::{http, web};
+use ntex::{http, server, web};
 
 use crate::{error, node, operators, proxy};
 use proxy::{attempt, claims, handler};
 
 /// The number of server threads; the daemon runs on small VMs.
 const THREADS: usize = 2;
-/// The maximum size in bytes of a request body from an operator.
-const MAX_OPERATOR_BODY: usize = 4 << 20;
+/// The number of connections of a thread that may be accepted before others are closed for them.
+const CLOSING: usize = 4;
 /// The time for which an idle connection of a caller stays open.
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(30);
 
@@ -40,38 +41,42 @@
 pub fn start(
     node: &sync::Arc<node::Node>,
     socket: net::TcpListener,
-) -> io::Result<ntex::server::Server> {
+) -> std::io::Result<server::Server> {
     let limits = node.settings.limits;
     let shutdown_s = u16::try_from(limits.drain_ms / 1_000 + 1).unwrap_or(u16::MAX);
     let config = http::HttpServiceConfig::new()
         .set_max_headers(limits.headers)
         .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE));
+    let shared_config: ntex::SharedCfg = ntex::SharedCfg::new("geraniumlatchd").add(config).into();
+    let per_thread = limits.connections / THREADS;
     let shared = sync::Arc::clone(node);
-    let server = web::HttpServer::new(async move || {
+    let builder = server::build()
+        .workers(THREADS)
+        .maxconn(per_thread)
+        .disable_signals()
+        .shutdown_timeout(ntex::time::Seconds(shutdown_s));
+    let server = builder.listen("callers", socket, async move |config| {
+        config.config(shared_config.clone());
         let platform = rc::Rc::new(platform_client(&shared).await.unwrap_or_else(error::exit));
         let clients = attempt::Clients::new().await;
+        let connections = connections::Connections::new(per_thread.saturating_sub(CLOSING).max(1));
+        let connections = rc::Rc::new(connections);
         let call_context = clients.ok().map(|clients| handler::Context {
             node: sync::Arc::clone(&shared),
             clients,
             claims: claims::Claims::start(rc::Rc::clone(&platform) as rc::Rc<_>),
+            connections: rc::Rc::clone(&connections),
         });
         let operator_context = operators::Context { node: sync::Arc::clone(&shared), platform };
-        let mut app = web::App::new()
-            .state(operator_context)
-            .state(sync::Arc::clone(&shared))
-            .state(web::types::JsonConfig::default().limit(MAX_OPERATOR_BODY));
+        let mut app = web::App::new().state(operator_context).state(sync::Arc::clone(&shared));
         if let Some(call_context) = call_context {
             app = app.state(call_context);
         }
-        app.service(web::resource("/v1/call/{tail}*").to(handler::call))
-            .configure(operators::routes)
-    })
-    .workers(THREADS)
-    .maxconn(limits.connections / THREADS)
-    .disable_signals()
-    .shutdown_timeout(ntex::time::Seconds(shutdown_s))
-    .config(ntex::SharedCfg::new("geraniumlatchd").add(config))
-    .listen(socket)?
-    .run();
-    Ok(server)
+        let app = app
+            .service(web::resource("/v1/call/{tail}*").to(handler::call))
+            .configure(operators::routes);
+        let service = http::HttpService::new(app);
+        connections::Limited::new(service, connections)
+    })?;
+    Ok(server.run())
 }
--- a/gl-config/src/daemon.rs
+++ b/gl-config/src/daemon.rs
@@ -58,6 +58,8 @@
 pub struct Limits {
     /// The most concurrent connections, from 16 to 65536.
     pub connections: usize,
+    /// The memory that the process may use, in megabytes, from 64 to 1048576.
+    pub memory_mb: usize,
     /// The most headers of a request, from 16 to 256.
     pub headers: usize,
     /// The time for which new calls are still accepted after a stop request, so that the load
@@ -73,6 +75,7 @@
     fn default() -> Self {
         Self {
             connections: 8_192,
+            memory_mb: 160,
             headers: 64,
             notice_ms: 3_000,
             drain_ms: 30_000,
@@ -169,6 +172,9 @@
     if settings.operator_key.len() < MIN_KEY_BYTES {
         return fault("operator-key", "is too short", "give a random key of 16 characters or more");
     }
+    if !(64..=1_048_576).contains(&limits.memory_mb) {
+        return fault("limits.memory-mb", "is out of range", "give a number from 64 to 1048576");
+    }
     if !(16..=65_536).contains(&limits.connections) {
         return fault("limits.connections", "is out of range", "give a number from 16 to 65536");
     }
--- a/gl-intake/src/budget.rs
+++ b/gl-intake/src/budget.rs
@@ -188,8 +188,7 @@
     /// If the body was given up.
     pub fn finish(self) -> Result<Complete, Evicted> {
         let body = self.budget.state.lock().open.remove(&self.number).ok_or(Evicted)?;
-        let charge =
-            Charge { bytes: body.data.capacity(), budget: sync::Arc::clone(&self.budget) };
+        let charge = Charge { bytes: body.data.capacity(), budget: sync::Arc::clone(&self.budget) };
         Ok(Complete { data: body.data, charge })
     }
 }
--- a/gl-route/src/router.rs
+++ b/gl-route/src/router.rs
@@ -147,6 +147,16 @@
         }
     }
 
+    /// Returns the refusal of a call if no service has its name.
+    pub fn refuse_unknown(&self, call: &call::Call) -> Option<call::Refusal> {
+        match no_service() {
+            call::Decision::Refuse(refusal) if !self.services.contains(&call.service) => {
+                Some(refusal)
+            }
+            _ => None,
+        }
+    }
+
     /// Decides about a call whose last attempt failed, after attempts at the backend servers of
     /// `tried`.
     pub fn retry(
