fix: bound the heads of calls and the buffers of the proxy's connections

Cause: as at the ingress of jobs, the HTTP library reads heads of 64 KB into buffers that it doubles.

Change: a head has 16 KiB at most; a larger one gets 431 with the remedy. Read buffers begin with 8 KiB and response pages have 4 KiB.

--- a/geraniumlatchd/src/proxy/server.rs
+++ b/geraniumlatchd/src/proxy/server.rs
@@ -2,15 +2,23 @@
 
 use std::{net, rc, sync};
 
-use gl_intake::connections;
+use gl_intake::{connections, head};
 use gl_model::time;
-use ntex::{http, server, web};
+use ntex::{http, io, server, util, web};
 
 use crate::{error, node, operators, proxy};
 use proxy::{attempt, claims, handler};
 
 /// The number of server threads; the daemon runs on small VMs.
 const THREADS: usize = 2;
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// The size of a connection's read buffer, in bytes.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+/// The space that a read needs, in bytes.
+const MIN_READ_BYTES: usize = 1 << 10;
+/// The number of unused buffers that are kept.
+const CACHED_BUFFERS: usize = 16;
 /// The number of connections of a thread that may be accepted before others are closed for them.
 const CLOSING: usize = 4;
 /// The time for which an idle connection of a caller stays open.
@@ -46,8 +54,13 @@
     let shutdown_s = u16::try_from(limits.drain_ms / 1_000 + 1).unwrap_or(u16::MAX);
     let config = http::HttpServiceConfig::new()
         .set_max_headers(limits.headers)
+        .set_max_buf_size(MAX_HEAD_BYTES)
         .set_keepalive(http::KeepAlive::Timeout(KEEP_ALIVE));
-    let shared_config: ntex::SharedCfg = ntex::SharedCfg::new("geraniumlatchd").add(config).into();
+    let buffers = io::IoConfig::new()
+        .set_read_buf(READ_BUFFER_BYTES, MIN_READ_BYTES, CACHED_BUFFERS)
+        .set_write_page_size(util::BytePageSize::Size4);
+    let shared_config: ntex::SharedCfg =
+        ntex::SharedCfg::new("geraniumlatchd").add(config).add(buffers).into();
     let per_thread = limits.connections / THREADS;
     let shared = sync::Arc::clone(node);
     let builder = server::build()
@@ -75,7 +88,7 @@
         let app = app
             .service(web::resource("/v1/call/{tail}*").to(handler::call))
             .configure(operators::routes);
-        let service = http::HttpService::new(app);
+        let service = http::HttpService::new(app).h1_control(head::control);
         connections::Limited::new(service, connections)
     })?;
     Ok(server.run())
