fix: bound the messages between daemons that are arriving

Cause: each connection may keep one unfinished message of the largest size, and the number of connections was not limited.

--- a/gl-intake/src/budget.rs
+++ b/gl-intake/src/budget.rs
@@ -76,14 +76,23 @@
 #[derive(Debug, Default)]
 struct OpenBody {
     data: Vec<u8>,
+    /// Bytes that are kept elsewhere.
+    held: usize,
     eviction: sync::Arc<Notify>,
 }
 
+impl OpenBody {
+    /// Returns the memory of the body, in bytes.
+    const fn size(&self) -> usize {
+        self.data.capacity() + self.held
+    }
+}
+
 impl State {
     /// Gives a body up, and releases its memory at once.
     fn evict(&mut self, number: u64) {
         if let Some(body) = self.open.remove(&number) {
-            self.used -= body.data.capacity();
+            self.used -= body.size();
             self.evicted += 1;
             body.eviction.notify_one();
         }
@@ -92,13 +101,35 @@
     /// Returns the oldest body that may be given up for the body `number`: large ones first, and small
     /// ones only if that body is small too.
     fn victim(&self, number: u64, small: usize, is_small: bool) -> Option<u64> {
-        let others = || self.open.iter().filter(|(n, b)| **n != number && b.data.capacity() > 0);
-        let large = others().find(|(_, body)| body.data.capacity() > small);
+        let others = || self.open.iter().filter(|(n, body)| **n != number && body.size() > 0);
+        let large = others().find(|(_, body)| body.size() > small);
         let oldest = large.or_else(|| others().next().filter(|_| is_small));
         oldest.map(|(number, _)| *number)
     }
 }
 
+impl State {
+    /// Gives up bodies until the body `number` may grow by `bytes` bytes.
+    ///
+    /// # Errors
+    ///
+    /// If no other body can be given up; then that body is.
+    fn make_room(&mut self, settings: Settings, number: u64, bytes: usize) -> Result<(), Evicted> {
+        let size = self.open.get(&number).ok_or(Evicted)?.size();
+        let is_small = size + bytes <= settings.small;
+        while !settings.fits(size + bytes, self.used + bytes) && self.used > size {
+            match self.victim(number, settings.small, is_small) {
+                Some(victim) => self.evict(victim),
+                None => {
+                    self.evict(number);
+                    return Err(Evicted);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Budget {
     /// Creates a budget without bodies.
     pub fn new(settings: Settings) -> Self {
@@ -111,7 +142,7 @@
         let mut state = self.state.lock();
         let number = state.next;
         state.next += 1;
-        let body = OpenBody { data: Vec::new(), eviction: sync::Arc::clone(&eviction) };
+        let body = OpenBody { eviction: sync::Arc::clone(&eviction), ..OpenBody::default() };
         state.open.insert(number, body);
         Body { budget: sync::Arc::clone(self), number, eviction }
     }
@@ -148,16 +179,7 @@
         let (length, capacity) = (body.data.len() + part.len(), body.data.capacity());
         let wanted =
             if length > capacity { (2 * capacity).min(expected).max(length) } else { capacity };
-        let is_small = wanted <= settings.small;
-        while !settings.fits(wanted, state.used + (wanted - capacity)) && state.used > capacity {
-            match state.victim(self.number, settings.small, is_small) {
-                Some(victim) => state.evict(victim),
-                None => {
-                    state.evict(self.number);
-                    return Err(Evicted);
-                }
-            }
-        }
+        state.make_room(settings, self.number, wanted - capacity)?;
         let body = state.open.get_mut(&self.number).ok_or(Evicted)?;
         body.data.reserve_exact(wanted - body.data.len());
         body.data.extend_from_slice(part);
@@ -166,6 +188,30 @@
         Ok(())
     }
 
+    /// Counts bytes of the body that are kept elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// As [`Body::push()`] does.
+    pub fn hold(&self, bytes: usize) -> Result<(), Evicted> {
+        let mut state = self.budget.state.lock();
+        state.make_room(self.budget.settings, self.number, bytes)?;
+        let body = state.open.get_mut(&self.number).ok_or(Evicted)?;
+        body.held += bytes;
+        state.used += bytes;
+        Ok(())
+    }
+
+    /// Ends the count of the bytes that are kept elsewhere. The body counts as the newest from now on.
+    pub fn release(&mut self) {
+        let mut state = self.budget.state.lock();
+        let Some(mut body) = state.open.remove(&self.number) else { return };
+        state.used -= std::mem::take(&mut body.held);
+        self.number = state.next;
+        state.next += 1;
+        state.open.insert(self.number, body);
+    }
+
     /// Returns the number of bytes so far.
     pub fn len(&self) -> usize {
         self.budget.state.lock().open.get(&self.number).map_or(0, |body| body.data.len())
@@ -181,6 +227,11 @@
         self.eviction.notified().await;
     }
 
+    /// Returns what is notified when the body is given up.
+    pub fn eviction(&self) -> sync::Arc<Notify> {
+        sync::Arc::clone(&self.eviction)
+    }
+
     /// Returns the complete body, which cannot be given up any more.
     ///
     /// # Errors
@@ -197,7 +248,7 @@
     fn drop(&mut self) {
         let mut state = self.budget.state.lock();
         if let Some(body) = state.open.remove(&self.number) {
-            state.used -= body.data.capacity();
+            state.used -= body.size();
         }
     }
 }
--- a/gl-peer/src/lib.rs
+++ b/gl-peer/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 pub mod frame;
 pub mod mesh;
+mod metered;
 mod receiver;
 pub mod rpc;
 mod sender;
--- a/gl-peer/src/rpc.rs
+++ b/gl-peer/src/rpc.rs
@@ -4,14 +4,15 @@
 //! unanswered, because a connection can remain open although no messages arrive on it any
 //! more. The server closes idle connections.
 
-use std::{cell, collections, net, pin, rc, time};
+use std::{cell, collections, net, pin, rc, sync, time};
 
 use futures_util::{SinkExt as _, StreamExt as _, stream};
+use gl_intake::budget;
 use serde::de;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_tungstenite::tungstenite;
 
-use crate::error;
+use crate::{error, metered};
 
 /// The wait before the next attempt to connect to a peer, or to accept a connection.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -34,6 +35,12 @@
 /// The largest message that is accepted, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
+/// The memory for messages that are arriving on all connections of a server, in bytes. If it is short, the
+/// connection whose message began first is closed; a message that is alone may be larger.
+const ARRIVING_BYTES: usize = 8 << 20;
+/// The most connections that a server keeps. Further ones wait.
+const MAX_CONNECTIONS: usize = 512;
+
 /// A message with the number that matches a response to its request.
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Envelope<M> {
@@ -296,14 +303,23 @@
     let to_error = |e: std::io::Error| error::Error::Listen { address, detail: e.to_string() };
     socket.set_nonblocking(true).map_err(to_error)?;
     let socket = tokio::net::TcpListener::from_std(socket).map_err(to_error)?;
+    let arriving = budget::Settings::with_limit(ARRIVING_BYTES);
+    let budget = sync::Arc::new(budget::Budget::new(arriving));
+    let places = sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
     tokio::task::spawn_local(async move {
         loop {
+            let place = sync::Arc::clone(&places).acquire_owned().await;
             match socket.accept().await {
                 Ok((stream, _)) => {
-                    tokio::task::spawn_local(handle_connection::<T>(
-                        stream,
-                        rc::Rc::clone(&handler),
-                    ));
+                    let arriving = metered::Arriving::new(&budget);
+                    let handler = rc::Rc::clone(&handler);
+                    tokio::task::spawn_local(async move {
+                        let _place = place;
+                        tokio::select! {
+                            () = handle_connection::<T>(stream, &arriving, handler) => {}
+                            () = arriving.evicted() => {}
+                        }
+                    });
                 }
                 // Out of file descriptors: other files have to be closed first.
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
@@ -313,7 +329,12 @@
     Ok(())
 }
 
-async fn handle_connection<T: Protocol>(stream: tokio::net::TcpStream, handler: Handler<T>) {
+async fn handle_connection<T: Protocol>(
+    stream: tokio::net::TcpStream,
+    arriving: &sync::Arc<metered::Arriving>,
+    handler: Handler<T>,
+) {
+    let stream = metered::Metered::new(stream, sync::Arc::clone(arriving));
     let accepted = tokio_tungstenite::accept_async_with_config(stream, Some(limits()));
     let Ok(Ok(mut socket)) = tokio::time::timeout(SEND_TIMEOUT, accepted).await else {
         return;
@@ -325,6 +346,7 @@
                 if in_progress.len() < MAX_CONCURRENT =>
             {
                 let Ok(Some(Ok(message))) = message else { return };
+                arriving.complete();
                 let tungstenite::Message::Binary(bytes) = message else { continue };
                 // A request of a newer version that this one cannot decode gets no response.
                 let Ok(request) = decode::<T::Request>(&bytes) else { continue };
