fix: bound the responses that callers leave unread

Cause: a response was collected whole and passed to the connection's write buffer at once, where it stayed for as long as the caller kept the connection.

Those of more than 8 KiB are passed to the connection in parts, as far as the caller reads them; after 30 s the connection is closed. A call whose response does not fit has an unknown outcome, as if the backend server had broken it off.

--- a/geraniumlatchd/src/proxy/attempt.rs
+++ b/geraniumlatchd/src/proxy/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::sync;
 
+use gl_intake::{body, budget};
 use gl_model::{call, time};
 use gl_route::{call as route, outcome};
 use ntex::{client, http, util};
@@ -36,6 +37,8 @@
 pub struct Clients {
     pooled: client::Client,
     unpooled: client::Client,
+    /// The memory for the bodies of responses.
+    answers: sync::Arc<budget::Budget>,
 }
 
 impl Clients {
@@ -44,8 +47,10 @@
     /// # Errors
     ///
     /// Returns an error if the HTTP library refuses its settings.
-    pub async fn new() -> Result<Self, client::error::ClientBuilderError> {
-        Ok(Self { pooled: build_client().await?, unpooled: build_client().await? })
+    pub async fn new(
+        answers: sync::Arc<budget::Budget>,
+    ) -> Result<Self, client::error::ClientBuilderError> {
+        Ok(Self { pooled: build_client().await?, unpooled: build_client().await?, answers })
     }
 }
 
@@ -70,6 +75,8 @@
     pub headers: Vec<(http::header::HeaderName, http::header::HeaderValue)>,
     /// The body.
     pub body: util::Bytes,
+    /// Counts the body in the budget.
+    pub charge: sync::Arc<budget::Charge>,
 }
 
 /// The result of an attempt.
@@ -162,9 +169,14 @@
     let is_for_call = header(&response, call::CALL) == Some(request.call.id.as_str());
     let status = response.status();
     let headers = forwarded_headers(&response);
-    let Ok(body) = response.body().limit(limit).await else {
+    let length = body::stated_length(response.headers());
+    let timeout = std::time::Duration::from(request.call.deadline.since(started));
+    let mut payload = http::Payload::from_stream(response);
+    let options = body::Options { limit, length, timeout };
+    let Ok(body) = body::read(&clients.answers, &mut payload, options).await else {
         return Finished::without_response(outcome::AttemptOutcome::Interrupted);
     };
+    let (body, charge) = body.into_parts();
     if is_refused {
         return Finished::without_response(outcome::AttemptOutcome::Refused { load });
     }
@@ -177,7 +189,10 @@
         load,
         is_server_error: status.is_server_error(),
     };
-    Finished { outcome, response: Some(Response { status, headers, body }) }
+    Finished {
+        outcome,
+        response: Some(Response { status, headers, body, charge: sync::Arc::new(charge) }),
+    }
 }
 
 fn header<'a>(response: &'a client::ClientResponse, name: &str) -> Option<&'a str> {
--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -6,14 +6,16 @@
 use gl_meter::counts;
 use gl_model::{call, id, time};
 use gl_route::{call as route, outcome, service};
-use ntex::{http, util, web};
+use ntex::{http, io, util, web};
 
 use crate::{clock, node, proxy};
-use proxy::{attempt, claims, queue, request, response};
+use proxy::{answer, attempt, claims, queue, request, response};
 
 /// The size in bytes up to which the response to an unrepeatable call is stored for the caller's
 /// retries.
 const MAX_STORED_BYTES: usize = 64 << 10;
+/// The size in bytes up to which a response is passed to its connection at once.
+const MAX_SENT_AT_ONCE: usize = 8 << 10;
 /// The share of a call's time that storing its claim may take.
 const CLAIM_SHARE: f64 = 0.5;
 /// The time after which a caller may retry when no claim could be stored.
@@ -297,7 +299,7 @@
         match history.next_step(finished.outcome, request.call.repeat) {
             outcome::NextStep::Forward
                 if is_retryable && has_other_backend(node, request, &assignment) => {}
-            outcome::NextStep::Forward => return complete(finished, last_vm),
+            outcome::NextStep::Forward => return complete(finished, last_vm, original.io()),
             outcome::NextStep::Stop(outcome) => {
                 let mut forwarded =
                     Forwarded::local(response::unknown(cause(finished.outcome)), outcome);
@@ -362,7 +364,11 @@
     forwarded
 }
 
-fn complete(finished: attempt::Finished, vm: Option<id::VmId>) -> Forwarded {
+fn complete(
+    finished: attempt::Finished,
+    vm: Option<id::VmId>,
+    connection: Option<&io::IoRef>,
+) -> Forwarded {
     let server_time = attempt::latency(&finished.outcome);
     let Some(backend_response) = finished.response else {
         return Forwarded::local(response::unknown("no answer"), call::Outcome::Unknown);
@@ -372,7 +378,14 @@
         response.header(name.clone(), value.clone());
     }
     response.header(call::OUTCOME, call::Outcome::Complete.as_str());
-    let response = response.body(backend_response.body.clone());
+    let body = backend_response.body.clone();
+    let response = if body.len() > MAX_SENT_AT_ONCE {
+        let charge = sync::Arc::clone(&backend_response.charge);
+        let sending = answer::Sending::start(body, charge, connection);
+        response.message_body(http::body::Body::from_message(sending))
+    } else {
+        response.body(body)
+    };
     let completion = Completion { response, outcome: call::Outcome::Complete, server_time, vm };
     Forwarded { completion, backend_response: Some(backend_response) }
 }
--- a/geraniumlatchd/src/proxy/mod.rs
+++ b/geraniumlatchd/src/proxy/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards calls from callers to backend servers.
 
+mod answer;
 pub mod attempt;
 pub mod claims;
 pub mod handler;
--- a/geraniumlatchd/src/proxy/server.rs
+++ b/geraniumlatchd/src/proxy/server.rs
@@ -71,7 +71,7 @@
     let server = builder.listen("callers", socket, async move |config| {
         config.config(shared_config.clone());
         let platform = rc::Rc::new(platform_client(&shared).await.unwrap_or_else(error::exit));
-        let clients = attempt::Clients::new().await;
+        let clients = attempt::Clients::new(sync::Arc::clone(&shared.answers)).await;
         let connections = connections::Connections::new(per_thread.saturating_sub(CLOSING).max(1));
         let connections = rc::Rc::new(connections);
         let call_context = clients.ok().map(|clients| handler::Context {
--- a/gl-standin/src/worker.rs
+++ b/gl-standin/src/worker.rs
@@ -275,6 +275,9 @@
     /// The execution time of the call, in milliseconds.
     #[serde(default)]
     work_ms: u64,
+    /// The length of the response's body, in bytes; the body of the call is returned if it is zero.
+    #[serde(default)]
+    answer_bytes: usize,
 }
 
 /// Counts a call as in flight at its task until it is dropped.
@@ -359,6 +362,7 @@
     if is_mixed_up {
         return response.body("another call's answer");
     }
+    let body = if work.answer_bytes > 0 { vec![b'x'; work.answer_bytes].into() } else { body };
     response.content_type("text/plain").body(body)
 }
 
--- a/gl-standin/tests/crowd/proxy.rs
+++ b/gl-standin/tests/crowd/proxy.rs
@@ -110,3 +110,17 @@
     check_daemon(&mut cluster).await;
     drop(crowd);
 }
+
+#[ntex::test]
+async fn large_responses_that_are_not_read() {
+    let _alone = run_alone().await;
+    let mut cluster = start().await;
+    let path = "/v1/call/booking/echo?work_ms=1&answer_bytes=8000000";
+    let message = crowd::whole_request(path, "small");
+    let address = cluster.daemons[0].address();
+    let settings = crowd::Settings { is_deaf: true, ..crowd::Settings::default() };
+    let crowd = crowd::Crowd::start_with(address, vec![message; 60], settings).await;
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    check_daemon(&mut cluster).await;
+    drop(crowd);
+}
