fix: bound the images whose interference is told apart

Callers saw: nothing yet (by reading). A legal job may have 200 phases with an image each, and the owner keeps an entry for each pair of images whose tasks it has placed: 25 such jobs are 25 million pairs, 600 MB, and every window of a worker takes time that grows with them.

Cause: images are never forgotten, and nothing limits their number.

Change: 512 images are told apart, which is 6 MB; all further ones share one estimate.

Evidence: a new test (gl-jobs interference::images_beyond_the_limit_share_one_estimate) failed with 2,000 images before.

--- a/gl-jobs/src/owner/colocation/interference.rs
+++ b/gl-jobs/src/owner/colocation/interference.rs
@@ -15,6 +15,11 @@
 
 use crate::record;
 
+/// The most images that are told apart, as the model has an entry for each pair of them.
+const MAX_IMAGES: usize = 512;
+/// The name that stands for all further images. No phase has an image with an empty name.
+const OTHER_IMAGES: &str = "";
+
 /// The index of an image, in the order in which images were first used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ImageId(usize);
@@ -176,8 +181,13 @@
 }
 
 impl InterferenceModel {
-    /// Returns the identifier of an image, and adds the image if it is unknown.
+    /// Returns the identifier of an image, and adds the image if it is unknown. If there are too many, all
+    /// further ones share an identifier.
     pub fn intern(&mut self, name: &str) -> ImageId {
+        if let Some(image) = self.images.get(name) {
+            return *image;
+        }
+        let name = if self.images.len() < MAX_IMAGES - 1 { name } else { OTHER_IMAGES };
         if let Some(image) = self.images.get(name) {
             return *image;
         }
--- a/gl-jobs/tests/jobs/interference.rs
+++ b/gl-jobs/tests/jobs/interference.rs
@@ -114,3 +114,15 @@
         assert!((of(&model) - of(&later)).abs() < 1e-9, "{best_effort}");
     }
 }
+
+/// Guards against clients whose jobs name ever new images: the model grows with the square of their
+/// number.
+#[test]
+fn images_beyond_the_limit_share_one_estimate() {
+    let mut model = InterferenceModel::default();
+    let images: std::collections::BTreeSet<_> =
+        (0..2_000).map(|n| model.intern(&format!("image-{n}"))).collect();
+    assert!(images.len() <= 512, "{} images", images.len());
+    assert_eq!(model.intern("image-1999"), model.intern("another"));
+    assert_ne!(model.intern("image-0"), model.intern("image-1"));
+}
