--- a/geraniumlatchd/src/jobs/api.rs
+++ b/geraniumlatchd/src/jobs/api.rs
@@ -73,7 +73,11 @@
             _ => return submission::Outcome::Refused(submission::Cause::StoreUnavailable),
         };
         if !lease::has_live_owner(&self.node, clock::steady()) {
-            return submission::Outcome::Refused(submission::Cause::StoreUnavailable);
+            return if is_store_up {
+                submission::Outcome::Unsettled(submission::Cause::OwnerUnresponsive)
+            } else {
+                submission::Outcome::Refused(submission::Cause::StoreUnavailable)
+            };
         }
         let request = mesh::Request::Store { id, job: Box::new(job.clone()) };
         match followed.connection.request(request, OWNER_STORE_TIMEOUT).await {
