fix: bound what the HTTP library reads ahead of a body's budget

In calm it had 56 MB.

Cause: until the handler of a request runs again, the HTTP library reads 32 KB of its body ahead, which no budget counts; a thousand connections had most of that while the daemon got little processor time.

A new test of gl-intake (body::little_is_read_ahead_of_a_request_that_waits) failed without the change.

--- a/geraniumlatchd/src/operators/access.rs
+++ b/geraniumlatchd/src/operators/access.rs
@@ -33,6 +33,7 @@
     payload: web::types::Payload,
 ) -> Result<budget::Complete, web::HttpResponse> {
     let mut payload = payload.into_inner();
+    body::limit_read_ahead(&payload);
     if let Some(refusal) = refusal(context, request) {
         return Err(lingering::linger(refusal, payload));
     }
--- a/geraniumlatchd/src/proxy/handler.rs
+++ b/geraniumlatchd/src/proxy/handler.rs
@@ -90,6 +90,7 @@
     };
     let limits = node.config.lock().content.limits;
     let mut payload = payload.into_inner();
+    body::limit_read_ahead(&payload);
     let unknown = node.router.lock().refuse_unknown(&request.call);
     if let Some(refusal) = unknown {
         let completion = refuse(node, &outcome::History::default(), refusal, None).completion;
--- a/gl-intake/src/body.rs
+++ b/gl-intake/src/body.rs
@@ -63,6 +63,17 @@
     headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
+/// The bytes of a body that the HTTP library may read ahead of [`read()`].
+const READ_AHEAD_BYTES: usize = 4 << 10;
+
+/// Bounds what the HTTP library reads ahead of [`read()`], which no budget counts. To be called as soon as
+/// the head of the request is known.
+pub fn limit_read_ahead(payload: &http::Payload) {
+    if let http::Payload::H1(payload) = payload {
+        payload.max_buffer_size(READ_AHEAD_BYTES);
+    }
+}
+
 /// Reads a complete body.
 ///
 /// # Errors
--- a/gl-intake/tests/intake/body.rs
+++ b/gl-intake/tests/intake/body.rs
@@ -1,13 +1,16 @@
 //! The reading of bodies.
 
-use std::{sync, time};
+use std::{sync, task, time};
 
 use assert_matches::assert_matches;
 use gl_intake::{
-    body::{Error, Options, read},
+    body::{Error, Options, limit_read_ahead, read},
     budget::Budget,
 };
-use ntex::{channel::mpsc, http, util};
+use ntex::{
+    channel::{bstream, mpsc},
+    http, util,
+};
 
 /// Returns a payload whose end does not arrive, and what keeps it open.
 fn unfinished(
@@ -57,3 +60,15 @@
     assert_matches!(read(&budget, &mut payload, options).await, Err(Error::TooSlow { .. }));
     assert_eq!(budget.used(), 0);
 }
+
+/// What the HTTP library reads ahead counts in no budget: with a thousand connections, 32 KB each.
+#[ntex::test]
+async fn little_is_read_ahead_of_a_request_that_waits() {
+    let (sender, receiver) = bstream::channel();
+    let payload = http::Payload::H1(receiver);
+    limit_read_ahead(&payload);
+    sender.feed_data(util::Bytes::from(vec![0; 5_000]));
+    let is_full =
+        std::future::poll_fn(|context| task::Poll::Ready(sender.poll_ready(context).is_pending()));
+    assert!(is_full.await, "the library must wait until the body is read");
+}
