fix: carry out pipelined requests to the proxy in turn with all other work

Callers saw: no answer to an ordinary call within 20 s, while 200 callers sent 2,000 requests for the metrics each without a wait for the responses.

Cause: as at the ingress of jobs, the HTTP library carries out all requests that have arrived on a connection in a row, as long as no handler waits.

Change: a request without a body that more bytes follow waits for its turn, one for all connections of a thread, before it is handled. Those with a body wait for it.

`--hosted` is not changed.

--- a/geraniumlatchd/src/proxy/server.rs
+++ b/geraniumlatchd/src/proxy/server.rs
@@ -88,7 +88,7 @@
         let app = app
             .service(web::resource("/v1/call/{tail}*").to(handler::call))
             .configure(operators::routes);
-        let service = http::HttpService::new(app).h1_control(head::control);
+        let service = http::HttpService::new(app).h1_control(head::control_in_turn);
         connections::Limited::new(service, connections)
     })?;
     Ok(server.run())
--- a/gl-intake/src/head.rs
+++ b/gl-intake/src/head.rs
@@ -1,6 +1,6 @@
-//! The response to a request whose head cannot be read.
+//! What happens to a request once its head is read, or cannot be.
 
-use std::io;
+use std::{io, rc};
 
 use ntex::{
     http::{self, error, h1},
@@ -32,3 +32,40 @@
         message => Ok(message.ack()),
     }
 }
+
+thread_local! {
+    /// The turn of a request without a body that more bytes follow.
+    static TURNS: rc::Rc<tokio::sync::Semaphore> = rc::Rc::new(tokio::sync::Semaphore::new(1));
+}
+
+/// Does as [`control()`] does, and lets a request without a body wait for its turn if more bytes have
+/// arrived on its connection. The HTTP library carries out all requests that have arrived on a connection
+/// in a row, as long as none of them waits. Those with a body wait for it.
+///
+/// # Errors
+///
+/// None, as for [`control()`].
+pub async fn control_in_turn<F, E>(
+    message: h1::Control<F, E>,
+) -> Result<h1::ControlAck<F>, io::Error>
+where
+    F: connection::Filter,
+    E: http::ResponseError,
+{
+    if let h1::Control::Request(request) = &message
+        && is_followed(request.get_ref())
+    {
+        let turns = TURNS.with(rc::Rc::clone);
+        let _turn = turns.acquire().await;
+        tokio::task::yield_now().await;
+    }
+    control(message).await
+}
+
+/// Returns whether more bytes have arrived after a request without a body.
+fn is_followed(request: &http::Request) -> bool {
+    let has_body = request.headers().contains_key(http::header::CONTENT_LENGTH)
+        || request.headers().contains_key(http::header::TRANSFER_ENCODING);
+    let has_more = |io: &connection::IoRef| io.with_read_buf(|buffer| !buffer.is_empty());
+    !has_body && request.io().is_some_and(has_more)
+}
--- a/gl-standin/tests/crowd/proxy.rs
+++ b/gl-standin/tests/crowd/proxy.rs
@@ -124,3 +124,10 @@
     check_daemon(&mut cluster).await;
     drop(crowd);
 }
+
+/// The metrics are rendered anew for each request, which takes long.
+#[ntex::test]
+async fn pipelined_requests_for_the_metrics() {
+    let message = crowd::pipelined_requests("/metrics", 2_000);
+    check_crowd(vec![message; 200]).await;
+}
