--- /dev/null
+++ b/review/standin-3/plant.rs
@@ -0,0 +1,387 @@
+//! A small deployment on loopback: a store, workers and daemons, with the record of what happened.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http,
+    json::{self, n, obj, s, Json},
+    store::Store,
+    unix_ms,
+};
+
+pub const SERVICE: &str = "audition-desk";
+pub const HOST: &str = "desk.example";
+pub const PREFIX: &str = "/panel/";
+
+/// What workers have said, in the order in which it was read: time, worker, words.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub at: u64,
+    pub worker: String,
+    pub words: Vec<String>,
+}
+
+#[derive(Clone)]
+pub struct Record {
+    file: Arc<Mutex<fs::File>>,
+    lines: Arc<Mutex<Vec<Line>>>,
+}
+
+impl Record {
+    pub fn note(&self, text: &str) {
+        let _ = writeln!(self.file.lock().unwrap(), "{} {text}", unix_ms());
+    }
+
+    fn heard(&self, worker: &str, text: &str) {
+        let _ = writeln!(self.file.lock().unwrap(), "{text} ({worker})");
+        let mut words = text.split(' ').map(str::to_owned);
+        let at = words.next().and_then(|at| at.parse().ok()).unwrap_or(0);
+        let line = Line { at, worker: worker.to_owned(), words: words.collect() };
+        self.lines.lock().unwrap().push(line);
+    }
+
+    pub fn lines(&self) -> Vec<Line> {
+        self.lines.lock().unwrap().clone()
+    }
+}
+
+pub struct WorkerProcess {
+    pub id: String,
+    pub machine: usize,
+    pub child: Child,
+    pub ended: Option<u64>,
+}
+
+pub struct Daemon {
+    pub name: String,
+    pub clients: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    pub child: Child,
+}
+
+pub struct Plant {
+    pub store: Arc<Store>,
+    pub address: SocketAddr,
+    pub workers: Vec<WorkerProcess>,
+    pub daemons: Vec<Daemon>,
+    pub record: Record,
+    dir: PathBuf,
+    lives: usize,
+}
+
+/// A run of a task, as the workers have said.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub task: String,
+    pub attempt: u64,
+    pub worker: String,
+    pub from: u64,
+    /// When it ended; `None` if it has not, or its worker was killed.
+    pub to: Option<u64>,
+    pub how: String,
+}
+
+/// Returns the first of several free ports in a row, below those that outgoing connections get.
+fn free_ports(count: u16) -> Option<u16> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = (std::process::id() % 400) as u16 * 40;
+    for _ in 0..2_000 {
+        let port = 12_000 + (first + NEXT.fetch_add(count, Ordering::Relaxed)) % 18_000;
+        let is_free = |n: u16| TcpListener::bind(("127.0.0.1", n)).is_ok();
+        if (0..count).all(|i| is_free(port + i)) {
+            return Some(port);
+        }
+    }
+    None
+}
+
+fn local(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+impl Plant {
+    /// Starts a store, workers and daemons, and waits until all are ready.
+    pub fn start(folder: &Path, workers: usize, daemons: usize, cpu: u64) -> Option<Self> {
+        let dir = std::env::temp_dir().join(format!("standin-3-{}", std::process::id()));
+        fs::create_dir_all(&dir).ok()?;
+        let file = fs::File::create(folder.join("record.txt")).ok()?;
+        let record = Record { file: Arc::new(Mutex::new(file)), lines: Arc::default() };
+        let store = Store::new();
+        let listener = TcpListener::bind("127.0.0.1:0").ok()?;
+        let address = listener.local_addr().ok()?;
+        store.serve(listener);
+        let route = obj(vec![
+            ("Name", s("panel-sched")),
+            ("Host", s(HOST)),
+            ("PathPrefix", s(PREFIX)),
+            ("Kind", s("non_idempotent")),
+            ("TimeoutMs", n(3_000)),
+            ("TargetLatencyMs", n(1_000)),
+            ("Priority", n(2)),
+            ("Service", s(SERVICE)),
+            ("MaxAttempts", n(4)),
+            ("SlackFactor", Json::Num(1.5)),
+        ]);
+        let service = obj(vec![("Name", s(SERVICE)), ("EnforcesCapacity", Json::Bool(false))]);
+        let config = obj(vec![
+            ("Version", n(3)),
+            ("Routes", Json::Arr(vec![route])),
+            ("Services", Json::Arr(vec![service])),
+            ("Limits", obj(vec![("MaxBodyBytes", n(262_144))])),
+        ]);
+        store.write("op", "config", Some(&config.to_string()));
+        let (workers_vec, daemons_vec) = (Vec::new(), Vec::new());
+        let mut plant =
+            Self { store, address, workers: workers_vec, daemons: daemons_vec, record, dir, lives: 0 };
+        for machine in 0..workers {
+            plant.start_worker(machine, cpu)?;
+        }
+        for number in 0..daemons {
+            plant.start_daemon(number)?;
+        }
+        let until = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < until {
+            let is_ready = |d: &Daemon| {
+                let timeout = Duration::from_millis(500);
+                let reply = http::send(d.ready, "GET", "/readyz", "ready", "", timeout);
+                reply.is_some_and(|(status, _)| status == 200)
+            };
+            if plant.daemons.iter().all(is_ready) {
+                // Traffic starts some seconds after the machines do.
+                thread::sleep(Duration::from_secs(5));
+                return Some(plant);
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        None
+    }
+
+    pub fn machine_name(machine: usize) -> String {
+        format!("machine-{machine}")
+    }
+
+    /// Starts a worker on a machine, with a name of its own.
+    pub fn start_worker(&mut self, machine: usize, cpu: u64) -> Option<()> {
+        self.lives += 1;
+        let id = format!("w{machine}-{}", self.lives);
+        let zone = format!("th-central-{}", ['a', 'b', 'c'][machine % 3]);
+        let mut child = Command::new(std::env::current_exe().ok()?)
+            .args(["worker", &self.address.to_string(), &id, &Self::machine_name(machine)])
+            .args([format!("r{}", machine / 8), zone, SERVICE.to_owned(), cpu.to_string()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .ok()?;
+        let (record, name) = (self.record.clone(), id.clone());
+        let lines = BufReader::new(child.stdout.take()?).lines();
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| record.heard(&name, &line)));
+        self.record.note(&format!("worker {id} started on {}", Self::machine_name(machine)));
+        self.workers.push(WorkerProcess { id, machine, child, ended: None });
+        Some(())
+    }
+
+    /// Kills a worker. Its entry goes after three ping intervals, as if it had been silent.
+    pub fn kill_worker(&mut self, id: &str) -> Option<usize> {
+        let runs = self.runs().into_iter();
+        let lost: Vec<Run> = runs.filter(|run| run.worker == id && run.to.is_none()).collect();
+        let worker = self.workers.iter_mut().find(|w| w.id == id && w.ended.is_none())?;
+        let _ = worker.child.kill();
+        let _ = worker.child.wait();
+        worker.ended = Some(unix_ms());
+        self.record.note(&format!("worker {id} killed"));
+        for run in lost {
+            if let Some((phase, member)) = run.task.rsplit_once('.') {
+                self.store.member(&format!("{phase}-{}", run.attempt), member, 0, false);
+            }
+        }
+        let (store, id, machine) = (Arc::clone(&self.store), worker.id.clone(), worker.machine);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3_300));
+            store.write("servers", &id, None);
+        });
+        Some(machine)
+    }
+
+    fn start_daemon(&mut self, number: usize) -> Option<()> {
+        let name = format!("frontend-th-central-{}-1", ['a', 'b', 'c'][number % 3]);
+        let (clients, ready) = (local(free_ports(1)?), local(free_ports(1)?));
+        let mesh = free_ports(2)?;
+        let bounds = r#"{"SeedLagS":3,"ReuseAfterS":2,"ContactMs":3000,"AckTimeoutMs":4000,"CatchUpS":4,"DrainMs":2000,"GraceS":6,"LossSlackMs":200,"ConfigApplyMs":2000,"RollbackSlackMs":250,"MaxSkewMs":5000,"RecoveryS":12,"HoldMaxMs":10000,"StopTimeoutMs":900,"GangTimeoutMs":3000,"cancel_ms":3000,"visible_ms":3000,"early_ms":250,"finish_s":14,"status_s":120,"RemoteFactor":1.5,"CheckpointS":2,"RestoreMs":250,"NoticeMs":4500,"MoveS":1.5,"MaintenanceS":2,"FencingEnforced":true,"LeaseMs":3000,"ThawMs":300,"PaceMs":100,"HarmMs":4000}"#;
+        let zone = format!("th-central-{}", ['a', 'b', 'c'][number % 3]);
+        let settings = format!(
+            r#"{{"NodeName":"{name}","Role":"scheduler","MachineClass":"frontend","Serves":["frontend"],"Ip":"127.0.0.1","Zone":"{zone}","Region":"th-central","ListenAddrs":{{"FrontendAddr":"{clients}","Ready":"{ready}"}},"PortRange":[{mesh},{}],"Seeds":[],"Bootstrap":true,"FaultCounted":false,"Limits":{{"CpuShare":0.25,"Cores":1,"MemoryMb":260,"MaxFds":4100,"LinkMbps":1000.0,"DiskMb":0}},"DataDir":null,"Discovery":"platform","Entry":"vip","HeartbeatMs":1100,"Bounds":{bounds},"ControlMode":"push","platform":{{"Address":"{}","form":"table","WritesPerS":600,"ReadsPerS":2000,"TxMs":4.0,"PartWritesS":250,"RowBytes":65536,"Across":true,"HistoryS":20,"BlobBytes":8388608,"BlobMs":25.0,"BlobMbS":80.0}}}}"#,
+            mesh + 1,
+            self.address
+        );
+        let path = self.dir.join(format!("{name}.json"));
+        fs::write(&path, settings).ok()?;
+        let log = self.dir.join(format!("{name}.log"));
+        let child = spawn_daemon(&path, &log)?;
+        self.daemons.push(Daemon { name, clients, ready, settings: path, log, child });
+        Some(())
+    }
+
+    /// Sends a signal to a daemon.
+    pub fn signal(&self, number: usize, signal: &str) {
+        let daemon = &self.daemons[number];
+        let pid = daemon.child.id().to_string();
+        let _ = Command::new("kill").args([signal, &pid]).status();
+        self.record.note(&format!("{signal} to daemon {}", daemon.name));
+    }
+
+    /// Kills a daemon; `restart()` starts it again.
+    pub fn kill_daemon(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        let _ = daemon.child.kill();
+        let _ = daemon.child.wait();
+        self.record.note(&format!("daemon {} killed", daemon.name));
+    }
+
+    pub fn restart_daemon(&mut self, number: usize) -> Option<()> {
+        let daemon = &mut self.daemons[number];
+        daemon.child = spawn_daemon(&daemon.settings, &daemon.log)?;
+        self.record.note(&format!("daemon {} started", daemon.name));
+        Some(())
+    }
+
+    /// Returns the lines of all daemons' logs that contain `word`.
+    pub fn logged(&self, word: &str) -> Vec<String> {
+        let texts = self.daemons.iter().filter_map(|d| fs::read_to_string(&d.log).ok());
+        let lines = |text: String| text.lines().map(str::to_owned).collect::<Vec<_>>();
+        texts.flat_map(lines).filter(|line| line.contains(word)).collect()
+    }
+
+    /// Sends a request to a daemon and records it.
+    pub fn call(&self, daemon: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let timeout = Duration::from_millis(3_000);
+        let reply = http::send(self.daemons[daemon].clients, method, path, HOST, body, timeout);
+        let text = reply.as_ref().map_or("no answer".to_owned(), |(status, body)| format!("{status} {body}"));
+        self.record.note(&format!("{method} {path} {body} to {} -> {text}", self.daemons[daemon].name));
+        reply
+    }
+
+    /// Hands a job in until it is accepted, at one daemon after the other.
+    pub fn submit(&self, id: &str, spec: &Json, phases: &str) -> bool {
+        let body = format!(r#"{{"Spec":{},"Phases":{phases}}}"#, s(&spec.to_string()));
+        for attempt in 0..20 {
+            let daemon = attempt % self.daemons.len();
+            let reply = self.call(daemon, "POST", &format!("{PREFIX}{id}"), &body);
+            if reply.is_some_and(|(status, _)| status == 200) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(500));
+        }
+        false
+    }
+
+    pub fn state(&self, daemon: usize, id: &str) -> Option<String> {
+        let (status, body) = self.call(daemon, "GET", &format!("{PREFIX}{id}"), "")?;
+        let state = json::parse(body.as_bytes())?.get("State").text().to_owned();
+        (status == 200).then_some(state)
+    }
+
+    /// Returns all runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        let mut runs: Vec<Run> = Vec::new();
+        let mut open: BTreeMap<(String, String, u64), usize> = BTreeMap::new();
+        for line in self.record.lines() {
+            let word = |n: usize| line.words.get(n).map_or("", String::as_str);
+            let attempt = word(2).parse().unwrap_or(0);
+            let key = (line.worker.clone(), word(1).to_owned(), attempt);
+            match word(0) {
+                "start" => {
+                    open.insert(key, runs.len());
+                    let (task, worker) = (word(1).to_owned(), line.worker.clone());
+                    runs.push(Run { task, attempt, worker, from: line.at, to: None, how: String::new() });
+                }
+                "end" => {
+                    if let Some(run) = open.remove(&key) {
+                        runs[run].to = Some(line.at);
+                        runs[run].how = word(3).to_owned();
+                    }
+                }
+                _ => {}
+            }
+        }
+        for run in runs.iter_mut().filter(|run| run.to.is_none()) {
+            let worker = self.workers.iter().find(|w| w.id == run.worker);
+            if let Some(at) = worker.and_then(|w| w.ended) {
+                run.to = Some(at);
+                run.how = "killed".to_owned();
+            }
+        }
+        runs
+    }
+
+    /// Returns the worker that runs a task now.
+    pub fn runs_on(&self, task: &str) -> Option<Run> {
+        self.runs().into_iter().rev().find(|run| run.task == task && run.to.is_none())
+    }
+
+    /// Returns the runs in which a task ran twice at the same time, or again after it was done.
+    pub fn twice(&self) -> Vec<String> {
+        let mut by_task: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+        for run in self.runs() {
+            by_task.entry(run.task.clone()).or_default().push(run);
+        }
+        let mut found = Vec::new();
+        for runs in by_task.values() {
+            for (i, first) in runs.iter().enumerate() {
+                for second in &runs[i + 1..] {
+                    // Both are on workers that are up, for longer than the lines may be out of order.
+                    let overlap = first.to.unwrap_or(u64::MAX).min(second.to.unwrap_or(u64::MAX));
+                    if second.from + 20 < overlap || first.how == "done" {
+                        found.push(format!(
+                            "TWICE {}: run {} on {} from {} to {:?} ({}), run {} on {} from {}",
+                            first.task, first.attempt, first.worker, first.from, first.to, first.how,
+                            second.attempt, second.worker, second.from
+                        ));
+                    }
+                }
+            }
+        }
+        found
+    }
+}
+
+impl Drop for Plant {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            let _ = daemon.child.kill();
+            let _ = daemon.child.wait();
+        }
+        for worker in &mut self.workers {
+            let _ = worker.child.kill();
+            let _ = worker.child.wait();
+        }
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+/// Starts a daemon with the command of the deploy file.
+fn spawn_daemon(settings: &Path, log: &Path) -> Option<Child> {
+    let file = fs::OpenOptions::new().create(true).append(true).open(log).ok()?;
+    Command::new("target/release/geraniumlatchd")
+        .arg("--hosted")
+        .env("GERANIUMLATCH_CONFIG", settings)
+        .stdout(file.try_clone().ok()?)
+        .stderr(file)
+        .spawn()
+        .ok()
+}
