--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -25,6 +25,7 @@
         "foreign-entry" => foreign_entry(folder),
         "long-tasks" => long_tasks(folder),
         "crashes" => crashes(folder),
+        "schedule" => schedule(folder),
         "soak" => soak(folder),
         _ => None,
     };
@@ -185,6 +186,54 @@
     conclude(&plant, found)
 }
 
+/// All daemons are killed while the first occurrence of a job runs; the second one is done.
+fn schedule(folder: &Path) -> Option<Vec<String>> {
+    let mut plant = Plant::start(folder, 8, 3, CPU)?;
+    let id = "5c0e7a21d94b36f1";
+    let mut spec = spec(3_000);
+    spec.set("work_of", obj(vec![("0", n(9_000)), ("1", n(3_000))]));
+    let phases = r#"[{"Count":2,"Cpu":7000,"MemMb":13000,"EstimateMs":5000}]"#;
+    let start = unix_ms() + 500;
+    let body = format!(
+        r#"{{"Spec":{},"Phases":{phases},"StartAtMs":{start},"IntervalMs":1000,"RepeatCount":2}}"#,
+        s(&spec.to_string())
+    );
+    let path = format!("{}{id}", crate::plant::PREFIX);
+    plant.call(0, "POST", &path, &body).filter(|(status, _)| *status == 200)?;
+    sleep_ms(start + 8_300 - unix_ms());
+    if has_trouble() {
+        (0..3).for_each(|daemon| plant.kill_daemon(daemon));
+        sleep_ms(1_500);
+        for daemon in 0..3 {
+            plant.restart_daemon(daemon)?;
+        }
+    }
+    let is_done = |plant: &Plant| plant.runs().iter().filter(|run| run.how == "done").count() == 4;
+    for _ in 0..400 {
+        if is_done(&plant) {
+            break;
+        }
+        sleep_ms(100);
+    }
+    if !is_done(&plant) {
+        return None;
+    }
+    // `finish_s`, and as long again.
+    let mut state = None;
+    for second in 0..28 {
+        sleep_ms(1_000);
+        state = plant.state(second % 3, id);
+        if state.as_deref() == Some("complete") {
+            break;
+        }
+    }
+    let mut found = plant.twice();
+    if state.as_deref() != Some("complete") {
+        found.push(format!("LOST {id}: shown as {state:?} 28 s after all of its tasks have ended `done`"));
+    }
+    conclude(&plant, found)
+}
+
 struct Rnd(u64);
 
 impl Rnd {
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -207,13 +207,15 @@
                 let spec = json::parse(body.get("Spec").text().as_bytes()).unwrap_or(Json::Null);
                 let step = task.split('.').nth(2).unwrap_or("");
                 let gang = spec.get("gangs").get(step).num();
+                let occurrence = task.split('.').nth(1).unwrap_or("");
+                let occurrence_work = spec.get("work_of").get(occurrence).num();
                 let checkpoint = body.get("Checkpoint").text();
                 // The attempt decides whether it fails, as the members of a gang share it.
                 let share = spec.get("fails_of_10").num().unwrap_or(0);
                 let run = Run {
                     attempt,
                     started: Instant::now(),
-                    work: spec.get("work_ms").num(),
+                    work: occurrence_work.or(spec.get("work_ms").num()),
                     fails: *spec.get("fails") == Json::Bool(true) || attempt % 10 < share,
                     stop_at: None,
                     gang,
