--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     json::{n, obj, s, Json},
-    plant::Plant,
+    plant::{Plant, Run},
     unix_ms,
 };
 
@@ -26,6 +26,7 @@
         "long-tasks" => long_tasks(folder),
         "crashes" => crashes(folder),
         "schedule" => schedule(folder),
+        "one-crash" => one_crash(folder),
         "soak" => soak(folder),
         _ => None,
     };
@@ -234,6 +235,65 @@
     conclude(&plant, found)
 }
 
+/// The longest time within a span for which none of a job's tasks runs.
+fn longest_idle(runs: &[Run], id: &str, from: u64, to: u64) -> u64 {
+    let own: Vec<_> = runs.iter().filter(|run| run.task.starts_with(id)).collect();
+    let (mut idle, mut longest) = (0, 0);
+    for at in (from..to).step_by(10) {
+        let is_running = own.iter().any(|r| r.from <= at && r.to.is_none_or(|to| at < to));
+        idle = if is_running { 0 } else { idle + 10 };
+        longest = longest.max(idle);
+    }
+    longest
+}
+
+/// The worker with the most tasks crashes at the end of a burst of small jobs.
+fn one_crash(folder: &Path) -> Option<Vec<String>> {
+    let mut plant = Plant::start(folder, 8, 3, CPU)?;
+    let ids: Vec<String> = (0..120).map(|i| format!("a0b1c2d3e4f5{i:04x}")).collect();
+    let phases = r#"[{"Count":6,"Cpu":500,"MemMb":256,"EstimateMs":640}]"#;
+    let started = unix_ms();
+    for (id, number) in ids.iter().zip(0..) {
+        sleep_ms((started + number * 33).saturating_sub(unix_ms()));
+        plant.submit(id, &spec(640), phases).then_some(())?;
+    }
+    let ended = unix_ms();
+    if has_trouble() {
+        let runs = plant.runs();
+        let running = |id: &str| runs.iter().filter(|r| r.worker == id && r.to.is_none()).count();
+        let busiest = plant.workers.iter().max_by_key(|w| running(&w.id))?.id.clone();
+        let machine = plant.kill_worker(&busiest)?;
+        sleep_ms(4_500);
+        plant.start_worker(machine, CPU)?;
+    }
+    // `finish_s` after the end of the traffic.
+    let from = ended + 14_000;
+    sleep_ms(from.saturating_sub(unix_ms()));
+    let mut found = Vec::new();
+    let asked = |plant: &Plant| -> Vec<String> {
+        let open = ids.iter().filter(|id| plant.state(0, id).as_deref() != Some("complete"));
+        open.cloned().collect()
+    };
+    let open = asked(&plant);
+    sleep_ms(8_000);
+    let runs = plant.runs();
+    let to = unix_ms();
+    let still = asked(&plant);
+    plant.record.note(&format!("{} jobs open at finish_s, {} of them 8 s later", open.len(), still.len()));
+    for id in still.iter().filter(|id| open.contains(id)) {
+        let idle = longest_idle(&runs, id, from, to);
+        if idle >= 3_000 {
+            found.push(format!(
+                "LOST {id}: nothing running for {idle} ms, later than {} ms after the traffic, with all \
+                 workers up and {} tasks running",
+                from - ended,
+                runs.iter().filter(|run| run.to.is_none()).count()
+            ));
+        }
+    }
+    conclude(&plant, found)
+}
+
 struct Rnd(u64);
 
 impl Rnd {
