--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
@@ -43,6 +44,10 @@
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer) {
         let (status, body) = handler(&request);
+        // No answer: the connection ends.
+        if status == 0 {
+            return;
+        }
         let head = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
@@ -126,14 +131,33 @@
     host: &str,
     body: &str,
     timeout: Duration,
+) -> Option<(u16, String)> {
+    let head = format!("Host: {host}\r\nX-Deadline-Ms: {}\r\n", timeout.as_millis());
+    exchange(address, method, path, &head, body, timeout)
+}
+
+/// Sends a request on to another address.
+pub fn forward(address: SocketAddr, request: &Request, timeout: Duration) -> Option<(u16, String)> {
+    let instance = request.header("X-Expect-Instance").unwrap_or_default();
+    let head = format!("Host: {address}\r\nX-Expect-Instance: {instance}\r\n");
+    let body = String::from_utf8_lossy(&request.body);
+    exchange(address, &request.method, &request.path, &head, &body, timeout)
+}
+
+fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    head: &str,
+    body: &str,
+    timeout: Duration,
 ) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let _ = stream.set_nodelay(true);
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n\
-         X-Deadline-Ms: {}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
-        timeout.as_millis(),
+        "{method} {path} HTTP/1.1\r\n{head}Content-Type: application/json\r\n\
+         Content-Length: {}\r\nConnection: close\r\n\r\n",
         body.len()
     );
     stream.write_all((head + body).as_bytes()).ok()?;
