Review case 15: a job waits for a full rack while other racks are idle

Tasks wait for their rack for as long as they expect to lose elsewhere, here 20 s, of which 6 s are later than finish_s.

--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -26,6 +26,7 @@
         "late-order" => late_order(folder),
         "probation" => probation(folder),
         "held-worker" => held_worker(folder),
+        "hot-rack" => hot_rack(folder),
         _ => None,
     };
     match result {
@@ -215,3 +216,39 @@
     }
     conclude(&plant, found)
 }
+
+/// Many jobs want the same rack. One that comes later wants it too.
+fn hot_rack(folder: &Path) -> Option<Vec<String>> {
+    // Four racks of eight.
+    let plant = Plant::start(folder, 32, 3, CPU)?;
+    for number in 0..14 {
+        // Eight of fourteen want the same rack.
+        let rack = if has_trouble() { [0, 0, 1, 0, 0, 2, 0, 3, 0, 1, 0, 2, 0, 3][number] } else { number % 4 };
+        let phases = format!(
+            r#"[{{"Count":9,"Cpu":7000,"MemMb":13000,"EstimateMs":44000,"DataRack":"r{rack}"}}]"#
+        );
+        plant.submit(&format!("a0b1c2d3e4f5{number:04x}"), &spec(44_000), &phases).then_some(())?;
+    }
+    sleep_ms(23_500);
+    let id = "5c0e7a21d94b36f1";
+    let phases = r#"[{"Count":1,"Cpu":7000,"MemMb":13000,"EstimateMs":44000,"DataRack":"r0"}]"#;
+    plant.submit(id, &spec(44_000), phases).then_some(())?;
+    // `finish_s` after the end of the traffic.
+    sleep_ms(14_000);
+    let from = unix_ms();
+    sleep_ms(10_000);
+    let runs = plant.runs();
+    let first = runs.iter().find(|run| run.task.starts_with(id)).map(|run| run.from);
+    let idle = first.unwrap_or_else(unix_ms).saturating_sub(from);
+    let in_use = runs.iter().filter(|run| run.from <= from && run.to.is_none_or(|to| to > from)).count();
+    let mut found = Vec::new();
+    if idle >= 3_000 {
+        found.push(format!(
+            "LOST {id}: nothing running for {idle} ms from {from} on, 14 s after the traffic; {} of {} cores \
+             are in use",
+            in_use * 7,
+            32 * 64
+        ));
+    }
+    conclude(&plant, found)
+}
