fix: keep a task on the worker that may still carry its start order out

A start order got no answer; the task was stopped there and started elsewhere; the worker crashed, was back under its name, and carried the order out before the owner had called it.

Cause: that an order cannot be carried out any more was concluded in five places (the worker's clock has passed its deadline, a stop is confirmed, the order was refused or not sent, the incarnation has ended). Each holds for one incarnation of the worker. The next one has seen neither the stop nor the fencing token, and its clock starts anew, so that the deadline is far ahead.

Change: a start that is not answered is ordered again on the same worker, up to three times, with the same attempt and a later deadline: the worker starts it once. Each run counts its orders without an answer. If it ends while it has some, its task starts on that worker only until they cannot arrive any more (12 s, as the users' platform delays orders), or another worker is on the VM. A refusal of a repeated order does not settle an earlier one. This works as the start on the same worker either finds the run there, or is fenced by the owner's first call to the next incarnation. Speculative tasks, which may run twice, are left as they were. A gang's member with such an order is placed on its worker first. `ordered-again` in the log shows each repetition.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event.rs
@@ -140,6 +140,8 @@
         estimate_ms: u64,
         cores: f64,
     },
+    /// A start was ordered again on the same worker, as the last order got no answer.
+    OrderedAgain { task: Text<task::TaskId>, attempt: u64, worker: &'a str },
     /// A task starts again elsewhere while this run continues.
     #[serde(rename = "overtaken")]
     RunOvertaken { task: Text<task::TaskId>, attempt: u64, worker: &'a str },
@@ -268,6 +270,9 @@
                 estimate_ms: estimate.as_millis(),
                 cores: as_cores(*cores),
             },
+            Note::OrderedAgain { task, attempt, worker } => {
+                Self::OrderedAgain { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
+            }
             Note::Overtaken { task, attempt, worker } => {
                 Self::RunOvertaken { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
             }
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -69,6 +69,15 @@
         /// The processors that the task declares, in thousandths of a core.
         cores: u64,
     },
+    /// The start of a run was ordered again on the same worker, as the reply to the last order was lost.
+    OrderedAgain {
+        /// The task.
+        task: task::TaskId,
+        /// The attempt.
+        attempt: u64,
+        /// The worker that received the order.
+        worker: worker::WorkerId,
+    },
     /// A task is started again elsewhere while this run continues, as its worker is slow or silent.
     Overtaken {
         /// The task.
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -23,7 +23,11 @@
             worker: id.clone(),
             cause: cause_of(end.outcome),
         });
-        let run = if is_current { self.release_run(end.task) } else { None };
+        let mut run = if is_current { self.release_run(end.task) } else { None };
+        if let Some(run) = &mut run {
+            run.orders.confirm();
+            self.keep_unsettled(end.task, run, now);
+        }
         self.open_reported(end.task.phase, now);
         self.overtaken_ended(id, end);
         self.mark_started(end.task);
@@ -196,6 +200,7 @@
             return;
         };
         self.keep_checkpoint(task, &run.checkpoint);
+        self.keep_unsettled(task, &run, now);
         if cause == Cause::Lapsed {
             self.run_lost(task, &run);
         }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod scarcity;
 mod settings;
 mod state;
+mod unsettled;
 mod view;
 
 use std::collections;
@@ -44,6 +45,7 @@
 pub use runs::{Kind, Run, Stage, Stopping};
 pub use settings::{Colocation, LossOrder, PhaseOrder, Settings};
 pub use store_clock::StoreClock;
+pub use unsettled::Orders;
 pub use waits::{Shortage, Waits};
 pub use workers::Worker;
 
@@ -81,6 +83,8 @@
     trials: collections::BTreeMap<task::TaskId, trials::Trial>,
     /// Start orders that wait until the start is stored.
     unsent: collections::BTreeMap<task::TaskId, trials::Unsent>,
+    /// Tasks with start orders that got no answer and may still be carried out.
+    unsettled: unsettled::Unsettled,
     /// Start orders that were not answered.
     in_flight: in_flight::StartsInFlight,
     /// How much longer than configured workers hold polls.
@@ -199,6 +203,7 @@
             suspects: collections::BTreeSet::new(),
             trials: collections::BTreeMap::new(),
             unsent: collections::BTreeMap::new(),
+            unsettled: unsettled::Unsettled::default(),
             has_lost_runs: false,
             last_lost: None,
             reviewed_at: now,
@@ -309,6 +314,7 @@
     pub fn tick(&mut self, moment: &Moment) {
         self.decided_at = moment.now;
         in_flight::run(self, moment.now);
+        unsettled::expire(self, moment.now);
         timeouts::run(self, moment.now);
         recovery::run(self, moment.now);
         roster::run(self, moment.now);
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -49,23 +49,31 @@
         let Some(run) = self.run_on(worker, task, attempt) else {
             return;
         };
+        if reply != worker::OrderReply::Lost {
+            run.orders.settle();
+        }
+        let has_open = run.orders.has_open();
         match (run.stage, reply) {
             (Stage::Starting, worker::OrderReply::Done) => {
                 run.stage = Stage::Running(now);
                 run.progressed_at = now;
                 self.mark_started(task);
             }
-            (Stage::Starting, worker::OrderReply::Lost) => {
-                self.stop(task, StopReason::StartUnconfirmed, now);
-            }
+            (Stage::Starting, worker::OrderReply::Lost) => self.order_again(task, now),
             (Stage::Starting, worker::OrderReply::Refused(refusal)) => {
                 self.record_refusal(worker, refusal, now);
                 if refusal == worker::Refusal::InvalidTicket {
                     self.ticket_refused(worker, task);
                 }
+                if has_open {
+                    // An earlier order may have been carried out.
+                    return self.stop(task, StopReason::StartUnconfirmed, now);
+                }
                 self.end_run(task, Cause::NeverRan, now);
             }
-            (Stage::Stopping(stop), worker::OrderReply::Refused(_)) if stop.was_starting => {
+            (Stage::Stopping(stop), worker::OrderReply::Refused(_))
+                if stop.was_starting && !has_open =>
+            {
                 self.end_run(task, Cause::NeverRan, now);
             }
             (Stage::Stopping(_), worker::OrderReply::Done) => self.mark_started(task),
@@ -107,8 +115,12 @@
             Stage::Stopping(stop) => stop.was_starting,
             Stage::Running(_) => false,
         };
-        if was_starting {
-            self.end_run(task, Cause::NeverRan, now);
+        run.orders.settle();
+        match (was_starting, run.orders.has_open()) {
+            (true, false) => self.end_run(task, Cause::NeverRan, now),
+            // An earlier order may have been carried out.
+            (true, true) => self.stop(task, StopReason::StartUnconfirmed, now),
+            (false, _) => {}
         }
     }
 
--- a/gl-jobs/src/owner/placement/gang.rs
+++ b/gl-jobs/src/owner/placement/gang.rs
@@ -30,8 +30,17 @@
     let is_interrupted =
         state::state_of(owner, phase).is_some_and(|state| !state.interrupted.is_empty());
     let part = if is_interrupted { order::Part::Interrupted } else { order::Part::All };
-    let mut candidates = search::Candidates::new(part);
     let mut placements = collections::BTreeMap::new();
+    let is_unsettled = |index: &u32| owner.unsettled.holds(task::TaskId { phase, index: *index });
+    let (unsettled, members): (Vec<_>, Vec<_>) = members.into_iter().partition(is_unsettled);
+    for index in unsettled {
+        let Some(worker) = owner.settling_worker(task::TaskId { phase, index }, now) else {
+            break;
+        };
+        state::reserve(owner, phase, index, &worker, now);
+        placements.insert(index, worker);
+    }
+    let mut candidates = search::Candidates::new(part);
     for index in members {
         let Some(worker) = candidates.find(owner, phase, now) else {
             break;
--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -16,7 +16,9 @@
 
 use gl_model::time;
 
-use crate::owner::{Note, Owner, Stage, crashes, impact, runs, scarcity, state, untested};
+use crate::owner::{
+    Note, Owner, Stage, crashes, impact, runs, scarcity, state, unsettled, untested,
+};
 use crate::{task, worker};
 
 /// Starts the waiting tasks that can be placed, in the order of their ranks, as far as the window for
@@ -32,6 +34,7 @@
     trials::run(owner, now);
     scarcity::update(owner, now);
     waits::start_pass(owner, now);
+    unsettled::place(owner, now);
     let mut skip = unplaced::Unplaced::new(owner, now);
     let mut racks = distance::Racks::default();
     for entry in order::sorted(owner, now) {
@@ -112,10 +115,12 @@
 /// Returns the next waiting task of a part of a phase that is not held back.
 fn next_waiting(owner: &Owner, phase: task::PhaseId, part: order::Part) -> Option<u32> {
     let state = state::state_of(owner, phase)?;
+    let spec = owner.jobs.get(&phase.job)?.spec(phase.phase)?;
     let may_start = |index: &&u32| {
         let task = task::TaskId { phase, index: **index };
         let is_in_part = part == order::Part::All || state.interrupted.contains_key(index);
-        is_in_part && !owner.is_withheld(task) && !is_unseen(owner, task)
+        let is_held = owner.is_withheld(task) || !spec.gang && owner.unsettled.holds(task);
+        is_in_part && !is_held && !is_unseen(owner, task)
     };
     state.waiting.iter().find(may_start).copied()
 }
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -138,6 +138,25 @@
     is_possible().unwrap_or_default()
 }
 
+/// Returns whether a task of the phase that has run before, or was ordered, may start on a worker.
+pub(in crate::owner) fn may_start_on(
+    owner: &Owner,
+    phase: task::PhaseId,
+    id: &worker::WorkerId,
+    now: time::Timestamp,
+) -> bool {
+    let score = || {
+        let entry = owner.jobs.get(&phase.job)?;
+        let spec = entry.spec(phase.phase)?;
+        let state = state::state_of(owner, phase)?;
+        let common = conditions(owner, entry, phase, now)?;
+        let conditions = Conditions { is_interrupted: true, ..common };
+        let request = Request { phase, entry, spec, state, conditions: &conditions };
+        assess(owner, &request, owner.workers.get(id)?, now)
+    };
+    score().is_some()
+}
+
 fn room_for(owner: &Owner, entry: &JobEntry, spec: &job::Phase) -> headroom::Room {
     if spec.long_running {
         headroom::room(owner, &entry.job.service)
--- a/gl-jobs/src/owner/state/runs.rs
+++ b/gl-jobs/src/owner/state/runs.rs
@@ -2,7 +2,7 @@
 
 use gl_model::{size, time};
 
-use crate::owner::{Owner, StopReason, interference};
+use crate::owner::{Orders, Owner, StopReason, interference};
 use crate::{job, task, worker};
 
 /// The CPU limit of a run that is not throttled, in percent.
@@ -48,6 +48,8 @@
     /// The deadline of the start order, by the worker's clock. After that time the worker refuses
     /// the order.
     pub deadline: time::Timestamp,
+    /// The start orders that were sent.
+    pub orders: Orders,
     /// The capacity that it reserves.
     pub reserved: size::Size,
     /// The maximum number of processors that it uses, in thousandths of a core.
@@ -181,6 +183,7 @@
         worker: order.worker,
         attempt: order.attempt,
         deadline: order.deadline,
+        orders: Orders::default(),
         reserved: spec.reserved(),
         cores: spec.size.cores,
         kind,
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -5,7 +5,7 @@
 use gl_model::time;
 
 use crate::owner::{
-    Action, Cause, Note, Owner, Stage, StopReason, Worker, estimate, runs, throttle, workers,
+    Action, Cause, Note, Owner, Run, Stage, StopReason, Worker, estimate, runs, throttle, workers,
 };
 use crate::{task, worker};
 
@@ -113,6 +113,7 @@
         for id in older {
             record = self.workers.get(&id).map(|worker| worker.record).or(record);
             self.end_incarnation(&id, &collections::BTreeSet::new(), now);
+            self.unsettled.forget(&id);
             self.remove_worker(&id);
         }
         record
@@ -147,8 +148,12 @@
         self.unread.release(id);
         for task in lost {
             // An order that was not confirmed may have reached no incarnation.
-            let is_starting = self.runs.get(&task).is_some_and(|run| run.stage == Stage::Starting);
-            let cause = if is_starting { Cause::NeverRan } else { Cause::Lapsed };
+            let is_pending = |run: &Run| run.stage == Stage::Starting && !run.orders.is_repeated();
+            let cause = if self.runs.get(&task).is_some_and(is_pending) {
+                Cause::NeverRan
+            } else {
+                Cause::Lapsed
+            };
             self.end_run(task, cause, now);
         }
     }
@@ -299,6 +304,7 @@
         if let Some(worker) = self.workers.get_mut(id).filter(|w| is_ready && w.is_unproven) {
             worker.is_unproven = false;
         }
+        run.orders.confirm();
         if run.stage == Stage::Starting {
             run.stage = Stage::Running(now);
             self.mark_started(running.task);
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -41,5 +41,6 @@
 mod throttle;
 mod tombstones;
 mod uneven;
+mod unsettled;
 mod waits;
 mod windows;
