fix: tell the next owner of start orders without an answer

Cause: what was concluded of an order was known to the owner that had sent it only.

Change: an order that was not answered for 0.3 s is stored with the progress of its job: the worker, and until when the order may be carried out by the store's clock. A new owner starts the task on that worker only, or once that time has passed, or adopts the run. Answers take some milliseconds, so that few are stored. Rows of earlier versions are read, and they read these.

--- a/gl-jobs/src/owner/commit.rs
+++ b/gl-jobs/src/owner/commit.rs
@@ -188,14 +188,19 @@
     }
 
     /// Returns a page as it is stored, or `None` if it is longer than the store's rows, also without
-    /// checkpoints.
+    /// checkpoints and orders.
     fn row(&self, job: task::JobId, page: u32) -> Option<Row> {
         let mut progress = self.jobs.get(&job)?.page_progress(page);
+        self.add_unsettled(job, page, &mut progress);
         let mut value = record::encode("progress", &progress).ok()?;
         if value.len() > self.settings.max_row {
             progress.phases.iter_mut().for_each(|phase| phase.checkpoints.clear());
             value = record::encode("progress", &progress).ok()?;
         }
+        if value.len() > self.settings.max_row {
+            progress.phases.iter_mut().for_each(|phase| phase.unsettled.clear());
+            value = record::encode("progress", &progress).ok()?;
+        }
         (value.len() <= self.settings.max_row).then_some(Row { job, page, progress, value })
     }
 
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -26,7 +26,7 @@
         let mut run = if is_current { self.release_run(end.task) } else { None };
         if let Some(run) = &mut run {
             run.orders.confirm();
-            self.keep_unsettled(end.task, run, now);
+            self.unsettled_ended(end.task, run, now);
         }
         self.open_reported(end.task.phase, now);
         self.overtaken_ended(id, end);
@@ -200,7 +200,7 @@
             return;
         };
         self.keep_checkpoint(task, &run.checkpoint);
-        self.keep_unsettled(task, &run, now);
+        self.unsettled_ended(task, &run, now);
         if cause == Cause::Lapsed {
             self.run_lost(task, &run);
         }
--- a/gl-jobs/src/owner/crashes.rs
+++ b/gl-jobs/src/owner/crashes.rs
@@ -114,7 +114,7 @@
         self.is_open(task) && state.is_some_and(|state| state.waiting.contains(&task.index))
     }
 
-    fn is_open(&self, task: task::TaskId) -> bool {
+    pub(super) fn is_open(&self, task: task::TaskId) -> bool {
         let is_unfinished = |e: &super::JobEntry| e.final_state.is_none();
         let state = state::state_of(self, task.phase);
         self.jobs.get(&task.phase.job).is_some_and(is_unfinished)
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -314,7 +314,7 @@
     pub fn tick(&mut self, moment: &Moment) {
         self.decided_at = moment.now;
         in_flight::run(self, moment.now);
-        unsettled::expire(self, moment.now);
+        unsettled::run(self, moment.now);
         timeouts::run(self, moment.now);
         recovery::run(self, moment.now);
         roster::run(self, moment.now);
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -52,11 +52,14 @@
         if reply != worker::OrderReply::Lost {
             run.orders.settle();
         }
-        let has_open = run.orders.has_open();
-        match (run.stage, reply) {
+        let (stage, has_open) = (run.stage, run.orders.has_open());
+        self.settle_orders(task);
+        match (stage, reply) {
             (Stage::Starting, worker::OrderReply::Done) => {
-                run.stage = Stage::Running(now);
-                run.progressed_at = now;
+                if let Some(run) = self.runs.get_mut(&task) {
+                    run.stage = Stage::Running(now);
+                    run.progressed_at = now;
+                }
                 self.mark_started(task);
             }
             (Stage::Starting, worker::OrderReply::Lost) => self.order_again(task, now),
@@ -116,7 +119,9 @@
             Stage::Running(_) => false,
         };
         run.orders.settle();
-        match (was_starting, run.orders.has_open()) {
+        let has_open = run.orders.has_open();
+        self.settle_orders(task);
+        match (was_starting, has_open) {
             (true, false) => self.end_run(task, Cause::NeverRan, now),
             // An earlier order may have been carried out.
             (true, true) => self.stop(task, StopReason::StartUnconfirmed, now),
--- a/gl-jobs/src/owner/pacing/in_flight.rs
+++ b/gl-jobs/src/owner/pacing/in_flight.rs
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Returns the orders that have had no result for `span`.
+    pub fn late(
+        &self,
+        span: time::Span,
+        now: time::Timestamp,
+    ) -> impl Iterator<Item = (task::TaskId, u64)> {
+        let is_late = move |decided: &time::Timestamp| now.since(*decided) >= span;
+        self.orders.iter().filter(move |(_, decided)| is_late(decided)).map(|(order, _)| *order)
+    }
+
     /// Removes the orders without any result after `limit`: their worker has left the cell.
     fn expire(&mut self, limit: time::Span, now: time::Timestamp) {
         self.orders.retain(|_, decided| now.since(*decided) < limit);
--- a/gl-jobs/src/owner/placement/trials.rs
+++ b/gl-jobs/src/owner/placement/trials.rs
@@ -39,7 +39,7 @@
 
 fn is_possible(owner: &Owner, task: task::TaskId, trial: &Trial, now: time::Timestamp) -> bool {
     let is_free = owner.is_waiting(task)
-        && !owner.unsettled.holds(task)
+        && owner.unsettled.allows(task, &trial.worker)
         && !placement::is_unseen(owner, task);
     is_free && search::is_possible_on(owner, task.phase, &trial.worker, now)
 }
@@ -73,7 +73,16 @@
         if !has_room(owner, phase.job) {
             return;
         }
-        let Some(id) = search::Candidates::for_trial().find(owner, phase, now) else {
+        let is_bound = owner.unsettled.holds(task);
+        let found = if is_bound {
+            owner.settling_worker(task, now)
+        } else {
+            search::Candidates::for_trial().find(owner, phase, now)
+        };
+        let Some(id) = found else {
+            if is_bound {
+                continue;
+            }
             return;
         };
         let Some(worker) = owner.workers.get_mut(&id) else {
@@ -165,7 +174,6 @@
         let is_suspect = |s: &record::Suspect| !s.crashes.is_empty() && self.is_startable(s);
         !self.trials.contains_key(&task)
             && self.is_waiting(task)
-            && !self.unsettled.holds(task)
             && !placement::is_unseen(self, task)
             && self.suspect(task).is_some_and(is_suspect)
     }
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -198,7 +198,9 @@
         let mut entry = crate::owner::JobEntry::new(row.job, time::Timestamp::default(), moment);
         // It may have been accepted before the last owner noticed the claim, however late it is read.
         entry.is_inherited = row.is_inherited || self.superseded_at.is_some();
-        entry.restore(row.progress.unwrap_or_default(), row.pages);
+        let progress = row.progress.unwrap_or_default();
+        self.restore_unsettled(row.id, &progress, moment.now);
+        entry.restore(progress, row.pages);
         if entry.final_state.is_none() && row.is_cancelled {
             entry.final_state = Some(job::State::Cancelled);
             entry.stored_state = entry.final_state;
--- a/gl-jobs/src/owner/settings.rs
+++ b/gl-jobs/src/owner/settings.rs
@@ -91,6 +91,9 @@
     /// The time for which a start order stays valid in transit. It is longer than the time-out of
     /// an order, and short enough to rule out orders that are carried out seconds late.
     pub start_window: time::Span,
+    /// The time after which a start order without an answer is stored for a later owner; several times
+    /// what workers need for an answer.
+    pub answer_time: time::Span,
     /// The time after which an order that got no answer is carried out at the latest.
     pub order_lateness: time::Span,
     /// The minimum time for which a start order has to be valid: a round trip and the time for which
@@ -260,6 +263,7 @@
             clock_drift: 0.02,
             clock_margin: time::Span::millis(150),
             start_window: time::Span::millis(1_500),
+            answer_time: time::Span::millis(300),
             order_lateness: time::Span::seconds(12),
             order_time: time::Span::millis(300),
             transit_time: time::Span::millis(50),
--- a/gl-jobs/src/owner/state/pages.rs
+++ b/gl-jobs/src/owner/state/pages.rs
@@ -115,6 +115,7 @@
             checkpoints: part(&self.checkpoints, &indices),
             suspects: part(&self.suspects, &indices),
             started,
+            unsettled: collections::BTreeMap::new(),
         };
         let is_empty = part.done.is_empty()
             && part.failures.is_empty()
--- a/gl-jobs/src/owner/unsettled.rs
+++ b/gl-jobs/src/owner/unsettled.rs
@@ -1,14 +1,15 @@
 //! Start orders without an answer. A worker may carry such an order out seconds later, and so may the next
 //! incarnation under its name, which knows neither the stop nor the deadline that rule it out for the last
 //! one. So the order is sent again to the same worker, which starts the task once, and a task whose run has
-//! ended meanwhile starts on that worker only, until no such order can arrive any more.
+//! ended meanwhile starts on that worker only, until no such order can arrive any more. Orders that are
+//! not answered soon are stored with the progress of their jobs, as the next owner starts tasks too.
 
 use std::collections;
 
 use gl_model::time;
 
 use crate::owner::{Action, Note, Owner, Run, StopReason, Worker, placement, search, state};
-use crate::{task, worker};
+use crate::{record, task, worker};
 
 /// The number of times that a start is ordered on a worker before it is given up. Each order is given up
 /// after a time-out of nearly a second.
@@ -34,9 +35,12 @@
         self.settled = (self.settled + 1).min(self.sent);
     }
 
-    /// Records that the worker has the run, so that it has carried out one order at least.
-    pub(in crate::owner) fn confirm(&mut self) {
-        self.settled = self.settled.max(1).min(self.sent);
+    /// Records that the worker has the run, so that it has carried out one order at least. Returns whether
+    /// that was not known.
+    pub(in crate::owner) fn confirm(&mut self) -> bool {
+        let is_new = self.settled == 0 && self.sent > 0;
+        self.settled += u32::from(is_new);
+        is_new
     }
 
     /// Returns whether the start was ordered more than once.
@@ -50,14 +54,17 @@
     }
 }
 
-/// An order without an answer whose run has ended.
-#[derive(Clone, Debug)]
+/// The orders of an attempt without an answer.
+#[derive(Clone, Debug, PartialEq)]
 struct Order {
     worker: worker::WorkerId,
+    /// The attempt; zero if an earlier owner has sent the orders.
+    attempt: u64,
+    /// The time until which they may be carried out.
     until: time::Timestamp,
 }
 
-/// The tasks whose runs have ended, and that have start orders without an answer.
+/// The tasks with start orders that got no answer in time, or before their run ended.
 #[derive(Clone, Debug, Default)]
 pub(in crate::owner) struct Unsettled {
     orders: collections::BTreeMap<task::TaskId, Vec<Order>>,
@@ -76,9 +83,31 @@
         orders.iter().all(|order| order.worker == *id).then_some(id)
     }
 
-    /// Forgets the orders to a worker whose machine runs another one, as that refuses them.
-    pub fn forget(&mut self, id: &worker::WorkerId) {
-        self.retain(|order| order.worker != *id);
+    /// Returns whether the task may start on a worker.
+    pub fn allows(&self, task: task::TaskId, id: &worker::WorkerId) -> bool {
+        !self.holds(task) || self.worker(task) == Some(id)
+    }
+
+    /// Adds the orders of an attempt. Returns whether they were not known.
+    fn add(&mut self, task: task::TaskId, order: Order) -> bool {
+        let orders = self.orders.entry(task).or_default();
+        let is_same = |o: &&mut Order| o.worker == order.worker && o.attempt == order.attempt;
+        match orders.iter_mut().find(is_same) {
+            Some(known) if known.until >= order.until => return false,
+            Some(known) => known.until = order.until,
+            None => orders.push(order),
+        }
+        true
+    }
+
+    /// Removes the orders of an attempt, as all of them are answered.
+    fn settle(&mut self, task: task::TaskId, attempt: u64) {
+        if let Some(orders) = self.orders.get_mut(&task) {
+            orders.retain(|order| order.attempt != attempt);
+            if orders.is_empty() {
+                self.orders.remove(&task);
+            }
+        }
     }
 
     fn retain(&mut self, is_kept: impl Fn(&Order) -> bool) {
@@ -89,9 +118,15 @@
     }
 }
 
-/// Forgets the orders that cannot be carried out any more.
-pub(in crate::owner) fn expire(owner: &mut Owner, now: time::Timestamp) {
+/// Records the orders that were not answered in time, and forgets those that cannot be carried out any more.
+pub(in crate::owner) fn run(owner: &mut Owner, now: time::Timestamp) {
     owner.unsettled.retain(|order| now < order.until);
+    let late: Vec<_> = owner.in_flight.late(owner.settings.answer_time, now).collect();
+    for (task, attempt) in late {
+        if let Some(run) = owner.runs.get(&task).filter(|run| run.attempt == attempt).cloned() {
+            owner.keep_unsettled(task, &run, now);
+        }
+    }
 }
 
 /// Starts the waiting tasks that have such orders where these may be carried out.
@@ -142,6 +177,9 @@
         let Some((worker, order)) = self.repeated_order(task, now) else {
             return self.stop(task, StopReason::StartUnconfirmed, now);
         };
+        if let Some(run) = self.runs.get(&task).cloned() {
+            self.keep_unsettled(task, &run, now);
+        }
         let (attempt, deadline) = (order.attempt, order.deadline);
         if let Some(run) = self.runs.get_mut(&task) {
             run.deadline = deadline;
@@ -191,7 +229,37 @@
         search::may_start_on(self, task.phase, id, now).then(|| id.clone())
     }
 
-    /// Records the orders without an answer of a run that has ended.
+    /// Records which orders of a run have no answer as it ends.
+    pub(in crate::owner) fn unsettled_ended(
+        &mut self,
+        task: task::TaskId,
+        run: &Run,
+        now: time::Timestamp,
+    ) {
+        if run.orders.has_open() {
+            self.keep_unsettled(task, run, now);
+        } else {
+            self.unsettled.settle(task, run.attempt);
+        }
+    }
+
+    /// Records that all orders of a run are answered, if that is so.
+    pub(in crate::owner) fn settle_orders(&mut self, task: task::TaskId) {
+        if let Some(run) = self.runs.get(&task).filter(|run| !run.orders.has_open()) {
+            self.unsettled.settle(task, run.attempt);
+        }
+    }
+
+    /// Forgets the orders to a worker whose machine runs another one, as that refuses them.
+    pub(in crate::owner) fn forget_orders(&mut self, id: &worker::WorkerId) {
+        let is_of = |orders: &Vec<Order>| orders.iter().any(|order| order.worker == *id);
+        let tasks = self.unsettled.orders.iter().filter(|(_, orders)| is_of(orders));
+        let tasks: Vec<_> = tasks.map(|(task, _)| *task).collect();
+        self.unsettled.retain(|order| order.worker != *id);
+        tasks.into_iter().for_each(|task| self.mark_dirty(task));
+    }
+
+    /// Records the orders without an answer of a run, so that they are known once it has ended.
     pub(in crate::owner) fn keep_unsettled(
         &mut self,
         task: task::TaskId,
@@ -201,8 +269,59 @@
         if run.speculative || !run.orders.has_open() || now >= run.orders.until {
             return;
         }
-        let order = Order { worker: run.worker.clone(), until: run.orders.until };
-        self.unsettled.orders.entry(task).or_default().push(order);
+        let (worker, attempt, until) = (run.worker.clone(), run.attempt, run.orders.until);
+        if self.unsettled.add(task, Order { worker, attempt, until }) {
+            self.mark_dirty(task);
+        }
+    }
+
+    /// Adds the orders of a job's tasks to a page of its progress.
+    pub(in crate::owner) fn add_unsettled(
+        &self,
+        job: task::JobId,
+        page: u32,
+        progress: &mut record::Progress,
+    ) {
+        let (Some(entry), Some(clock)) = (self.jobs.get(&job), self.store_clock) else {
+            return;
+        };
+        let first = task::PhaseId { job, occurrence: 0, phase: 0 };
+        let last = task::PhaseId { job, occurrence: u32::MAX, phase: u32::MAX };
+        let from = task::TaskId { phase: first, index: 0 };
+        let to = task::TaskId { phase: last, index: u32::MAX };
+        let drift = self.settings.clock_drift;
+        let stored = |order: &Order| record::UnsettledOrder {
+            worker: order.worker.clone(),
+            until: clock.stored(order.until, drift),
+        };
+        let of_job = self.unsettled.orders.range(from..=to);
+        let is_stored = |task: task::TaskId| entry.page(task) == page && self.is_open(task);
+        for (task, orders) in of_job.filter(|(task, _)| is_stored(**task)) {
+            let phase = progress.phase_mut(task.phase.occurrence, task.phase.phase);
+            phase.unsettled.insert(task.index, orders.iter().map(stored).collect());
+        }
+    }
+
+    /// Restores the orders that an earlier owner has stored with the progress of a job.
+    pub(in crate::owner) fn restore_unsettled(
+        &mut self,
+        job: task::JobId,
+        progress: &record::Progress,
+        now: time::Timestamp,
+    ) {
+        let longest = now + self.settings.start_window + self.settings.order_lateness;
+        let (clock, drift) = (self.store_clock, self.settings.clock_drift);
+        for phase in &progress.phases {
+            let id = task::PhaseId { job, occurrence: phase.occurrence, phase: phase.phase };
+            for (index, orders) in &phase.unsettled {
+                for stored in orders {
+                    let until = clock.map_or(longest, |clock| clock.local(stored.until, drift));
+                    let (worker, until) = (stored.worker.clone(), until.min(longest));
+                    let task = task::TaskId { phase: id, index: *index };
+                    self.unsettled.add(task, Order { worker, attempt: 0, until });
+                }
+            }
+        }
     }
 }
 
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -113,7 +113,7 @@
         for id in older {
             record = self.workers.get(&id).map(|worker| worker.record).or(record);
             self.end_incarnation(&id, &collections::BTreeSet::new(), now);
-            self.unsettled.forget(&id);
+            self.forget_orders(&id);
             self.remove_worker(&id);
         }
         record
@@ -304,11 +304,14 @@
         if let Some(worker) = self.workers.get_mut(id).filter(|w| is_ready && w.is_unproven) {
             worker.is_unproven = false;
         }
-        run.orders.confirm();
+        let is_settled = run.orders.confirm();
         if run.stage == Stage::Starting {
             run.stage = Stage::Running(now);
             self.mark_started(running.task);
         }
+        if is_settled {
+            self.settle_orders(running.task);
+        }
         Some(is_first)
     }
 
--- a/gl-jobs/src/record.rs
+++ b/gl-jobs/src/record.rs
@@ -39,6 +39,18 @@
     pub phases: Vec<Phase>,
 }
 
+impl Progress {
+    /// Returns the progress of a phase of one occurrence, which is added if there is none.
+    pub fn phase_mut(&mut self, occurrence: u32, phase: u32) -> &mut Phase {
+        let is_phase = |p: &Phase| p.occurrence == occurrence && p.phase == phase;
+        let position = self.phases.iter().position(is_phase).unwrap_or_else(|| {
+            self.phases.push(Phase { occurrence, phase, ..Phase::default() });
+            self.phases.len() - 1
+        });
+        &mut self.phases[position]
+    }
+}
+
 /// The progress of a phase of one occurrence.
 #[gl_derive::domain]
 #[derive(Default)]
@@ -60,6 +72,18 @@
     /// The long-running tasks that have run. Earlier versions do not store them.
     #[serde(default, skip_serializing_if = "bitset::BitSet::is_empty")]
     pub started: bitset::BitSet,
+    /// The start orders of each task that got no answer. Earlier versions do not store them.
+    #[serde(default, skip_serializing_if = "collections::BTreeMap::is_empty")]
+    pub unsettled: collections::BTreeMap<u32, Vec<UnsettledOrder>>,
+}
+
+/// Start orders of a task that got no answer.
+#[gl_derive::domain]
+pub struct UnsettledOrder {
+    /// The worker.
+    pub worker: worker::WorkerId,
+    /// The time, by the store's clock, until which they may be carried out.
+    pub until: time::Timestamp,
 }
 
 /// A task that may have crashed a worker.
