fix: let tasks that have waited start on workers beyond their probation

Cause: a worker that registered or restarted while others were in use gets eight runs until one of them is done. The limit keeps a worker that fails all it starts from taking the work of a service, but it follows from a count alone: however small and long the runs are, and whatever else could take the tasks.

Change: tasks that have waited for more than starvation_time (2 s) may exceed the limit. A task that found no worker in a placement pass does not rule out others of its kind any more that have waited for longer, as these may start where it may not.

--- a/gl-jobs/src/owner/placement/mod.rs
+++ b/gl-jobs/src/owner/placement/mod.rs
@@ -57,7 +57,8 @@
         owner.open_phases.remove(&phase);
         return None;
     };
-    if skip.covers(job, spec) {
+    let urgency = unplaced::urgency(owner, phase, spec, now);
+    if skip.covers(job, spec, urgency) {
         return Some(waits::Cause::Room);
     }
     let spec = spec.clone();
@@ -89,7 +90,7 @@
         }
         let Some(worker) = candidates.find(owner, phase, now) else {
             if let Some(entry) = owner.jobs.get(&phase.job) {
-                skip.add(&entry.job, &spec);
+                skip.add(&entry.job, &spec, urgency);
             }
             advice::extend(owner, phase, now);
             return Some(waits::Cause::Room);
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -108,11 +108,10 @@
     now: time::Timestamp,
 ) -> Option<Conditions> {
     let spec = entry.spec(phase.phase)?;
-    let state = state::state_of(owner, phase)?;
     Some(Conditions {
         rack: shared_rack(owner, phase, spec, now),
         image: spec.image.as_deref().and_then(|name| owner.interference.find(name)),
-        ignores_load: spec.best_effort && is_starved(owner, phase, state, now),
+        ignores_load: spec.best_effort && urgency(owner, phase, now) == Urgency::Starved,
         room: room_for(owner, entry, spec),
         crowded: untested::crowded(owner, &entry.job.service, spec),
         is_trial: false,
@@ -185,19 +184,44 @@
     pub conditions: &'a Conditions,
 }
 
-/// Returns whether the phase has waited for long and no task of its job is running.
-fn is_starved(
+/// How long the tasks of a phase have waited. The longer, the fewer limits hold for them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::owner) enum Urgency {
+    Recent,
+    /// For longer than [`Settings::starvation_time`](crate::owner::Settings).
+    Waiting,
+    /// The same, and no task of the job is running.
+    Starved,
+}
+
+/// Returns how long the tasks of a phase have waited.
+pub(in crate::owner) fn urgency(
     owner: &Owner,
     phase: task::PhaseId,
-    state: &PhaseState,
     now: time::Timestamp,
-) -> bool {
-    let first = task::PhaseId { job: phase.job, occurrence: 0, phase: 0 };
-    let last = task::PhaseId { job: phase.job, occurrence: u32::MAX, phase: u32::MAX };
+) -> Urgency {
+    match state::state_of(owner, phase) {
+        Some(state) if has_waited(owner, state, now) => {
+            if has_runs(owner, phase.job) {
+                Urgency::Waiting
+            } else {
+                Urgency::Starved
+            }
+        }
+        _ => Urgency::Recent,
+    }
+}
+
+fn has_waited(owner: &Owner, state: &PhaseState, now: time::Timestamp) -> bool {
+    now.since(state.since) > owner.settings.starvation_time
+}
+
+fn has_runs(owner: &Owner, job: task::JobId) -> bool {
+    let first = task::PhaseId { job, occurrence: 0, phase: 0 };
+    let last = task::PhaseId { job, occurrence: u32::MAX, phase: u32::MAX };
     let from = task::TaskId { phase: first, index: 0 };
     let to = task::TaskId { phase: last, index: u32::MAX };
-    now.since(state.since) > owner.settings.starvation_time
-        && owner.runs.range(from..=to).next().is_none()
+    owner.runs.range(from..=to).next().is_some()
 }
 
 /// Returns the rack for the tasks of the phase, if they should share one.
@@ -250,12 +274,21 @@
     w.has_room(&spec.reserved())
         && w.registration.service == entry.job.service
         && w.is_eligible(&owner.settings, now)
-        && !preference::is_on_probation(owner, w)
+        && may_take_more(owner, phase, w, now)
         && !copies::has_overtaken(owner, phase, w)
         && spec.label.as_ref().is_none_or(|label| w.registration.labels.contains(label))
         && spec.per_worker.is_none_or(|limit| siblings(w, phase) < limit as usize)
 }
 
+/// Returns whether a worker has not reached the limit of its probation, or the tasks of the phase have waited
+/// in vain for others: the limit protects from workers that fail what they start, and must not leave
+/// capacity idle for long.
+fn may_take_more(owner: &Owner, phase: task::PhaseId, w: &Worker, now: time::Timestamp) -> bool {
+    let may_exceed =
+        || state::state_of(owner, phase).is_some_and(|state| has_waited(owner, state, now));
+    !preference::is_on_probation(owner, w) || may_exceed()
+}
+
 fn siblings(w: &Worker, phase: task::PhaseId) -> usize {
     let first = task::TaskId { phase, index: 0 };
     let last = task::TaskId { phase, index: u32::MAX };
--- a/gl-jobs/src/owner/placement/unplaced.rs
+++ b/gl-jobs/src/owner/placement/unplaced.rs
@@ -2,8 +2,22 @@
 
 use gl_model::{size, time};
 
-use crate::job;
-use crate::owner::Owner;
+use crate::owner::{Owner, search};
+use crate::{job, task};
+
+/// Returns how long a phase has waited, as far as its tasks may start where others may not that have not.
+pub(in crate::owner) fn urgency(
+    owner: &Owner,
+    phase: task::PhaseId,
+    spec: &job::Phase,
+    now: time::Timestamp,
+) -> search::Urgency {
+    // In a full service a search for each kind of waiting best-effort tasks finds nothing.
+    if spec.best_effort {
+        return search::Urgency::Recent;
+    }
+    search::urgency(owner, phase, now)
+}
 
 /// Tasks that could not be placed in this pass. Tasks of the same kind that need at least as much
 /// cannot be placed either, and are skipped.
@@ -39,17 +53,20 @@
     /// The image of a best-effort task, which decides where the task would interfere.
     image: Option<String>,
     size: size::Size,
+    /// How long it has waited. Others that have waited for longer may start where it may not.
+    urgency: search::Urgency,
 }
 
 impl Requirements {
-    fn new(job: &job::Job, spec: &job::Phase) -> Self {
+    fn new(job: &job::Job, spec: &job::Phase, urgency: search::Urgency) -> Self {
         let service = job.service.clone();
         let image = spec.image.clone().filter(|_| spec.best_effort);
-        Self { service, best_effort: spec.best_effort, image, size: spec.size }
+        Self { service, best_effort: spec.best_effort, image, size: spec.size, urgency }
     }
 
-    fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
-        self.best_effort == spec.best_effort
+    fn covers(&self, job: &job::Job, spec: &job::Phase, urgency: search::Urgency) -> bool {
+        self.urgency >= urgency
+            && self.best_effort == spec.best_effort
             && (!spec.best_effort || self.image == spec.image)
             && self.service == job.service
             && self.size.fits_in(&spec.size)
@@ -61,24 +78,24 @@
         Self { tasks: Vec::new(), rooms: rooms(owner, now) }
     }
 
-    pub fn covers(&self, job: &job::Job, spec: &job::Phase) -> bool {
+    pub fn covers(&self, job: &job::Job, spec: &job::Phase, urgency: search::Urgency) -> bool {
         let room = self.rooms.iter().find(|room| room.service == job.service);
         let has_room = room.is_some_and(|room| spec.reserved().fits_in(&room.largest));
         // A request for advice does not need room, and the answer takes a while.
         if !has_room && job.advice.is_none() {
             return true;
         }
-        self.tasks.iter().any(|task| task.covers(job, spec))
+        self.tasks.iter().any(|task| task.covers(job, spec, urgency))
     }
 
-    pub fn add(&mut self, job: &job::Job, spec: &job::Phase) {
+    pub fn add(&mut self, job: &job::Job, spec: &job::Phase, urgency: search::Urgency) {
         let is_plain = spec.label.is_none()
             && spec.per_worker.is_none()
             && !spec.gang
             && !spec.long_running
             && job.advice.is_none();
         if is_plain {
-            self.tasks.push(Requirements::new(job, spec));
+            self.tasks.push(Requirements::new(job, spec, urgency));
         }
     }
 }
--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -144,6 +144,18 @@
         self.tick()
     }
 
+    /// Adds the next worker, which registers now and replies to a poll.
+    pub fn register(&mut self, entry: worker::Registration) {
+        let n = self.ends.len();
+        assert_eq!(entry.id, worker(n));
+        self.ends.push(Vec::new());
+        self.numbers.push(0);
+        let changes = worker::ListChanges { changed: vec![entry], removed: Vec::new() };
+        self.owner.workers_changed(&changes, at(self.now), at(self.now));
+        self.commit();
+        self.poll(n, &[]);
+    }
+
     /// Delivers the reply of a worker to a poll that was just sent.
     pub fn poll(&mut self, n: usize, running: &[worker::Running]) {
         self.now += 10;
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -30,6 +30,7 @@
 mod placement;
 mod poll_times;
 mod pressure;
+mod probation;
 mod recovery;
 mod retry_after;
 mod room;
