fix: let long-running tasks take held workers that only they can use

A new job that lasts, which one worker can run, started 19 s later though that worker and all others were idle.

Cause: a few workers are held for short tasks, and long-running tasks that have not run do not start there. A new owner holds the largest share for 20 s, as it has not seen how many short tasks come. Neither asks whether the long-running task has a choice. With short tasks about, it has to wait for as long as they come.

Change: a held worker may be taken by a long-running task if no worker that is not held could take it in its place, also with room: by its label, its size, and the limit of its phase for each worker. Short tasks can use the others. In a service that is merely full nothing changes, as its other workers could take the task.

--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -276,8 +276,7 @@
         && w.is_eligible(&owner.settings, now)
         && may_take_more(owner, phase, w, now)
         && !copies::has_overtaken(owner, phase, w)
-        && spec.label.as_ref().is_none_or(|label| w.registration.labels.contains(label))
-        && spec.per_worker.is_none_or(|limit| siblings(w, phase) < limit as usize)
+        && accepts(w, phase, spec)
 }
 
 /// Returns whether a worker has not reached the limit of its probation, or the tasks of the phase have waited
@@ -289,6 +288,31 @@
     !preference::is_on_probation(owner, w) || may_exceed()
 }
 
+/// Returns whether a worker that `is_usable` could take a task of the phase in place of `w` if it had room.
+fn has_alternative(
+    owner: &Owner,
+    request: &Request<'_>,
+    w: &Worker,
+    is_usable: impl Fn(&Worker) -> bool,
+) -> bool {
+    let (spec, entry) = (request.spec, request.entry);
+    let could_take = |other: &Worker| {
+        other.registration.id != w.registration.id
+            && other.registration.service == entry.job.service
+            && other.is_in_use()
+            && spec.reserved().fits_in(&other.registration.size)
+            && accepts(other, request.phase, spec)
+            && is_usable(other)
+    };
+    owner.workers.values().any(could_take)
+}
+
+/// Returns whether a worker has what a task of the phase requires besides room.
+fn accepts(w: &Worker, phase: task::PhaseId, spec: &job::Phase) -> bool {
+    spec.label.as_ref().is_none_or(|label| w.registration.labels.contains(label))
+        && spec.per_worker.is_none_or(|limit| siblings(w, phase) < limit as usize)
+}
+
 fn siblings(w: &Worker, phase: task::PhaseId) -> usize {
     let first = task::TaskId { phase, index: 0 };
     let last = task::TaskId { phase, index: u32::MAX };
@@ -319,10 +343,11 @@
 const RACK_BONUS: f64 = 10.0;
 
 /// Returns the malus of a worker for a long-running task, as short tasks need its room; `None` if it is
-/// held for them.
-fn room_malus(request: &Request<'_>, w: &Worker) -> Option<f64> {
+/// held for them. They can use other workers in its place if the long-running task cannot.
+fn room_malus(owner: &Owner, request: &Request<'_>, w: &Worker) -> Option<f64> {
     let conditions = request.conditions;
-    if w.is_held && !conditions.is_interrupted {
+    let is_kept = w.is_held && !conditions.is_interrupted;
+    if is_kept && has_alternative(owner, request, w, |other| !other.is_held) {
         return None;
     }
     let is_free = w.long_running_cores == 0;
@@ -342,7 +367,7 @@
     let capacity = if spec.best_effort {
         colocation::best_effort_score(owner, request, w)?
     } else if spec.long_running {
-        left / total + colocation::image_affinity(request, w) - room_malus(request, w)?
+        left / total + colocation::image_affinity(request, w) - room_malus(owner, request, w)?
     } else if request.conditions.is_trial {
         left / total
     } else {
--- a/gl-jobs/tests/jobs/placement.rs
+++ b/gl-jobs/tests/jobs/placement.rs
@@ -301,6 +301,51 @@
     assert_eq!(short.len(), 2, "the first short job finds room");
 }
 
+/// Guards against lasting tasks that wait on an idle service, as the only workers that can run them are held.
+#[test]
+fn long_running_tasks_that_only_held_workers_can_run_start_there() {
+    let watch_time = time::Span::seconds(20);
+    let settings = owner::Settings { watch_time, ..owner::Settings::default() };
+    let long_running = || job::Phase { long_running: true, ..cell::phase(2, 13_000) };
+    let mut cell = Cell::with_settings(25, settings);
+    // The first two workers are held, and the only ones on their rack.
+    let labelled = job::Phase { label: Some("r0".to_owned()), ..long_running() };
+    assert_eq!(cell::starts(&cell.submit(1, cell::job(vec![labelled.clone()]))).len(), 2);
+
+    // A short task on one of them, as in the case that was reported, changes nothing.
+    let mut cell = Cell::with_settings(25, settings);
+    let batch = job::Phase { label: Some("r0".to_owned()), ..cell::phase(1, 7_000) };
+    assert_eq!(cell::starts(&cell.submit(1, cell::job(vec![batch]))).len(), 1);
+    assert_eq!(cell::starts(&cell.submit(2, cell::job(vec![labelled]))).len(), 2);
+
+    // All others have a task of the phase.
+    let mut cell = Cell::with_settings(25, settings);
+    let wide = job::Phase { count: 25, per_worker: Some(1), ..long_running() };
+    assert_eq!(cell::starts(&cell.submit(1, cell::job(vec![wide]))).len(), 25);
+}
+
+/// Guards against the same while short tasks come.
+#[test]
+fn workers_held_for_present_short_tasks_run_what_no_others_can() {
+    let mut cell = Cell::new(25);
+    let short = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(4, 30_000)])));
+    assert_eq!(short.len(), 4);
+    cell.now += 200;
+    cell.tick();
+    for start in &short {
+        cell.start_replied(start, worker::OrderReply::Done);
+        cell.report_end(cell::index(&start.worker), start, worker::Outcome::Done);
+        cell.poll(cell::index(&start.worker), &[]);
+    }
+    let held: Vec<_> =
+        cell.owner.workers().filter(|w| w.is_held).map(|w| w.registration.clone()).collect();
+    assert_eq!(held.len(), 2);
+    let rack = held[0].rack.clone();
+    let phase = job::Phase { long_running: true, label: rack, ..cell::phase(1, 13_000) };
+    let starts = cell::starts(&cell.submit(2, cell::job(vec![phase])));
+    assert_eq!(starts.len(), 1);
+}
+
 /// Guards against short tasks that find no room while workers are replaced: those that leave run no
 /// long-running task any more, and were held in place of workers that accept tasks.
 #[test]
