fix: call workers that may get an order sooner after they have started again

Change: a worker that does not reply is polled without a wait, so that a poll fails after the time-out of an order (0.9 s). If it may get an order, the next poll follows after 60 ms in place of 300 ms. This makes the time shorter; it closes nothing.

--- a/geraniumlatchd/src/jobs/worker_client.rs
+++ b/geraniumlatchd/src/jobs/worker_client.rs
@@ -14,6 +14,10 @@
 /// Pause after a poll without a usable reply.
 const POLL_RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
 
+/// The same if the worker may carry out an order once it has started again: the first call that it gets from
+/// the owner rules that out.
+const FENCING_PAUSE: std::time::Duration = std::time::Duration::from_millis(60);
+
 /// Maximum delay of the next poll while the ended runs that the previous reply listed are not
 /// stored yet.
 const COMMIT_WAIT: std::time::Duration = std::time::Duration::from_millis(150);
@@ -54,7 +58,9 @@
     while !ownership.is_ended() && client.is_needed.get() {
         let sent = clock::steady();
         if !poll(&ownership, &client, false).await {
-            ntex::time::sleep(POLL_RETRY_PAUSE).await;
+            let is_urgent = ownership.owner().may_get_orders(&client.id);
+            let pause = if is_urgent { FENCING_PAUSE } else { POLL_RETRY_PAUSE };
+            ntex::time::sleep(pause).await;
         }
         wait_for_commit(&ownership, &client).await;
         let left = (sent + ownership.poll_interval(&client.id)).since(clock::steady());
--- a/gl-jobs/src/owner/unsettled.rs
+++ b/gl-jobs/src/owner/unsettled.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Returns whether any of the orders was sent to a worker.
+    fn concerns(&self, id: &worker::WorkerId) -> bool {
+        self.orders.values().flatten().any(|order| order.worker == *id)
+    }
+
     fn retain(&mut self, is_kept: impl Fn(&Order) -> bool) {
         self.orders.retain(|_, orders| {
             orders.retain(&is_kept);
@@ -156,6 +161,12 @@
 }
 
 impl Owner {
+    /// Returns whether a worker that is down may carry out an order once it has started again, so that it should
+    /// get a call that rules this out as soon as it can.
+    pub fn may_get_orders(&self, id: &worker::WorkerId) -> bool {
+        self.unsettled.concerns(id)
+    }
+
     /// Sends a start order.
     pub(in crate::owner) fn push_start(
         &mut self,
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -183,7 +183,8 @@
         if let Some(lease) = lease {
             worker.granted_until = lease;
         }
-        let wait = if worker.clock.is_none() || worker.unconfirmed_since.is_some() {
+        let is_unknown = worker.clock.is_none() || worker.unconfirmed_since.is_some();
+        let wait = if is_unknown || worker.is_unresponsive {
             time::Span::ZERO
         } else if needs_attention {
             settings.short_wait
--- a/gl-jobs/tests/jobs/unsettled.rs
+++ b/gl-jobs/tests/jobs/unsettled.rs
@@ -391,3 +391,25 @@
     assert!(!plain.windows(9).any(|part| part == b"unsettled"));
     assert_eq!(record::decode::<record::Progress>("progress", &plain), Ok(progress));
 }
+
+/// Guards against restarted workers that carry out an order before the owner has called them: calls to a worker
+/// that does not reply must not wait there for an end of a run, so that they fail, and the next is sent, sooner.
+#[test]
+fn worker_that_may_get_an_order_is_called_as_soon_as_it_is_back() {
+    let (mut cell, start) = ordered(1);
+    assert!(!cell.owner.may_get_orders(&start.worker));
+    cell.now += 400;
+    cell.poll(0, &[]);
+    cell.tick();
+    assert!(cell.owner.may_get_orders(&start.worker));
+    let wait = |cell: &mut Cell| {
+        let now = cell::at(cell.now);
+        cell.owner.poll_request(&cell::worker(0), now).map(|request| request.wait)
+    };
+    assert!(wait(&mut cell).is_some_and(|wait| wait > gl_model::time::Span::ZERO));
+    cell.owner.poll_failed(&cell::worker(0), cell::at(cell.now));
+    assert_eq!(wait(&mut cell), Some(gl_model::time::Span::ZERO));
+    cell.now += LATENESS + 2_000;
+    cell.tick();
+    assert!(!cell.owner.may_get_orders(&start.worker));
+}
