fix: leave a margin after the deadline of a start order without an answer

This is one of the causes that fit it; it was found by reading and was not seen in a run.

Cause: a run whose start got no answer was taken to have never started once a reply of the worker, without the run, had a clock after the order's deadline. A busy worker checks the deadline, replies to a poll on another connection, and lists the run only then. All other conclusions from a worker's clock have a margin (clock_margin, 150 ms).

Change: the margin is added to the deadline. The task waits 150 ms longer at most, where its stop was not confirmed before.

--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -353,7 +353,11 @@
                 Stage::Stopping(stop) if stop.confirmed.is_some_and(|at| at < sent) => {
                     Cause::NeverRan
                 }
-                Stage::Stopping(stop) if stop.was_starting && reply.clock > run.deadline => {
+                // A busy worker may list a run some time after it has checked the deadline.
+                Stage::Stopping(stop)
+                    if stop.was_starting
+                        && reply.clock > run.deadline + self.settings.clock_margin =>
+                {
                     Cause::NeverRan
                 }
                 _ => continue,
--- a/gl-jobs/tests/jobs/orders.rs
+++ b/gl-jobs/tests/jobs/orders.rs
@@ -39,6 +39,21 @@
     assert_eq!(cell::starts(&cell.tick()).len(), 1);
 }
 
+/// Guards against second runs: a busy worker checks the deadline of an order, replies to a poll, and lists the run
+/// only then.
+#[test]
+fn order_may_be_carried_out_shortly_after_its_deadline() {
+    let (mut cell, start) = one_task(1);
+    unsettled::lose(&mut cell, &start);
+    let deadline = cell.owner.runs().next().map(|(_, run)| run.deadline).expect("it is recorded");
+    cell.now = deadline.since(cell::at(0)).as_millis() + 20;
+    cell.poll(0, &[]);
+    assert!(cell::starts(&cell.tick()).is_empty());
+    cell.now += 200;
+    cell.poll(0, &[]);
+    assert_eq!(cell::starts(&cell.tick()).len(), 1);
+}
+
 #[test]
 fn capacity_of_a_lost_start_stays_reserved() {
     let (mut cell, start) = one_task(1);
