--- a/gl-standin/examples/soak/main.rs
+++ b/gl-standin/examples/soak/main.rs
@@ -24,6 +24,7 @@
     seeds: std::ops::Range<u64>,
     deployment: deployment::Settings,
     length: Duration,
+    gap: Duration,
     settling: Duration,
     kinds: Vec<plan::Kind>,
     /// The folder for the logs of seeds with violations.
@@ -69,12 +70,13 @@
     options.optopt("", "daemons", "daemons in each failure domain (3)", "N");
     options.optopt("", "workers", "workers in all (60)", "N");
     options.optopt("", "seconds", "length of a series (90)", "N");
+    options.optopt("", "gap", "longest time between disturbances, in milliseconds (9000)", "N");
     options.optopt("", "settling", "time after it, in seconds (30)", "N");
     options.optopt("", "lease", "longest lease of a worker, in milliseconds (10000)", "N");
     options.optmulti(
         "",
         "only",
-        "only this kind: cut, store, pause or kill; may be repeated",
+        "only this kind: cut, store, pause, kill, crash, late or delay; may be repeated",
         "KIND",
     );
     options.optopt("", "logs", "folder for the logs of seeds with violations", "PATH");
@@ -93,7 +95,9 @@
     let names = matches.opt_strs("only");
     let is_known = |name: &String| plan::KINDS.iter().any(|(_, known, _)| name == known);
     if let Some(name) = names.iter().find(|name| !is_known(name)) {
-        return Err(format!("--only: no kind `{name}`; give cut, store, pause or kill"));
+        return Err(format!(
+            "--only: no kind `{name}`; give cut, store, pause, kill, crash, late or delay"
+        ));
     }
     let is_chosen = |name: &str| names.is_empty() || names.iter().any(|chosen| chosen == name);
     let kinds = plan::KINDS.iter().filter(|(_, name, _)| is_chosen(name));
@@ -107,6 +111,7 @@
             ..deployment::Settings::default()
         },
         length: Duration::from_secs(number("seconds", 90)?),
+        gap: Duration::from_millis(number("gap", 9_000)?),
         settling: Duration::from_secs(number("settling", 30)?),
         kinds: kinds.map(|(kind, ..)| *kind).collect(),
         logs: matches.opt_str("logs").map(path::PathBuf::from),
@@ -120,7 +125,9 @@
     let size = plan::Size {
         domains,
         daemons: deployment.daemons.len(),
+        workers: options.deployment.size.workers,
         length: options.length,
+        gap: options.gap,
         kinds: options.kinds.clone(),
     };
     let steps = plan::series(seed, size);
--- a/gl-standin/examples/soak/plan.rs
+++ b/gl-standin/examples/soak/plan.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use gl_standin::fleet::network::{Scope, State};
+use gl_standin::fleet::{
+    Start,
+    network::{Scope, State},
+};
 use rand::{Rng as _, SeedableRng as _, rngs};
 
 /// Something that is disturbed: a failure domain or a daemon.
@@ -36,14 +39,23 @@
     Pause,
     /// A daemon is killed, and started again at the end.
     Kill,
+    /// Workers crash, and start again at the end.
+    Crash,
+    /// Some start orders get no answer and are carried out late.
+    Late,
+    /// Calls to some workers wait before these see them.
+    Delay,
 }
 
 /// All kinds, with their names in arguments and reports and their weights.
-pub const KINDS: [(Kind, &str, u32); 4] = [
+pub const KINDS: [(Kind, &str, u32); 7] = [
     (Kind::Cut, "cut", 4),
     (Kind::Store, "store", 3),
     (Kind::Pause, "pause", 2),
     (Kind::Kill, "kill", 2),
+    (Kind::Crash, "crash", 6),
+    (Kind::Late, "late", 3),
+    (Kind::Delay, "delay", 3),
 ];
 
 /// What a disturbance does.
@@ -57,6 +69,12 @@
     Pause(Target),
     /// See [`Kind::Kill`].
     Kill(Target),
+    /// See [`Kind::Crash`].
+    Crash { workers: Vec<usize>, start: Start, is_dark: bool },
+    /// See [`Kind::Late`]: one order in so many.
+    Late { one_in: u64 },
+    /// See [`Kind::Delay`].
+    Delay { workers: Vec<usize>, millis: u64 },
 }
 
 impl Action {
@@ -67,6 +85,9 @@
             Self::Store { .. } => Kind::Store,
             Self::Pause(_) => Kind::Pause,
             Self::Kill(_) => Kind::Kill,
+            Self::Crash { .. } => Kind::Crash,
+            Self::Late { .. } => Kind::Late,
+            Self::Delay { .. } => Kind::Delay,
         }
     }
 }
@@ -89,16 +110,20 @@
     pub domains: usize,
     /// The daemons in all.
     pub daemons: usize,
+    /// The workers in all.
+    pub workers: usize,
     /// The length of the series.
     pub length: Duration,
+    /// The longest time between the starts of two disturbances.
+    pub gap: Duration,
     /// The kinds of disturbances.
     pub kinds: Vec<Kind>,
 }
 
 /// The time before the first disturbance.
 const CALM: Duration = Duration::from_secs(3);
-/// The range of the times between the starts of two disturbances, in milliseconds.
-const GAP_MS: std::ops::Range<u64> = 500..9_000;
+/// The shortest time between the starts of two disturbances, in milliseconds.
+const MIN_GAP_MS: u64 = 500;
 
 struct Generator {
     random: rngs::SmallRng,
@@ -111,9 +136,11 @@
     let mut generator = Generator { random, size };
     let mut steps = Vec::new();
     let mut at = CALM;
+    let longest = u64::try_from(generator.size.gap.as_millis()).unwrap_or(u64::MAX);
+    let gaps = MIN_GAP_MS..longest.max(MIN_GAP_MS + 1);
     while at < generator.size.length {
         generator.disturb(at, &mut steps);
-        at += generator.millis(GAP_MS);
+        at += generator.millis(gaps.clone());
     }
     steps
 }
@@ -144,6 +171,16 @@
         }
     }
 
+    /// Returns one to three workers.
+    fn workers(&mut self) -> Vec<usize> {
+        let count = self.random.random_range(1..=3);
+        let workers = (0..count).map(|_| self.random.random_range(0..self.size.workers));
+        let mut workers: Vec<_> = workers.collect();
+        workers.sort_unstable();
+        workers.dedup();
+        workers
+    }
+
     fn state(&mut self) -> State {
         [State::Held, State::Reset, State::Refused][self.random.random_range(0..3)]
     }
@@ -162,6 +199,22 @@
                 (Action::Pause(self.target(self.size.daemons)), self.millis(500..25_000))
             }
             Kind::Kill => (Action::Kill(self.target(self.size.daemons)), self.millis(50..6_000)),
+            Kind::Crash => {
+                let workers = self.workers();
+                let is_renamed = self.random.random_bool(0.3);
+                let start = if is_renamed { Start::OtherName } else { Start::SameName };
+                let is_dark = self.random.random_bool(0.5);
+                (Action::Crash { workers, start, is_dark }, self.millis(20..4_500))
+            }
+            Kind::Late => {
+                let one_in = self.random.random_range(6..20);
+                (Action::Late { one_in }, self.millis(3_000..12_000))
+            }
+            Kind::Delay => {
+                let workers = self.workers();
+                let millis = self.random.random_range(100..1_600);
+                (Action::Delay { workers, millis }, self.millis(1_000..6_000))
+            }
         };
         self.push(Step { at, until: at + length, action }, steps);
     }
--- a/gl-standin/examples/soak/series.rs
+++ b/gl-standin/examples/soak/series.rs
@@ -4,6 +4,7 @@
 
 use gl_standin::{
     fleet::{
+        Calls,
         deployment::Deployment,
         network::{Cut, Scope},
     },
@@ -56,13 +57,22 @@
                 let domain = self.index(*domain).await % self.domains;
                 Action::Cut { domain: Target::Index(domain), scope: *scope, state: *state }
             }
-            Action::Store { .. } => action.clone(),
+            Action::Store { .. } | Action::Late { .. } | Action::Delay { .. } => action.clone(),
+            Action::Crash { workers, start, is_dark } => {
+                let is_down = |worker: &usize| {
+                    let is_of = |other: &Action| matches!(other, Action::Crash { workers, .. } if workers.contains(worker));
+                    self.active.values().any(is_of)
+                };
+                let workers = workers.iter().copied().filter(|worker| !is_down(worker)).collect();
+                Action::Crash { workers, start: *start, is_dark: *is_dark }
+            }
             Action::Pause(target) => Action::Pause(Target::Index(self.index(*target).await)),
             Action::Kill(target) => Action::Kill(Target::Index(self.index(*target).await)),
         };
         match &action {
             Action::Pause(Target::Index(daemon)) => self.signal(*daemon, Process::pause),
             Action::Kill(Target::Index(daemon)) => self.deployment.daemons[*daemon].process.kill(),
+            Action::Crash { workers, .. } => self.deployment.crash(workers).await?,
             _ => {}
         }
         let change = format!("{action:?}");
@@ -89,6 +99,9 @@
             Action::Kill(Target::Index(daemon)) if is_last => {
                 self.deployment.daemons[*daemon].restart()?;
             }
+            Action::Crash { workers, start, .. } => {
+                self.deployment.start_again(workers.clone(), *start).await?;
+            }
             _ => {}
         }
         self.apply().await?;
@@ -106,6 +119,7 @@
     /// Sets the network and the store to what the disturbances in force require.
     async fn apply(&self) -> io::Result<()> {
         let (mut cuts, mut refused, mut is_down) = (Vec::new(), Vec::new(), false);
+        let mut calls = Calls::default();
         for action in self.active.values() {
             match action {
                 Action::Cut { domain: Target::Index(domain), scope, state } => {
@@ -123,9 +137,15 @@
                         })),
                     }
                 }
+                Action::Crash { workers, is_dark: true, .. } => calls.dark.extend(workers),
+                Action::Late { one_in } => calls.late_one_in = *one_in,
+                Action::Delay { workers, millis } => {
+                    calls.delays_ms.extend(workers.iter().map(|worker| (*worker, *millis)));
+                }
                 _ => {}
             }
         }
+        self.deployment.set_calls(&calls).await?;
         self.deployment.set_store_down(is_down).await?;
         self.deployment.set_refused(&refused).await?;
         self.deployment.set_cuts(&cuts).await
--- a/gl-standin/src/fleet/admin.rs
+++ b/gl-standin/src/fleet/admin.rs
@@ -7,7 +7,8 @@
 
 use super::{
     network,
-    server::{Fleet, encode},
+    server::{Calls, Fleet, encode},
+    workers,
 };
 
 /// A daemon that the other failure domains reach through the network.
@@ -19,6 +20,15 @@
     pub mesh: net::SocketAddr,
 }
 
+/// Workers that start again.
+#[gl_derive::domain]
+pub struct Restart {
+    /// Their indices.
+    pub workers: Vec<usize>,
+    /// How they start.
+    pub start: workers::Start,
+}
+
 /// Adds the routes.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
@@ -30,6 +40,9 @@
         .service(web::resource("/admin/slow-writes").route(web::post().to(set_write_time)))
         .service(web::resource("/admin/peers").route(web::post().to(add_peer)))
         .service(web::resource("/admin/cuts").route(web::post().to(set_cuts)))
+        .service(web::resource("/admin/calls").route(web::post().to(set_calls)))
+        .service(web::resource("/admin/crash").route(web::post().to(crash)))
+        .service(web::resource("/admin/start").route(web::post().to(start_again)))
         .service(web::resource("/admin/reads").route(web::get().to(get_read_together)))
         .service(web::resource("/admin/runs").route(web::get().to(get_runs)));
 }
@@ -106,6 +119,39 @@
     web::HttpResponse::Ok().finish()
 }
 
+/// Sets what befalls calls to workers.
+async fn set_calls(
+    fleet: web::types::State<Fleet>,
+    body: web::types::Json<Calls>,
+) -> web::HttpResponse {
+    let mut calls = fleet.calls.lock();
+    *calls = Calls { starts: calls.starts, ..body.into_inner() };
+    web::HttpResponse::Ok().finish()
+}
+
+/// Has workers crash.
+async fn crash(
+    fleet: web::types::State<Fleet>,
+    body: web::types::Json<Vec<usize>>,
+) -> web::HttpResponse {
+    for index in body.iter() {
+        fleet.workers.lock().crash(*index);
+        fleet.ends[*index].notify_waiters();
+    }
+    web::HttpResponse::Ok().finish()
+}
+
+/// Starts workers again that have crashed.
+async fn start_again(
+    fleet: web::types::State<Fleet>,
+    body: web::types::Json<Restart>,
+) -> web::HttpResponse {
+    for index in &body.workers {
+        fleet.workers.lock().start_again(*index, body.start);
+    }
+    web::HttpResponse::Ok().finish()
+}
+
 async fn get_read_together(fleet: web::types::State<Fleet>) -> web::HttpResponse {
     web::HttpResponse::Ok().json(&fleet.store.lock().read_together)
 }
--- a/gl-standin/src/fleet/deployment.rs
+++ b/gl-standin/src/fleet/deployment.rs
@@ -6,7 +6,7 @@
 use gl_jobs::record;
 use serde_json::{Value, json};
 
-use super::{Peer, Run, Size, client, daemon, network, server};
+use super::{Calls, Peer, Restart, Run, Size, Start, client, daemon, network, server};
 use crate::{
     http,
     process::{self, Process},
@@ -150,6 +150,33 @@
         self.post("cuts", &cuts).await
     }
 
+    /// Sets what befalls calls to workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not respond.
+    pub async fn set_calls(&self, calls: &Calls) -> io::Result<()> {
+        self.post("calls", calls).await
+    }
+
+    /// Has workers crash.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not respond.
+    pub async fn crash(&self, workers: &[usize]) -> io::Result<()> {
+        self.post("crash", &workers).await
+    }
+
+    /// Starts workers again that have crashed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not respond.
+    pub async fn start_again(&self, workers: Vec<usize>, start: Start) -> io::Result<()> {
+        self.post("start", &Restart { workers, start }).await
+    }
+
     /// Returns all runs so far, in the order of their starts.
     ///
     /// # Errors
--- a/gl-standin/src/fleet/mod.rs
+++ b/gl-standin/src/fleet/mod.rs
@@ -19,8 +19,8 @@
 mod worker_api;
 mod workers;
 
-pub use admin::Peer;
+pub use admin::{Peer, Restart};
 pub use recorder::Run;
-pub use server::{Size, run};
+pub use server::{Calls, Size, run};
 pub use store::Store;
-pub use workers::Workers;
+pub use workers::{Recipient, Start, Workers};
--- a/gl-standin/src/fleet/recorder.rs
+++ b/gl-standin/src/fleet/recorder.rs
@@ -21,7 +21,7 @@
     pub started: u64,
     /// The end of the run, if it has ended.
     pub ended: Option<u64>,
-    /// The outcome of the run, if it has ended.
+    /// The outcome of the run, if it has ended otherwise than by a crash of its worker.
     #[serde(rename = "how")]
     pub outcome: Option<worker::Outcome>,
     /// The time at which an owner acknowledged the end, if one has.
@@ -72,6 +72,16 @@
         self.unacknowledged.insert((worker, end.number), open);
     }
 
+    /// Records that a worker has crashed with all that it ran and knew.
+    pub fn crashed(&mut self, worker: usize, at: u64) {
+        for (_, open) in self.open.extract_if(.., |(of, _), _| *of == worker) {
+            for index in open {
+                self.runs[index].ended = Some(at);
+            }
+        }
+        self.unacknowledged.retain(|(of, _), _| *of != worker);
+    }
+
     /// Records that the ends of a worker were acknowledged up to a number.
     pub fn acknowledged(&mut self, worker: usize, number: u64, at: u64) {
         let range = (worker, 0)..=(worker, number);
--- a/gl-standin/src/fleet/server.rs
+++ b/gl-standin/src/fleet/server.rs
@@ -30,6 +30,23 @@
     pub network: sync::Arc<Network>,
     /// The failure domains whose requests the store refuses.
     pub refused: sync::Arc<Mutex<collections::BTreeSet<usize>>>,
+    /// What befalls calls to workers.
+    pub calls: sync::Arc<Mutex<Calls>>,
+}
+
+/// What befalls calls to workers.
+#[gl_derive::domain]
+#[derive(Default)]
+pub struct Calls {
+    /// One in so many start orders gets no answer, and is carried out seconds later; none if zero.
+    pub late_one_in: u64,
+    /// The time for which calls wait before the workers see them, in milliseconds, by worker.
+    pub delays_ms: collections::BTreeMap<usize, u64>,
+    /// The workers that do not answer at all while they are down. Others reset the connection.
+    pub dark: collections::BTreeSet<usize>,
+    /// The number of start orders so far.
+    #[serde(default)]
+    pub starts: u64,
 }
 
 /// The failure domain whose callers use a port of the store; `None` for operators.
@@ -102,6 +119,7 @@
         ends: (0..size.workers).map(|_| Notify::new()).collect(),
         network: sync::Arc::new(network),
         refused: sync::Arc::default(),
+        calls: sync::Arc::default(),
     };
     ntex::rt::spawn(serve_workers(&fleet, workers)?);
     ntex::rt::spawn(advance_workers(fleet.clone()));
@@ -162,6 +180,8 @@
     domains: usize,
 ) {
     let mut renewed_at = vec![time::Instant::now(); domains];
+    // The last entry of each worker, and when it was up.
+    let mut last: Vec<Option<(String, time::Instant)>> = vec![None; addresses.len()];
     loop {
         let now = time::Instant::now();
         let is_down = fleet.store.lock().is_down;
@@ -172,11 +192,22 @@
             }
         }
         let entries = fleet.workers.lock().entries(&service);
-        for (n, ((id, mut entry), address)) in entries.into_iter().zip(&addresses).enumerate() {
+        for (n, (entry, address)) in entries.into_iter().zip(&addresses).enumerate() {
+            let known = last[n].take();
+            let is_renamed = |id: &String| entry.as_ref().is_some_and(|(new, _)| new != id);
+            let is_gone = |at: time::Instant| now.duration_since(at) >= ENTRY_VALIDITY;
+            match known {
+                Some((id, at)) if is_gone(at) || is_renamed(&id) => {
+                    fleet.store.lock().update("servers", &id, None);
+                }
+                known => last[n] = known,
+            }
+            let Some((id, mut entry)) = entry else { continue };
             entry["Address"] = json!(address.to_string());
             let is_listed = now.duration_since(renewed_at[n % domains]) < ENTRY_VALIDITY;
             let value = is_listed.then(|| encode(entry.to_string().as_bytes()));
             fleet.store.lock().update("servers", &id, value.as_deref());
+            last[n] = Some((id, now));
         }
         ntex::time::sleep(HEARTBEAT_INTERVAL).await;
     }
--- a/gl-standin/src/fleet/worker_api.rs
+++ b/gl-standin/src/fleet/worker_api.rs
@@ -2,10 +2,23 @@
 
 use std::time;
 
+use gl_jobs::worker;
 use ntex::web;
 use serde_json::Value;
 
-use super::server::{Fleet, WorkerIndex, response};
+use super::{
+    server::{Fleet, WorkerIndex, response},
+    workers::Recipient,
+};
+
+/// The header that names the intended worker.
+const INSTANCE_HEADER: &str = "X-Expect-Instance";
+/// The time for which a worker that does not answer keeps a connection open.
+const SILENCE: time::Duration = time::Duration::from_secs(20);
+/// The range of the times after which a late order is carried out, in seconds.
+const LATENESS_S: std::ops::Range<u64> = 2..12;
+/// The status that stands for a connection that is reset.
+const RESET: u16 = 500;
 
 /// Adds the routes.
 pub fn configure(config: &mut web::ServiceConfig) {
@@ -14,26 +27,85 @@
         .service(web::resource("/{tail}*").route(web::post().to(handle_order)));
 }
 
+/// Returns for which worker a call is meant.
+fn recipient(request: &web::HttpRequest, index: usize) -> Recipient {
+    let name = request.headers().get(INSTANCE_HEADER).and_then(|value| value.to_str().ok());
+    Recipient { index, name: name.map(str::to_owned) }
+}
+
+/// Has a call wait on its way to the worker, and returns the incarnation that receives it. Calls to a worker
+/// that is down get no answer.
+async fn arrive(fleet: &Fleet, index: usize) -> Option<worker::Incarnation> {
+    let delay = fleet.calls.lock().delays_ms.get(&index).copied();
+    if let Some(delay) = delay {
+        ntex::time::sleep(time::Duration::from_millis(delay)).await;
+    }
+    let incarnation = fleet.workers.lock().incarnation(index);
+    if incarnation.is_none() && fleet.calls.lock().dark.contains(&index) {
+        ntex::time::sleep(SILENCE).await;
+    }
+    incarnation
+}
+
+/// Returns the time after which an order is carried out, if it is one that gets no answer.
+fn lateness(fleet: &Fleet, path: &str) -> Option<time::Duration> {
+    let mut calls = fleet.calls.lock();
+    if path != "/run-start" || calls.late_one_in == 0 {
+        return None;
+    }
+    calls.starts += 1;
+    let range = LATENESS_S.end - LATENESS_S.start;
+    let seconds = LATENESS_S.start + calls.starts / calls.late_one_in % range;
+    let is_late = calls.starts.is_multiple_of(calls.late_one_in);
+    is_late.then(|| time::Duration::from_secs(seconds))
+}
+
 async fn handle_order(
     request: web::HttpRequest,
     index: web::types::State<WorkerIndex>,
     fleet: web::types::State<Fleet>,
     body: web::types::Json<Value>,
 ) -> web::HttpResponse {
-    response(fleet.workers.lock().order(index.0, request.path(), &body))
+    let (recipient, path) = (recipient(&request, index.0), request.path().to_owned());
+    if let Some(after) = lateness(&fleet, &path) {
+        let (fleet, body) = (fleet.get_ref().clone(), body.into_inner());
+        ntex::rt::spawn(async move {
+            ntex::time::sleep(after).await;
+            if fleet.workers.lock().incarnation(recipient.index).is_some() {
+                fleet.workers.lock().order(&recipient, &path, &body);
+            }
+        });
+        ntex::time::sleep(SILENCE).await;
+        return response((RESET, Value::Null));
+    }
+    // A call whose caller has given it up is carried out all the same.
+    let (own, body) = (fleet.get_ref().clone(), body.into_inner());
+    let reply = ntex::rt::spawn(async move {
+        arrive(&own, recipient.index).await?;
+        Some(own.workers.lock().order(&recipient, &path, &body))
+    });
+    response(reply.await.ok().flatten().unwrap_or((RESET, Value::Null)))
 }
 
 async fn poll(
+    request: web::HttpRequest,
     index: web::types::State<WorkerIndex>,
     fleet: web::types::State<Fleet>,
     body: web::types::Json<Value>,
 ) -> web::HttpResponse {
+    let recipient = recipient(&request, index.0);
+    let Some(incarnation) = arrive(&fleet, index.0).await else {
+        return response((RESET, Value::Null));
+    };
     let wait = body["WaitMs"].as_u64().unwrap_or(0);
     let deadline = time::Instant::now() + time::Duration::from_millis(wait);
     loop {
         let ended = fleet.ends[index.0].notified();
         let left = deadline.saturating_duration_since(time::Instant::now());
-        let reply = fleet.workers.lock().poll(index.0, &body, left.is_zero());
+        if fleet.workers.lock().incarnation(index.0) != Some(incarnation) {
+            return response((RESET, Value::Null));
+        }
+        let reply = fleet.workers.lock().poll(&recipient, &body, left.is_zero());
         if let Some(reply) = reply {
             return response(reply);
         }
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -25,8 +25,33 @@
     emulated: emulated::Worker,
     advanced_to: model::Timestamp,
     domain: String,
+    /// The name of its machine, which stays the same.
+    machine: String,
+    /// The number of names that it has had.
+    names: usize,
 }
 
+/// A call to a worker: which one it is meant for, and which one has received it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recipient {
+    /// The index of the worker.
+    pub index: usize,
+    /// The name of the worker that the call is meant for, if it says so.
+    pub name: Option<String>,
+}
+
+/// How a crashed worker starts again.
+#[gl_derive::tag]
+pub enum Start {
+    /// Under its name.
+    SameName,
+    /// Under another name, which only it accepts calls for.
+    OtherName,
+}
+
+/// The status of a worker other than the intended one.
+const OTHER_INSTANCE: u16 = 421;
+
 /// The run time of a task whose description does not give one.
 const DEFAULT_WORK: model::Span = model::Span::millis(200);
 
@@ -68,6 +93,8 @@
             emulated: emulated::Worker::new(n, spec, model::Timestamp(0)),
             advanced_to: model::Timestamp(0),
             domain: domain.clone(),
+            machine: format!("vm-{n}"),
+            names: 1,
         });
         Self {
             started_at: time::Instant::now(),
@@ -92,10 +119,47 @@
         (0..self.workers.len()).filter(|index| self.advance(*index)).collect()
     }
 
+    /// Ends a worker with all that it runs and knows.
+    pub fn crash(&mut self, index: usize) {
+        self.advance(index);
+        self.recorder.crashed(index, self.unix_millis(self.now()));
+        let worker = &mut self.workers[index].emulated;
+        worker.runs.clear();
+        worker.is_down = true;
+    }
+
+    /// Starts a worker again that has crashed.
+    pub fn start_again(&mut self, index: usize, start: Start) {
+        let now = self.now();
+        let worker = &mut self.workers[index];
+        worker.advanced_to = now;
+        worker.emulated.restart(now);
+        if start == Start::OtherName {
+            worker.emulated.id = model_id(index, worker.names);
+            worker.names += 1;
+        }
+    }
+
+    /// Returns the incarnation of a worker, or `None` while it is down.
+    pub fn incarnation(&self, index: usize) -> Option<worker::Incarnation> {
+        let worker = &self.workers[index].emulated;
+        (!worker.is_down).then_some(worker.incarnation)
+    }
+
+    /// Returns the response to a call that is meant for another worker.
+    fn mistaken(&self, recipient: &Recipient) -> Option<(u16, Value)> {
+        let id = &self.workers[recipient.index].emulated.id;
+        let is_other = recipient.name.as_ref().is_some_and(|name| *name != id.0);
+        is_other.then(|| (OTHER_INSTANCE, json!({})))
+    }
+
     /// Advances a worker to the current time; returns whether a run has ended.
     fn advance(&mut self, index: usize) -> bool {
         let now = self.now();
         let worker = &mut self.workers[index];
+        if worker.emulated.is_down {
+            return false;
+        }
         let step = now.since(worker.advanced_to);
         worker.advanced_to = now;
         let ends = worker.emulated.advance(&|_, _| 0.0, now, step);
@@ -109,25 +173,30 @@
     }
 
     /// Returns the rows that the workers write into the store, in the order of the workers: names
-    /// and values without addresses.
-    pub fn entries(&self, service: &str) -> Vec<(String, Value)> {
+    /// and values without addresses; `None` for those that are down.
+    pub fn entries(&self, service: &str) -> Vec<Option<(String, Value)>> {
         let entry = |worker: &Worker| {
             let registration = worker.emulated.registration();
             let size = registration.size;
             let value = json!({
                 "Service": service, "Zone": worker.domain, "Version": "v1",
-                "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Machine": registration.vm,
+                "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Machine": worker.machine,
                 "Capacity": {"Cpu": size.cores, "MemMb": size.memory, "Gpu": 0},
                 "Labels": registration.labels, "ClockMs": 1, "Seq": 1,
                 "born": registration.incarnation.0
             });
             (registration.id.0, value)
         };
-        self.workers.iter().map(entry).collect()
+        let entries = self.workers.iter().map(|w| (!w.emulated.is_down).then(|| entry(w)));
+        entries.collect()
     }
 
     /// Executes an order to a worker; returns the status and the body of the response.
-    pub fn order(&mut self, index: usize, path: &str, body: &Value) -> (u16, Value) {
+    pub fn order(&mut self, recipient: &Recipient, path: &str, body: &Value) -> (u16, Value) {
+        if let Some(response) = self.mistaken(recipient) {
+            return response;
+        }
+        let index = recipient.index;
         self.advance(index);
         let now = self.now();
         let clock = millis(self.workers[index].emulated.clock(now));
@@ -199,7 +268,16 @@
 
     /// Replies to a poll. Returns `None` while it is not timed out and no run has ended since the
     /// acknowledged one.
-    pub fn poll(&mut self, index: usize, body: &Value, is_timed_out: bool) -> Option<(u16, Value)> {
+    pub fn poll(
+        &mut self,
+        recipient: &Recipient,
+        body: &Value,
+        is_timed_out: bool,
+    ) -> Option<(u16, Value)> {
+        if let Some(response) = self.mistaken(recipient) {
+            return Some(response);
+        }
+        let index = recipient.index;
         self.advance(index);
         let now = self.now();
         let acknowledged = body["AckCursor"].as_u64().unwrap_or(0);
@@ -229,6 +307,11 @@
     }
 }
 
+/// Returns the name of a worker that has had `names` others before.
+fn model_id(index: usize, names: usize) -> worker::WorkerId {
+    worker::WorkerId(format!("w-{index}-{names}"))
+}
+
 fn running_json(run: &worker::Running) -> Value {
     json!([run.task.to_string(), run.attempt, run.checkpoint, run.progress, run.load])
 }
--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -13,6 +13,7 @@
 mod domain_cuts;
 mod events;
 mod regained;
+mod restarted_workers;
 mod slow_claims;
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(20);
