fix: do not stop best-effort runs to move tasks that can start nowhere else

Follows from keeping a task on the worker that may carry its start order out: a best-effort run with such an order that interfered was stopped in order to be moved, and its task then waited for up to 12 s, as it could start on that worker only, where it interferes.

Change: a run that has such an order is throttled in place. A task that can start on one worker only starts there without regard to interference, as one does that has waited for long; CPU limits protect the others.

Test: throttle::interfering_task_with_an_open_order_is_throttled_in_place; the one beside it has the stop without such an order.

--- a/gl-jobs/src/owner/colocation/throttle.rs
+++ b/gl-jobs/src/owner/colocation/throttle.rs
@@ -292,7 +292,10 @@
     };
     let can_move = run.checkpointing && now.since(run.since) >= owner.settings.warm_up;
     let is_paused = run.wanted_limit == 0 && now.since(run.progressed_at) > pause_limit;
-    if is_paused || (can_move && advice::can_place(owner, task.phase, now)) {
+    // Its task could start nowhere else.
+    let is_bound = run.orders.may_arrive(now);
+    let should_move = is_paused || (can_move && advice::can_place(owner, task.phase, now));
+    if should_move && !is_bound {
         impact::count_stop(owner, task);
         owner.stop(task, StopReason::Interference, now);
         return 0;
--- a/gl-jobs/src/owner/placement/search.rs
+++ b/gl-jobs/src/owner/placement/search.rs
@@ -137,7 +137,8 @@
     is_possible().unwrap_or_default()
 }
 
-/// Returns whether a task of the phase that has run before, or was ordered, may start on a worker.
+/// Returns whether a task of the phase that can start on this worker only may start there. Interference is
+/// reduced by CPU limits there.
 pub(in crate::owner) fn may_start_on(
     owner: &Owner,
     phase: task::PhaseId,
@@ -149,7 +150,7 @@
         let spec = entry.spec(phase.phase)?;
         let state = state::state_of(owner, phase)?;
         let common = conditions(owner, entry, phase, now)?;
-        let conditions = Conditions { is_interrupted: true, ..common };
+        let conditions = Conditions { is_interrupted: true, ignores_load: true, ..common };
         let request = Request { phase, entry, spec, state, conditions: &conditions };
         assess(owner, &request, owner.workers.get(id)?, now)
     };
--- a/gl-jobs/src/owner/unsettled.rs
+++ b/gl-jobs/src/owner/unsettled.rs
@@ -48,6 +48,11 @@
         self.sent > 1
     }
 
+    /// Returns whether an order has no answer and may be carried out after `now`.
+    pub(in crate::owner) fn may_arrive(&self, now: time::Timestamp) -> bool {
+        self.has_open() && now < self.until
+    }
+
     /// Returns whether an order has no answer.
     pub(in crate::owner) const fn has_open(&self) -> bool {
         self.settled < self.sent
@@ -277,7 +282,7 @@
         run: &Run,
         now: time::Timestamp,
     ) {
-        if run.speculative || !run.orders.has_open() || now >= run.orders.until {
+        if run.speculative || !run.orders.may_arrive(now) {
             return;
         }
         let (worker, attempt, until) = (run.worker.clone(), run.attempt, run.orders.until);
--- a/gl-jobs/tests/jobs/throttle.rs
+++ b/gl-jobs/tests/jobs/throttle.rs
@@ -9,6 +9,15 @@
 /// Returns a cell in which a long-running task with a tail target of 50 ms shares a worker with a
 /// best-effort task.
 fn colocated(checkpointing: bool, workers: usize) -> (Cell, cell::Started, cell::Started) {
+    colocated_with(checkpointing, workers, false)
+}
+
+/// Returns the same. The first start order of the best-effort task may have got no answer.
+fn colocated_with(
+    checkpointing: bool,
+    workers: usize,
+    is_repeated: bool,
+) -> (Cell, cell::Started, cell::Started) {
     let mut cell = Cell::new(workers);
     let tail_target = Some(time::Span::millis(50));
     let desk = Some("desk".to_owned());
@@ -24,6 +33,10 @@
         ..cell::phase(1, 8_000)
     };
     let best_effort = cell::starts(&cell.submit(2, cell::job(vec![best_effort]))).remove(0);
+    if is_repeated {
+        cell.start_replied(&best_effort, worker::OrderReply::Lost);
+        cell.tick();
+    }
     cell.start_replied(&best_effort, worker::OrderReply::Done);
     (cell, long_running, best_effort)
 }
@@ -77,9 +90,10 @@
     assert_eq!(limits, [50, 20, 0]);
 }
 
-#[test]
-fn interfering_task_with_checkpoints_moves_to_another_worker() {
-    let (mut cell, long_running, best_effort) = colocated(true, 2);
+/// Returns what is decided as a best-effort task with checkpoints interferes, with room for it elsewhere.
+fn interfere(
+    (mut cell, long_running, best_effort): (Cell, cell::Started, cell::Started),
+) -> (Vec<u32>, usize) {
     cell.now += 1_000;
     cell.poll(1 - cell::index(&best_effort.worker), &[]);
     cell.now += 100;
@@ -88,7 +102,19 @@
         n,
         &[cell::running(&long_running, 100.0, 300.0), cell::running(&best_effort, 30.0, 7_000.0)],
     );
-    assert_eq!(cell::stops(&cell.tick()), [best_effort.task]);
+    let actions = cell.tick();
+    (limits(&actions), cell::stops(&actions).len())
+}
+
+#[test]
+fn interfering_task_with_checkpoints_moves_to_another_worker() {
+    assert_eq!(interfere(colocated_with(true, 2, false)).1, 1);
+}
+
+/// Guards against a task that is stopped in order to be moved, and can start nowhere else for 12 s.
+#[test]
+fn interfering_task_with_an_open_order_is_throttled_in_place() {
+    assert_eq!(interfere(colocated_with(true, 2, true)), (vec![50], 0));
 }
 
 #[test]
