fix: count a report of a run and the answer to its order once

Test: unsettled::report_and_answer_of_a_repeated_order_do_not_settle_the_first failed on the code before.

Change: answers are counted, and a report counts as one only if there is none.

--- a/gl-jobs/src/owner/unsettled.rs
+++ b/gl-jobs/src/owner/unsettled.rs
@@ -19,7 +19,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Orders {
     sent: u32,
-    settled: u32,
+    /// Those that were answered, or not sent after all.
+    answered: u32,
+    /// Whether the worker has reported the run, so that it has carried out one of them at least.
+    is_reported: bool,
+    /// The time until which the last one may be carried out.
     until: time::Timestamp,
 }
 
@@ -32,15 +36,13 @@
 
     /// Records that the worker has answered an order, or that it was not sent after all.
     pub(in crate::owner) fn settle(&mut self) {
-        self.settled = (self.settled + 1).min(self.sent);
+        self.answered = (self.answered + 1).min(self.sent);
     }
 
     /// Records that the worker has the run, so that it has carried out one order at least. Returns whether
     /// that was not known.
     pub(in crate::owner) fn confirm(&mut self) -> bool {
-        let is_new = self.settled == 0 && self.sent > 0;
-        self.settled += u32::from(is_new);
-        is_new
+        !std::mem::replace(&mut self.is_reported, true)
     }
 
     /// Returns whether the start was ordered more than once.
@@ -53,9 +55,11 @@
         self.has_open() && now < self.until
     }
 
-    /// Returns whether an order has no answer.
+    /// Returns whether an order has no answer. The one that was carried out needs none.
     pub(in crate::owner) const fn has_open(&self) -> bool {
-        self.settled < self.sent
+        let is_answered = self.answered > 0 || !self.is_reported;
+        let settled = if is_answered { self.answered } else { 1 };
+        settled < self.sent
     }
 }
 
--- a/gl-jobs/tests/jobs/unsettled.rs
+++ b/gl-jobs/tests/jobs/unsettled.rs
@@ -183,6 +183,24 @@
     assert_eq!(again.first().map(|again| again.task), Some(start.task));
 }
 
+/// Guards against second runs: a report of the run and the answer to the repeated order say the same, and nothing of
+/// the first order.
+#[test]
+fn report_and_answer_of_a_repeated_order_do_not_settle_the_first() {
+    let (mut cell, start) = ordered(2);
+    let n = cell::index(&start.worker);
+    cell.now += 900;
+    poll_all(&mut cell, &[]);
+    cell.start_replied(&start, worker::OrderReply::Lost);
+    cell.tick();
+    cell.poll(n, &[cell::running(&start, 10.0, 900.0)]);
+    cell.start_replied(&start, worker::OrderReply::Done);
+    cell.report_end(n, &start, worker::Outcome::Failed);
+    cell.poll(n, &[]);
+    list(&mut cell, Some(n));
+    assert_eq!(starts_within(&mut cell, &[], 500), []);
+}
+
 /// Guards against waits for nothing: a worker of another name is on the VM, which refuses the order.
 #[test]
 fn task_starts_elsewhere_once_another_worker_is_on_the_vm() {
