--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -189,6 +189,15 @@
         self.owner.start_replied(&start.worker, start.task, start.attempt, reply, now);
     }
 
+    /// Has all these runs end as done.
+    pub fn complete(&mut self, runs: &[Started]) {
+        for start in runs {
+            self.start_replied(start, worker::OrderReply::Done);
+            self.report_end(index(&start.worker), start, worker::Outcome::Done);
+            self.poll(index(&start.worker), &[]);
+        }
+    }
+
     /// Stores all pending commits, and returns their rows.
     pub fn commit(&mut self) -> Vec<owner::CommitRow> {
         let mut rows = Vec::new();
@@ -278,3 +287,36 @@
         is_inherited: true,
     }
 }
+
+/// Renews the owner's lease, lets it decide, and stores all that it has decided. Returns the starts.
+pub fn decide(owner: &mut owner::Owner, now: u64) -> Vec<Started> {
+    owner.lease_renewed(at(now));
+    owner.allow_starts(at(now + 2_000));
+    owner.workers_changed(&worker::ListChanges::default(), at(now), at(now));
+    owner.tick(&moment(now));
+    while let Some(commit) = owner.next_commit(at(now)) {
+        owner.committed(&commit);
+    }
+    starts(&owner.take_actions())
+}
+
+/// Returns the time from the claim to the first start, if there is one within 20 s. Of the workers those in
+/// `replying` reply to polls. They run nothing.
+pub fn first_start(mut owner: owner::Owner, claimed: u64, replying: &[usize]) -> Option<u64> {
+    for now in (claimed..claimed + 20_000).step_by(50) {
+        for n in replying {
+            owner.poll_request(&worker(*n), at(now));
+            let call = call(&owner, &worker(*n), at(now));
+            let reply = worker::PollReply {
+                clock: at(now),
+                incarnation: worker::Incarnation(1),
+                ..worker::PollReply::default()
+            };
+            owner.poll_replied(&worker(*n), call, &reply, at(now));
+        }
+        if !decide(&mut owner, now).is_empty() {
+            return Some(now - claimed);
+        }
+    }
+    None
+}
--- a/gl-jobs/tests/jobs/lifetimes.rs
+++ b/gl-jobs/tests/jobs/lifetimes.rs
@@ -227,27 +227,7 @@
     let roster = cell::roster([cell::registration(0)]).into_iter().chain([row]).collect();
     let takeover = owner::Takeover { jobs, roster, outstanding, ..owner::Takeover::default() };
     owner.recover(takeover, &cell::moment(claimed));
-    for now in (claimed..claimed + 20_000).step_by(50) {
-        owner.poll_request(&cell::worker(0), cell::at(now));
-        let call = cell::call(&owner, &cell::worker(0), cell::at(now));
-        let reply = worker::PollReply {
-            clock: cell::at(now),
-            incarnation: worker::Incarnation(1),
-            ..worker::PollReply::default()
-        };
-        owner.poll_replied(&cell::worker(0), call, &reply, cell::at(now));
-        owner.lease_renewed(cell::at(now));
-        owner.allow_starts(cell::at(now + 2_000));
-        owner.workers_changed(&worker::ListChanges::default(), cell::at(now), cell::at(now));
-        owner.tick(&cell::moment(now));
-        while let Some(commit) = owner.next_commit(cell::at(now)) {
-            owner.committed(&commit);
-        }
-        if !cell::starts(&owner.take_actions()).is_empty() {
-            return Some(now - claimed);
-        }
-    }
-    None
+    cell::first_start(owner, claimed, &[0])
 }
 
 /// Guards against second runs under the next owner, and against takeovers that are slower than that needs.
--- a/gl-jobs/tests/jobs/takeover.rs
+++ b/gl-jobs/tests/jobs/takeover.rs
@@ -41,14 +41,7 @@
 
 /// Stores what the owner has decided, and returns the starts that it orders.
 fn starts(owner: &mut owner::Owner, now: u64) -> Vec<task::TaskId> {
-    owner.lease_renewed(cell::at(now));
-    owner.allow_starts(cell::at(now + 2_000));
-    owner.workers_changed(&worker::ListChanges::default(), cell::at(now), cell::at(now));
-    owner.tick(&cell::moment(now));
-    while let Some(commit) = owner.next_commit(cell::at(now)) {
-        owner.committed(&commit);
-    }
-    cell::starts(&owner.take_actions()).iter().map(|start| start.task).collect()
+    cell::decide(owner, now).iter().map(|start| start.task).collect()
 }
 
 /// Guards against tasks that start again after they were done: a worker that lists its ends in parts is
--- a/gl-jobs/tests/jobs/unsettled.rs
+++ b/gl-jobs/tests/jobs/unsettled.rs
@@ -1,15 +1,15 @@
 //! Start orders that get no answer. Such an order may be carried out seconds later, also by the next
 //! incarnation of its worker, which knows neither the stop nor the clock of the last one.
 
-use gl_jobs::{job, owner, record, worker};
+use gl_jobs::{job, owner, worker};
 
 use crate::cell::{self, Cell};
 
 /// The time in which an order may be carried out, in milliseconds.
-const LATENESS: u64 = 12_000;
+pub const LATENESS: u64 = 12_000;
 
 /// Returns a cell of `workers`, with the start of one task.
-fn ordered(workers: usize) -> (Cell, cell::Started) {
+pub fn ordered(workers: usize) -> (Cell, cell::Started) {
     let mut cell = Cell::new(workers);
     let start = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 1_000)]))).remove(0);
     (cell, start)
@@ -309,107 +309,6 @@
     assert_eq!(again.first().map(|s| (s.task, &s.worker)), Some((start.task, &start.worker)));
 }
 
-/// Returns the stored orders of the first task of job 1.
-fn stored_orders(cell: &mut Cell) -> Vec<record::UnsettledOrder> {
-    let rows = cell.commit();
-    let phases = rows.iter().rev().flat_map(|row| &row.progress.phases);
-    phases.filter_map(|phase| phase.unsettled.get(&0)).next().cloned().unwrap_or_default()
-}
-
-/// Guards against second runs under the next owner, which does not know of orders that it has not sent.
-#[test]
-fn order_without_an_answer_is_stored_for_the_next_owner() {
-    let (mut cell, start) = ordered(2);
-    cell.now += 100;
-    cell.tick();
-    assert_eq!(stored_orders(&mut cell), [], "answers take a few milliseconds");
-    cell.now += 300;
-    cell.tick();
-    let stored = stored_orders(&mut cell);
-    assert_eq!(stored.first().map(|order| &order.worker), Some(&start.worker));
-    assert!(stored[0].until >= cell::at(cell.now - 400 + LATENESS), "{stored:?}");
-    cell.start_replied(&start, worker::OrderReply::Done);
-    cell.report_end(cell::index(&start.worker), &start, worker::Outcome::Failed);
-    cell.poll(cell::index(&start.worker), &[]);
-    cell.tick();
-    assert_eq!(stored_orders(&mut cell), [], "it was answered");
-}
-
-/// Returns a new owner of two workers, of which the first one drains, with a job whose only task has these
-/// stored orders, and the time of its claim.
-fn taken_over(unsettled: &[record::UnsettledOrder]) -> (owner::Owner, u64) {
-    let claimed = 20_000;
-    let mut owner = owner::Owner::new(owner::Settings::default(), 9, cell::at(claimed));
-    let draining = worker::Registration { draining: true, ..cell::registration(0) };
-    let list = [draining, cell::registration(1)];
-    owner.workers_listed(&list, cell::at(claimed), cell::at(claimed));
-    owner.store_clock_read(cell::store_clock(claimed));
-    let mut progress = record::Progress::default();
-    progress.phase_mut(0, 0).unsettled.insert(0, unsettled.to_vec());
-    let jobs = vec![cell::stored(1, cell::job(vec![cell::phase(1, 1_000)]), progress)];
-    let roster = cell::roster([cell::registration(0), cell::registration(1)]);
-    let takeover = owner::Takeover { jobs, roster, ..owner::Takeover::default() };
-    owner.recover(takeover, &cell::moment(claimed));
-    (owner, claimed)
-}
-
-/// Returns the time after the claim at which the task starts. Both workers reply to polls and run nothing.
-fn started_after(mut owner: owner::Owner, claimed: u64) -> Option<u64> {
-    for now in (claimed..claimed + 20_000).step_by(50) {
-        for n in 0..2 {
-            owner.poll_request(&cell::worker(n), cell::at(now));
-            let call = cell::call(&owner, &cell::worker(n), cell::at(now));
-            let reply = worker::PollReply {
-                clock: cell::at(now),
-                incarnation: worker::Incarnation(1),
-                ..worker::PollReply::default()
-            };
-            owner.poll_replied(&cell::worker(n), call, &reply, cell::at(now));
-        }
-        owner.lease_renewed(cell::at(now));
-        owner.allow_starts(cell::at(now + 2_000));
-        owner.workers_changed(&worker::ListChanges::default(), cell::at(now), cell::at(now));
-        owner.tick(&cell::moment(now));
-        while let Some(commit) = owner.next_commit(cell::at(now)) {
-            owner.committed(&commit);
-        }
-        if !cell::starts(&owner.take_actions()).is_empty() {
-            return Some(now - claimed);
-        }
-    }
-    None
-}
-
-/// Guards against second runs, and against takeovers that are slower than that needs.
-#[test]
-fn new_owner_keeps_a_task_from_other_workers_while_an_order_may_be_carried_out() {
-    let order =
-        |n, until| record::UnsettledOrder { worker: cell::worker(n), until: cell::at(until) };
-    let after = |orders: &[record::UnsettledOrder]| {
-        let (owner, claimed) = taken_over(orders);
-        started_after(owner, claimed)
-    };
-    assert!(after(&[]).is_some_and(|ms| ms <= 100));
-    assert!(
-        after(&[order(1, 29_000)]).is_some_and(|ms| ms <= 100),
-        "it may start where it was ordered"
-    );
-    assert!(after(&[order(0, 19_000)]).is_some_and(|ms| ms <= 100), "the order is too old");
-    let held = after(&[order(0, 29_000)]);
-    assert!(held.is_some_and(|ms| (9_000..9_500).contains(&ms)), "{held:?} ms");
-}
-
-/// Guards against jobs that start anew after an upgrade or its reversal.
-#[test]
-fn rows_without_unsettled_orders_are_those_of_earlier_versions() {
-    let mut progress = record::Progress::default();
-    let phase = progress.phase_mut(0, 0);
-    phase.started.insert(0);
-    let plain = record::encode("progress", &progress).expect("it can be encoded");
-    assert!(!plain.windows(9).any(|part| part == b"unsettled"));
-    assert_eq!(record::decode::<record::Progress>("progress", &plain), Ok(progress));
-}
-
 /// Guards against restarted workers that carry out an order before the owner has called them: calls to a worker
 /// that does not reply must not wait there for an end of a run, so that they fail, and the next is sent, sooner.
 #[test]
