feat: tell in the log why a run counts as gone, and which ones go on

The log did not tell why a run had ended that its worker had not reported, nor that a worker went on with it, unless another run of its task was recorded. So a task that ran twice could not be traced.

`over` has the basis of such an end, its age, the bound that decided, the stage of the run and when it was last reported. `leases-expired` has the reading, the lease and the margin, `replaced` the entry or reply that shows the next incarnation, also for workers of the roster that a new owner does not wait for. Overtaken runs that vanish get a line, too. The deciding lines of all workers whose leases expire at once come before those of their runs. No decision depends on any of it.

--- a/geraniumlatchd/src/jobs/event.rs
+++ b/geraniumlatchd/src/jobs/event/mod.rs
@@ -1,10 +1,11 @@
 //! Events of the structured log, one line with a JSON object each: the decisions that affect a
 //! request, and the changes of the daemon's recorded state.
 
+mod notes;
+
 use std::fmt;
 
 use gl_jobs::{job, owner, task, worker};
-use gl_model::time;
 
 /// An event of the log. The names of variants and fields, or the names that `rename` gives, are
 /// written to the log, and tools that read the log depend on them.
@@ -147,7 +148,31 @@
     RunOvertaken { task: Text<task::TaskId>, attempt: u64, worker: &'a str },
     /// A run ended.
     #[serde(rename = "over")]
-    RunEnded { task: Text<task::TaskId>, attempt: u64, worker: &'a str, cause: owner::Cause },
+    RunEnded {
+        task: Text<task::TaskId>,
+        attempt: u64,
+        worker: &'a str,
+        cause: owner::Cause,
+        #[serde(flatten, skip_serializing_if = "Option::is_none")]
+        conclusion: Option<Conclusion>,
+    },
+    /// A worker reports a run that this owner had taken for gone `gone_ms` ago. It is running unless there
+    /// is an `outcome`. Logged once for each attempt.
+    Outlived {
+        task: Text<task::TaskId>,
+        attempt: u64,
+        worker: &'a str,
+        running: bool,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        outcome: Option<worker::Outcome>,
+        cause: owner::Cause,
+        basis: owner::Basis,
+        gone_ms: u64,
+        other_attempt: Option<u64>,
+    },
+    /// More such runs were reported in the last second than are logged, or more were taken for gone in the
+    /// last minute than are remembered.
+    OutlivedOmitted { runs: usize, forgotten: usize },
     /// A run was ordered to stop.
     #[serde(rename = "halting")]
     RunStopping {
@@ -227,16 +252,31 @@
     Implicated { task: Text<task::TaskId>, attempt: u64, worker: &'a str, crashes: usize },
     /// A task has crashed too many workers, so its job has failed.
     GivenUp { task: Text<task::TaskId>, crashes: usize },
-    /// A worker's incarnation was replaced.
-    Replaced { worker: &'a str, runs_lost: usize },
+    /// A worker's incarnation was replaced, which an entry of another worker of its VM shows, or a reply of
+    /// its own. `runs_lost` and `silent_ms` are not known of a worker that has not replied to a new owner.
+    Replaced {
+        worker: &'a str,
+        runs_lost: Option<usize>,
+        basis: owner::Basis,
+        #[serde(flatten, skip_serializing_if = "Option::is_none")]
+        entry: Option<Entry<'a>>,
+        incarnation: u64,
+        next_incarnation: u64,
+        age_ms: u64,
+        silent_ms: Option<u64>,
+    },
     /// All leases of a worker are taken to have expired, so that what ran there can start elsewhere.
-    /// `runs` is not known of a worker that has not replied to a new owner, nor `silent_ms`.
+    /// `runs` is not known of a worker that has not replied to a new owner, nor `silent_ms`. The leases had
+    /// `lease_ms` left at a reading of the worker's clock `reading_ms` ago, to which `margin_ms` were added.
     LeasesExpired {
         worker: &'a str,
         domain: &'a str,
         runs: Option<usize>,
         silent_ms: Option<u64>,
         bound: owner::LeaseBound,
+        reading_ms: u64,
+        lease_ms: u64,
+        margin_ms: u64,
     },
     /// A new owner waits for workers that may run tasks of earlier owners' jobs.
     Recovering { missing: usize, workers: Vec<Text<worker::WorkerId>>, left_ms: u64 },
@@ -258,133 +298,25 @@
     Unreadable { row: &'a str, detail: String },
 }
 
-impl<'a> From<&'a owner::Note> for Event<'a> {
-    fn from(note: &'a owner::Note) -> Self {
-        use owner::Note;
-        match note {
-            Note::Ordered { task, attempt, worker, waited, estimate, cores } => Self::RunOrdered {
-                task: Text(*task),
-                attempt: *attempt,
-                worker: worker.as_str(),
-                waited_ms: waited.as_millis(),
-                estimate_ms: estimate.as_millis(),
-                cores: as_cores(*cores),
-            },
-            Note::OrderedAgain { task, attempt, worker } => {
-                Self::OrderedAgain { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
-            }
-            Note::Overtaken { task, attempt, worker } => {
-                Self::RunOvertaken { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
-            }
-            Note::Ended { task, attempt, worker, cause } => Self::RunEnded {
-                task: Text(*task),
-                attempt: *attempt,
-                worker: worker.as_str(),
-                cause: *cause,
-            },
-            Note::Stopping { task, attempt, worker, reason } => Self::RunStopping {
-                task: Text(*task),
-                attempt: *attempt,
-                worker: worker.as_str(),
-                reason: *reason,
-            },
-            Note::SecondRun {
-                task,
-                attempt,
-                token,
-                worker,
-                other_attempt,
-                other_token,
-                other_worker,
-                other_age,
-            } => Self::SecondRun {
-                task: Text(*task),
-                attempt: *attempt,
-                token: *token,
-                worker: worker.as_str(),
-                other_attempt: *other_attempt,
-                other_token: *other_token,
-                other_worker: other_worker.as_str(),
-                other_age_ms: other_age.as_millis(),
-            },
-            Note::SecondRunsOmitted { runs } => Self::SecondRunsOmitted { runs: *runs },
-            Note::Decided { job, state, age, objective, work, rank, waits } => Self::Decided {
-                job: Text(*job),
-                state: *state,
-                age_ms: age.as_millis(),
-                objective_ms: objective.as_millis(),
-                work: rounded(*work, 10.0),
-                rank: rank.map(|rank| rounded(rank, 100.0)),
-                waits: waits.into(),
-            },
-            Note::ShortTasksWait(shortage) => Self::ShortTasksWait {
-                service: &shortage.service,
-                tasks: shortage.tasks,
-                late: shortage.late,
-                longest_ms: shortage.longest.as_millis(),
-                cores: as_cores(shortage.largest.cores),
-                memory_mb: shortage.largest.memory,
-                room_cores: as_cores(shortage.room.cores),
-                room_memory_mb: shortage.room.memory,
-                free_workers: shortage.free_workers,
-                overtaking: shortage.overtaking,
-                long_running: shortage.long_running,
-            },
-            Note::Throttled { worker, percent, tail_ratio } => Self::Throttled {
-                worker: worker.as_str(),
-                cpu_limit: *percent,
-                tail_ratio: *tail_ratio,
-            },
-            Note::Impact { service, impact, span } => Self::Interference {
-                service,
-                span_ms: span.as_millis(),
-                starts: impact.starts,
-                windows: impact.windows,
-                stopped: impact.stopped,
-                limits: impact.limits,
-                windows_per_1000: impact.per_thousand(impact.windows),
-                stopped_per_1000: impact.per_thousand(impact.stopped),
-                limits_per_1000: impact.per_thousand(impact.limits),
-            },
-            Note::Suspected { worker, reason, .. } => {
-                Self::Suspected { worker: worker.as_str(), reason }
-            }
-            Note::Replaced { worker, runs } => {
-                Self::Replaced { worker: worker.as_str(), runs_lost: *runs }
-            }
-            Note::LeasesExpired { worker, domain, runs, silent, bound } => Self::LeasesExpired {
-                worker: worker.as_str(),
-                domain,
-                runs: *runs,
-                silent_ms: silent.map(time::Span::as_millis),
-                bound: *bound,
-            },
-            Note::Recovering { missing, workers, left } => Self::Recovering {
-                missing: *missing,
-                workers: workers.iter().cloned().map(Text).collect(),
-                left_ms: left.as_millis(),
-            },
-            Note::Recovered { missing, took } => {
-                Self::Recovered { missing: *missing, took_ms: took.as_millis() }
-            }
-            Note::Emptied { domain, workers, runs } => {
-                Self::Emptied { domain, workers: *workers, runs: *runs }
-            }
-            Note::Restored { domain, workers, runs } => {
-                Self::Restored { domain, workers: *workers, runs: *runs }
-            }
-            Note::Implicated { task, attempt, worker, crashes } => Self::Implicated {
-                task: Text(*task),
-                attempt: *attempt,
-                worker: worker.as_str(),
-                crashes: *crashes,
-            },
-            Note::Unstorable { job, page } => Self::Unstorable { job: Text(*job), page: *page },
-            Note::GivenUp { task, crashes } => {
-                Self::GivenUp { task: Text(*task), crashes: *crashes }
-            }
-        }
-    }
+/// Why a run counts as gone whose end its worker has not reported. Where `after_ms` and `bound_ms` are
+/// missing, an event of the worker tells more.
+#[derive(serde::Serialize)]
+pub struct Conclusion {
+    basis: owner::Basis,
+    age_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    bound_ms: Option<u64>,
+    stage: owner::LastStage,
+    seen_ms: Option<u64>,
+}
+
+/// The entry in the list of workers that shows that another worker of its VM has ended.
+#[derive(serde::Serialize)]
+pub struct Entry<'a> {
+    next_worker: &'a str,
+    next_service: &'a str,
 }
 
 /// The waits of a job, in milliseconds.
@@ -397,18 +329,6 @@
     other_ms: u64,
 }
 
-impl From<&owner::Waits> for Waits {
-    fn from(waits: &owner::Waits) -> Self {
-        Self {
-            room_ms: waits.room.as_millis(),
-            late_room_ms: waits.late_room.as_millis(),
-            orders_ms: waits.orders.as_millis(),
-            rack_ms: waits.rack.as_millis(),
-            other_ms: waits.other.as_millis(),
-        }
-    }
-}
-
 /// Converts thousandths of a core to cores.
 pub const fn as_cores(millicores: u64) -> f64 {
     millicores as f64 / 1_000.0
@@ -428,10 +348,19 @@
     }
 }
 
+/// Returns the fields of the line by which a note is logged, as a JSON object.
+///
+/// # Errors
+///
+/// If it cannot be serialised.
+pub fn note_fields(note: &owner::Note) -> Result<String, serde_json::Error> {
+    serde_json::to_string(&Event::from(note))
+}
+
 /// Logs an event.
 pub fn emit(event: &Event<'_>) {
     match serde_json::to_string(event) {
-        Ok(line) => log::info!(target: super::log_writer::EVENT_TARGET, "{line}"),
+        Ok(line) => log::info!(target: crate::jobs::log_writer::EVENT_TARGET, "{line}"),
         Err(error) => log::error!("cannot serialise an event as JSON: {error}"),
     }
 }
--- a/geraniumlatchd/src/jobs/mod.rs
+++ b/geraniumlatchd/src/jobs/mod.rs
@@ -39,3 +39,5 @@
 mod work_feed;
 mod worker_client;
 mod worker_list;
+
+pub use event::note_fields;
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Impact, Shortage, Waits};
+use crate::owner::{Basis, Conclusion, Impact, Shortage, Successor, Waits};
 use crate::{job, task, worker};
 
 /// A decision that the caller has to carry out.
@@ -97,6 +97,35 @@
         worker: worker::WorkerId,
         /// The cause of the end.
         cause: Cause,
+        /// Why it counts as gone; `None` if the worker has reported the end.
+        conclusion: Option<Conclusion>,
+    },
+    /// A worker reports a run that this owner had taken for gone.
+    Outlived {
+        /// The task.
+        task: task::TaskId,
+        /// The attempt.
+        attempt: u64,
+        /// The worker.
+        worker: worker::WorkerId,
+        /// The outcome of the run; `None` if it is running.
+        outcome: Option<worker::Outcome>,
+        /// The cause that was assumed for its end.
+        cause: Cause,
+        /// What that followed from.
+        basis: Basis,
+        /// The time since it was taken for gone.
+        gone: time::Span,
+        /// The attempt that is recorded of its task, if there is one.
+        other_attempt: Option<u64>,
+    },
+    /// More such runs were reported in the last second than are logged, or more were taken for gone in the
+    /// last minute than are remembered.
+    OutlivedOmitted {
+        /// The number of those that were reported and not logged.
+        runs: usize,
+        /// The number of those that were taken for gone and are not remembered.
+        forgotten: usize,
     },
     /// A job has failed because a row of its progress is longer than the store takes.
     Unstorable {
@@ -201,8 +230,14 @@
     Replaced {
         /// The worker.
         worker: worker::WorkerId,
-        /// The number of runs that were lost.
-        runs: usize,
+        /// The number of runs that were lost; `None` if it has not told this owner what it runs.
+        runs: Option<usize>,
+        /// The incarnation that has ended.
+        incarnation: worker::Incarnation,
+        /// The time since its last reply; `None` if it has not replied to this owner.
+        silent: Option<time::Span>,
+        /// What shows that it has ended.
+        successor: Successor,
     },
     /// All leases of a worker are taken to have expired, so that what ran there can start elsewhere.
     LeasesExpired {
@@ -217,6 +252,13 @@
         silent: Option<time::Span>,
         /// What the end of the leases follows from.
         bound: LeaseBound,
+        /// The time since the reading of the worker's clock from which on the lease counts; since the
+        /// takeover in a recovery.
+        reading: time::Span,
+        /// The length of the lease from that reading; in a recovery the whole wait.
+        lease: time::Span,
+        /// What was added to it for the drift and granularity of clocks.
+        margin: time::Span,
     },
     /// Operators have emptied a failure domain: no task is started there.
     Emptied {
@@ -273,6 +315,8 @@
     Own,
     /// The longest time for which leases of earlier owners may last.
     Inherited,
+    /// The longest lease that the next incarnation may have got by a call to this one.
+    Carried,
 }
 
 /// The cause of the end of a run, as far as the owner can tell.
--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use super::{Advice, Cause, Note, Owner, StopReason, gang};
+use super::{Advice, Cause, Evidence, Note, Owner, StopReason, gang};
 use crate::{job, task, worker};
 
 impl Owner {
@@ -22,7 +22,11 @@
             attempt: end.attempt,
             worker: id.clone(),
             cause: cause_of(end.outcome),
+            conclusion: None,
         });
+        if !is_current {
+            self.note_outlived(id, end.task, end.attempt, Some(end.outcome), now);
+        }
         let mut run = if is_current { self.release_run(end.task) } else { None };
         if let Some(run) = &mut run {
             run.orders.confirm();
@@ -195,7 +199,13 @@
     }
 
     /// Ends a run whose end the worker has not reported.
-    pub(super) fn end_run(&mut self, task: task::TaskId, cause: Cause, now: time::Timestamp) {
+    pub(super) fn end_run(
+        &mut self,
+        task: task::TaskId,
+        cause: Cause,
+        evidence: Evidence,
+        now: time::Timestamp,
+    ) {
         let Some(run) = self.release_run(task) else {
             return;
         };
@@ -204,11 +214,27 @@
         if cause == Cause::Lapsed {
             self.run_lost(task, &run);
         }
-        let (attempt, worker) = (run.attempt, run.worker);
-        self.note(Note::Ended { task, attempt, worker, cause });
+        self.note_gone(task, &run, cause, evidence, now);
         self.requeue(task, now);
     }
 
+    pub(super) fn note_decided(&mut self, id: task::JobId, now: time::Timestamp) {
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(state) = entry.final_state else { return };
+        let note = Note::Decided {
+            job: id,
+            state,
+            age: now.since(entry.accepted_at),
+            objective: entry.objective,
+            work: entry.job.work(),
+            rank: self.size_rank(&entry.job),
+            waits: entry.waits,
+        };
+        self.note(note);
+    }
+
     /// Removes a run and releases the capacity that it reserved.
     pub(super) fn release_run(&mut self, task: task::TaskId) -> Option<super::Run> {
         let run = self.runs.remove(&task)?;
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod colocation;
 mod commit;
 mod completion;
+mod conclusions;
 mod crashes;
 mod intake;
 mod moment;
@@ -30,6 +31,7 @@
 
 pub use action::{Action, Cause, LeaseBound, Note, StopReason};
 pub use commit::{Commit, Row as CommitRow};
+pub use conclusions::{Basis, Conclusion, Entry, Evidence, LastStage, Successor};
 pub use estimate::{Estimate, Medians, Record as WorkerRecord};
 pub use footprint::of as footprint_of;
 pub use grants::{Advice, Grant};
@@ -129,6 +131,8 @@
     unread: unread::Unread,
     /// The reported runs of tasks of which another run is recorded.
     second_runs: second_runs::SecondRuns,
+    /// The runs that have lately been taken for gone.
+    conclusions: conclusions::Conclusions,
     /// The longest time for which leases that earlier owners have extended may last from the takeover.
     inherited_lease: time::Span,
     /// The time from which on no earlier owner orders starts; `None` if they had ended before the claim.
@@ -224,6 +228,7 @@
             recovery: None,
             unread: unread::Unread::default(),
             second_runs: second_runs::SecondRuns::default(),
+            conclusions: conclusions::Conclusions::default(),
             inherited_lease: settings.horizon,
             superseded_at: None,
             store_clock: None,
@@ -319,6 +324,7 @@
         recovery::run(self, moment.now);
         roster::run(self, moment.now);
         second_runs::run(self, moment.now);
+        conclusions::run(self, moment.now);
         for id in self.scheduled_jobs.clone() {
             self.open_due(id, moment);
         }
@@ -339,23 +345,6 @@
         self.actions.push(Action::Note(note));
     }
 
-    fn note_decided(&mut self, id: task::JobId, now: time::Timestamp) {
-        let Some(entry) = self.jobs.get(&id) else {
-            return;
-        };
-        let Some(state) = entry.final_state else { return };
-        let note = Note::Decided {
-            job: id,
-            state,
-            age: now.since(entry.accepted_at),
-            objective: entry.objective,
-            work: entry.job.work(),
-            rank: self.size_rank(&entry.job),
-            waits: entry.waits,
-        };
-        self.note(note);
-    }
-
     /// Opens the first phases of occurrences that have become due.
     fn open_due(&mut self, id: task::JobId, moment: &Moment) {
         let Some(entry) = self.jobs.get_mut(&id) else {
--- a/gl-jobs/src/owner/orders.rs
+++ b/gl-jobs/src/owner/orders.rs
@@ -2,7 +2,7 @@
 
 use gl_model::time;
 
-use super::{Action, Cause, Note, OrderOutcome, Owner, Stage, StopReason, runs};
+use super::{Action, Basis, Cause, Evidence, Note, OrderOutcome, Owner, Stage, StopReason, runs};
 use crate::{task, worker};
 
 impl Owner {
@@ -45,6 +45,8 @@
             worker::OrderReply::Lost => OrderOutcome::Failed,
             worker::OrderReply::Done | worker::OrderReply::Refused(_) => OrderOutcome::Answered,
         };
+        let age = self.order_age(task, attempt, now).unwrap_or_default();
+        let refused = Evidence::of(Basis::Refusal, age);
         self.in_flight.remove(task, attempt, outcome, now);
         let Some(run) = self.run_on(worker, task, attempt) else {
             return;
@@ -72,12 +74,12 @@
                     // An earlier order may have been carried out.
                     return self.stop(task, StopReason::StartUnconfirmed, now);
                 }
-                self.end_run(task, Cause::NeverRan, now);
+                self.end_run(task, Cause::NeverRan, refused, now);
             }
             (Stage::Stopping(stop), worker::OrderReply::Refused(_))
                 if stop.was_starting && !has_open =>
             {
-                self.end_run(task, Cause::NeverRan, now);
+                self.end_run(task, Cause::NeverRan, refused, now);
             }
             (Stage::Stopping(_), worker::OrderReply::Done) => self.mark_started(task),
             _ => {}
@@ -109,6 +111,8 @@
         attempt: u64,
         now: time::Timestamp,
     ) {
+        let age = self.order_age(task, attempt, now).unwrap_or_default();
+        let unsent = Evidence::of(Basis::Unsent, age);
         self.in_flight.remove(task, attempt, OrderOutcome::Failed, now);
         let Some(run) = self.run_on(worker, task, attempt) else {
             return;
@@ -122,7 +126,7 @@
         let has_open = run.orders.has_open();
         self.settle_orders(task);
         match (was_starting, has_open) {
-            (true, false) => self.end_run(task, Cause::NeverRan, now),
+            (true, false) => self.end_run(task, Cause::NeverRan, unsent, now),
             // An earlier order may have been carried out.
             (true, true) => self.stop(task, StopReason::StartUnconfirmed, now),
             (false, _) => {}
--- a/gl-jobs/src/owner/placement/copies.rs
+++ b/gl-jobs/src/owner/placement/copies.rs
@@ -7,7 +7,8 @@
 use gl_model::time;
 
 use crate::owner::{
-    Action, Note, Owner, Run, Stage, StopReason, Worker, advice, distance, runs, state,
+    Action, Basis, Cause, Evidence, Note, Owner, Run, Stage, StopReason, Worker, advice, distance,
+    runs, state,
 };
 use crate::{task, worker};
 
@@ -134,7 +135,10 @@
     fn review_overtaken(&mut self, now: time::Timestamp) {
         let tasks: Vec<_> = self.overtaken.keys().copied().collect();
         for task in tasks {
-            if self.has_vanished(task, now) {
+            if let Some((cause, evidence)) = self.vanished(task, now) {
+                if let Some(run) = self.overtaken.get(&task).cloned() {
+                    self.note_gone(task, &run, cause, evidence, now);
+                }
                 self.release_overtaken(task);
             } else if !self.needs(task) {
                 self.stop_overtaken(task, now);
@@ -149,17 +153,22 @@
         entry.is_some() && !is_done
     }
 
-    /// Returns whether the overtaken run of a task has ended without a report: its worker has
+    /// Returns what shows that the overtaken run of a task has ended without a report: its worker has
     /// restarted, its lease has expired, or a later reply does not contain it.
-    fn has_vanished(&self, task: task::TaskId, now: time::Timestamp) -> bool {
-        let Some(run) = self.overtaken.get(&task) else {
-            return false;
-        };
+    fn vanished(&self, task: task::TaskId, now: time::Timestamp) -> Option<(Cause, Evidence)> {
+        let run = self.overtaken.get(&task)?;
         let Some(w) = self.workers.get(&run.worker) else {
-            return true;
+            let age = now.since(self.list_read_at);
+            return Some((Cause::Lapsed, Evidence::of(Basis::Entry, age)));
         };
-        let is_expired = w.expiry(&self.settings).is_none_or(|at| now >= at);
-        is_expired || w.polled_at > run.reported_at
+        let expiry = w.expiry(&self.settings);
+        if expiry.is_none_or(|at| now >= at) {
+            let age = w.clock.map(|reading| now.since(reading.at)).unwrap_or_default();
+            return Some((Cause::Lapsed, Evidence::of(Basis::Lease, age)));
+        }
+        let is_missing = w.polled_at > run.reported_at;
+        let reply = Evidence::of(Basis::Reply, now.since(w.polled_at));
+        is_missing.then_some((Cause::Missing, reply))
     }
 
     fn stop_overtaken(&mut self, task: task::TaskId, now: time::Timestamp) {
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -154,12 +154,15 @@
     /// Adds a worker of the roster, on which earlier owners may have started tasks.
     fn add_enrolled(&mut self, row: record::Enrolment, now: time::Timestamp) {
         let entry = row.worker;
-        let is_superseded = self.workers.values().any(|w| {
+        let newer = self.workers.values().find(|w| {
             w.registration.vm == entry.vm
                 && w.registration.id != entry.id
                 && w.registration.incarnation > entry.incarnation
         });
-        if is_superseded {
+        if let Some(newer) = newer {
+            let successor = self.successor_on_vm(&newer.registration, now);
+            let (worker, incarnation) = (entry.id.clone(), entry.incarnation);
+            self.note(Note::Replaced { worker, runs: None, incarnation, silent: None, successor });
             self.removed_workers.insert(entry.id);
             self.has_hidden_crashes = true;
             return;
@@ -292,8 +295,10 @@
     };
     let count = recovery.pending.len();
     let expired = recovery.pending.extract_if(.., |_, pending| now >= pending.ends());
-    let expired = expired.filter_map(|(id, _)| owner.workers.get(&id));
-    owner.actions.extend(expired.map(|worker| Action::Note(worker.leases_expired(None, now))));
+    let since = recovery.since;
+    let expired = expired.filter_map(|(id, p)| Some((owner.workers.get(&id)?, p.ends())));
+    let notes = expired.map(|(worker, ends)| worker.unseen_leases_expired(since, ends, now));
+    owner.actions.extend(notes.map(Action::Note));
     let left = recovery.pending.len();
     recovery.missing += count - left;
     let took = now.since(recovery.since);
--- a/gl-jobs/src/owner/recovery/timeouts.rs
+++ b/gl-jobs/src/owner/recovery/timeouts.rs
@@ -3,7 +3,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Action, Cause, Note, Owner, Run, Stage, StopReason, runs};
+use crate::owner::{Action, Basis, Cause, Evidence, Note, Owner, Run, Stage, StopReason, runs};
 use crate::{task, worker};
 
 /// Handles everything that has become due.
@@ -21,13 +21,17 @@
         !w.runs.is_empty() && w.expiry(&settings).is_some_and(|at| now >= at)
     };
     let lost_with = |w: &crate::owner::Worker| {
-        (w.leases_expired(Some(w.runs.len()), now), w.runs.iter().copied().collect::<Vec<_>>())
+        let age = w.clock.map(|reading| now.since(reading.at)).unwrap_or_default();
+        (Evidence::of(Basis::Lease, age), w.runs.iter().copied().collect::<Vec<_>>())
     };
-    let lost: Vec<_> = owner.workers.values().filter(is_expired).map(lost_with).collect();
-    for (note, tasks) in lost {
-        owner.note(note);
+    let expired: Vec<_> = owner.workers.values().filter(is_expired).collect();
+    let notes: Vec<_> = expired.iter().filter_map(|w| w.leases_expired(&settings, now)).collect();
+    let lost: Vec<_> = expired.into_iter().map(lost_with).collect();
+    // If lines are dropped, the log still has those that tell why the others are gone.
+    notes.into_iter().for_each(|note| owner.note(note));
+    for (evidence, tasks) in lost {
         for task in tasks {
-            owner.end_run(task, Cause::Lapsed, now);
+            owner.end_run(task, Cause::Lapsed, evidence, now);
         }
     }
 }
--- /dev/null
+++ b/gl-jobs/src/owner/state/expiry.rs
@@ -0,0 +1,87 @@
+//! The time at which the leases of a worker have certainly expired.
+
+use gl_model::time;
+
+use crate::owner::{LeaseBound, Note, Settings, Worker};
+
+/// The latest lease that a worker may have.
+struct Latest {
+    /// The time by the owner's clock from which on its length counts.
+    from: time::Timestamp,
+    /// Its length from then on.
+    span: time::Span,
+    /// The time at which it has certainly expired.
+    end: time::Timestamp,
+    bound: LeaseBound,
+}
+
+impl Worker {
+    fn latest_lease(&self, settings: &Settings) -> Option<Latest> {
+        let reading = self.clock?;
+        let until = self.granted_until.max(self.inherited_until);
+        let (from, span) = (reading.at, until.since(reading.clock));
+        let is_own = self.granted_until > self.inherited_until;
+        let bound = if is_own { LeaseBound::Own } else { LeaseBound::Inherited };
+        let known = Latest { from, span, end: settings.lease_end(from, span), bound };
+        // The next incarnation may have got its lease until then, by a call to this one.
+        let next = self.unconfirmed_since.map(|from| Latest {
+            from,
+            span: settings.max_lease,
+            end: settings.lease_end(from, settings.max_lease),
+            bound: LeaseBound::Carried,
+        });
+        Some(next.filter(|next| next.end > known.end).unwrap_or(known))
+    }
+
+    /// Returns the time, by the owner's clock, at which all leases of the worker have certainly
+    /// expired.
+    pub(in crate::owner) fn expiry(&self, settings: &Settings) -> Option<time::Timestamp> {
+        self.latest_lease(settings).map(|latest| latest.end)
+    }
+
+    /// Returns the report that all leases of the worker are taken to have expired, so that its runs have
+    /// ended.
+    pub(in crate::owner) fn leases_expired(
+        &self,
+        settings: &Settings,
+        now: time::Timestamp,
+    ) -> Option<Note> {
+        let latest = self.latest_lease(settings)?;
+        Some(Note::LeasesExpired {
+            worker: self.registration.id.clone(),
+            domain: self.registration.domain.clone(),
+            runs: Some(self.runs.len()),
+            silent: self.silent(now),
+            bound: latest.bound,
+            reading: now.since(latest.from),
+            lease: latest.span,
+            margin: latest.end.since(latest.from + latest.span),
+        })
+    }
+
+    /// Returns the report that all leases are taken to have expired of a worker that has not told a new
+    /// owner what it runs. The owner has waited since `from`, until `end`.
+    pub(in crate::owner) fn unseen_leases_expired(
+        &self,
+        from: time::Timestamp,
+        end: time::Timestamp,
+        now: time::Timestamp,
+    ) -> Note {
+        let is_own = self.granted_until > self.inherited_until;
+        Note::LeasesExpired {
+            worker: self.registration.id.clone(),
+            domain: self.registration.domain.clone(),
+            runs: None,
+            silent: self.silent(now),
+            bound: if is_own { LeaseBound::Own } else { LeaseBound::Inherited },
+            reading: now.since(from),
+            lease: end.since(from),
+            margin: time::Span::ZERO,
+        }
+    }
+
+    /// Returns the time since the worker last replied; `None` if it has not replied to this owner.
+    pub(in crate::owner) fn silent(&self, now: time::Timestamp) -> Option<time::Span> {
+        self.incarnation.map(|_| now.since(self.polled_at))
+    }
+}
--- a/gl-jobs/src/owner/state/mod.rs
+++ b/gl-jobs/src/owner/state/mod.rs
@@ -2,6 +2,7 @@
 //! know nothing of the decisions that are based on them.
 
 pub(in crate::owner) mod estimate;
+pub(in crate::owner) mod expiry;
 pub(in crate::owner) mod footprint;
 pub(in crate::owner) mod grants;
 pub(in crate::owner) mod jobs;
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -5,7 +5,7 @@
 use gl_model::{size, time};
 
 use crate::owner::colocation::pressure;
-use crate::owner::{LeaseBound, Note, Settings, estimate, interference, runs};
+use crate::owner::{Settings, estimate, interference, runs};
 use crate::{record, task, worker};
 
 /// A worker of the cell.
@@ -269,33 +269,6 @@
         self.enrolled_as.is_some_and(|enrolled| enrolled < self.registration.incarnation)
     }
 
-    /// Returns the time, by the owner's clock, at which all leases of the worker have certainly
-    /// expired.
-    pub(in crate::owner) fn expiry(&self, settings: &Settings) -> Option<time::Timestamp> {
-        let reading = self.clock?;
-        let until = self.granted_until.max(self.inherited_until);
-        let known = settings.lease_end(reading.at, until.since(reading.clock));
-        // The next incarnation may have got its lease until then, by a call to this one.
-        let next = self.unconfirmed_since.map(|at| settings.lease_end(at, settings.max_lease));
-        Some(next.map_or(known, |next| next.max(known)))
-    }
-
-    /// Returns the report that all leases of the worker are taken to have expired.
-    pub(in crate::owner) fn leases_expired(
-        &self,
-        runs: Option<usize>,
-        now: time::Timestamp,
-    ) -> Note {
-        let is_own = self.granted_until > self.inherited_until;
-        Note::LeasesExpired {
-            worker: self.registration.id.clone(),
-            domain: self.registration.domain.clone(),
-            runs,
-            silent: self.incarnation.map(|_| now.since(self.polled_at)),
-            bound: if is_own { LeaseBound::Own } else { LeaseBound::Inherited },
-        }
-    }
-
     /// Returns whether the worker is one of those that get tasks: it is listed and enrolled, and neither
     /// drains nor has an emptied failure domain. It may still be suspect or silent at the moment.
     pub const fn is_in_use(&self) -> bool {
--- a/gl-jobs/src/owner/view/lifetimes.rs
+++ b/gl-jobs/src/owner/view/lifetimes.rs
@@ -11,7 +11,7 @@
 
 use gl_model::time;
 
-use crate::owner::{Action, Owner, Worker, workers};
+use crate::owner::{Action, Owner, Successor, Worker, workers};
 use crate::{task, worker};
 
 /// The number of fencing tokens for workers that follow from a token of the cell. A later owner has a
@@ -68,11 +68,11 @@
     pub(in crate::owner) fn accept_reply(
         &mut self,
         id: &worker::WorkerId,
-        token: u64,
+        call: worker::Call,
         reply: &worker::PollReply,
         now: time::Timestamp,
     ) -> bool {
-        let is_current = self.call_token(id) == Some(token);
+        let is_current = self.call_token(id) == Some(call.token);
         let Some(worker) = self.workers.get(id).filter(|_| is_current) else {
             return false;
         };
@@ -82,7 +82,7 @@
                     self.renumber_calls(id, now);
                     return false;
                 }
-                self.begin_lifetime(id, reply, now);
+                self.begin_lifetime(id, call.sent, reply, now);
             }
             None => self.first_replied(id, reply, now),
             Some(_) => {}
@@ -99,6 +99,7 @@
     fn begin_lifetime(
         &mut self,
         id: &worker::WorkerId,
+        sent: time::Timestamp,
         reply: &worker::PollReply,
         now: time::Timestamp,
     ) {
@@ -112,7 +113,9 @@
             reported.any(|(task_id, n)| task_id == **task && Some(n) == attempt)
         };
         let kept: collections::BTreeSet<_> = worker.runs.iter().filter(is_kept).copied().collect();
-        self.end_incarnation(id, &kept, now);
+        let age = now.since(sent);
+        let successor = Successor { incarnation: reply.incarnation, entry: None, age };
+        self.end_incarnation(id, &kept, successor, now);
         let settings = self.settings;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.processed_end = 0;
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -5,7 +5,8 @@
 use gl_model::time;
 
 use crate::owner::{
-    Action, Cause, Note, Owner, Run, Stage, StopReason, Worker, estimate, runs, throttle, workers,
+    Action, Cause, Evidence, Note, Owner, Run, Stage, StopReason, Successor, Worker, estimate,
+    runs, throttle, workers,
 };
 use crate::{task, worker};
 
@@ -112,7 +113,8 @@
         let mut record = None;
         for id in older {
             record = self.workers.get(&id).map(|worker| worker.record).or(record);
-            self.end_incarnation(&id, &collections::BTreeSet::new(), now);
+            let successor = self.successor_on_vm(entry, now);
+            self.end_incarnation(&id, &collections::BTreeSet::new(), successor, now);
             self.forget_orders(&id);
             self.remove_worker(&id);
         }
@@ -137,6 +139,7 @@
         &mut self,
         id: &worker::WorkerId,
         kept: &collections::BTreeSet<task::TaskId>,
+        successor: Successor,
         now: time::Timestamp,
     ) {
         let Some(worker) = self.workers.get(id) else {
@@ -144,7 +147,15 @@
         };
         let lost: Vec<_> = worker.runs.iter().filter(|t| !kept.contains(t)).copied().collect();
         self.has_hidden_crashes |= self.is_recovering();
-        self.note(Note::Replaced { worker: id.clone(), runs: lost.len() });
+        let evidence = Evidence::of(successor.basis(), successor.age);
+        let note = Note::Replaced {
+            worker: id.clone(),
+            runs: worker.incarnation.map(|_| lost.len()),
+            incarnation: worker.incarnation.unwrap_or(worker.registration.incarnation),
+            silent: worker.silent(now),
+            successor,
+        };
+        self.note(note);
         self.unread.release(id);
         for task in lost {
             // An order that was not confirmed may have reached no incarnation.
@@ -154,7 +165,7 @@
             } else {
                 Cause::Lapsed
             };
-            self.end_run(task, cause, now);
+            self.end_run(task, cause, evidence, now);
         }
     }
 
@@ -219,7 +230,7 @@
         reply: &worker::PollReply,
         now: time::Timestamp,
     ) {
-        if !self.accept_reply(id, call.token, reply, now) {
+        if !self.accept_reply(id, call, reply, now) {
             return;
         }
         let Some(worker) = self.workers.get_mut(id) else {
@@ -259,7 +270,11 @@
     ) -> usize {
         let (mut known, mut unknown) = (0, 0);
         for running in &reply.running {
-            match self.update_run(id, running, now) {
+            let update = self.update_run(id, running, now);
+            if update.is_none() {
+                self.note_outlived(id, running.task, running.attempt, None, now);
+            }
+            match update {
                 Some(is_first) => known += usize::from(is_first),
                 None if self.reports_overtaken(id, running, now) => {}
                 None if self.adopt(id, running, now) => {}
@@ -348,26 +363,13 @@
             let is_reported =
                 reply.running.iter().any(|r| r.task == *task && r.attempt == run.attempt)
                     || self.unread.holds(*task);
-            let cause = match run.stage {
-                Stage::Running(at) if at < sent => Cause::Missing,
-                Stage::Stopping(stop) if stop.confirmed.is_some_and(|at| at < sent) => {
-                    Cause::NeverRan
-                }
-                // A busy worker may list a run some time after it has checked the deadline.
-                Stage::Stopping(stop)
-                    if stop.was_starting
-                        && reply.clock > run.deadline + self.settings.clock_margin =>
-                {
-                    Cause::NeverRan
-                }
-                _ => continue,
-            };
-            if !is_reported {
-                missing.push((*task, cause));
+            let evidence = Evidence::from_reply(run, reply.clock, sent, &self.settings, now);
+            if let Some(evidence) = evidence.filter(|_| !is_reported) {
+                missing.push((*task, evidence));
             }
         }
-        for (task, cause) in missing {
-            self.end_run(task, cause, now);
+        for (task, evidence) in missing {
+            self.end_run(task, evidence.missing_cause(), evidence, now);
         }
     }
 }
--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -263,6 +263,10 @@
         runs: Some(3),
         silent: Some(time::Span::millis(cell.now - polled)),
         bound: owner::LeaseBound::Own,
+        reading: time::Span::millis(cell.now - polled),
+        // The poll that has extended it was sent 1 ms before the reading.
+        lease: time::Span::millis(5_999),
+        margin: time::Span::millis(5_999).scaled(0.02) + time::Span::millis(150),
     };
     assert_eq!(expired(&actions), [note]);
     let kinds = actions.iter().filter_map(|action| match action {
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -290,6 +290,9 @@
         runs: None,
         silent: None,
         bound: owner::LeaseBound::Inherited,
+        reading: time::Span::millis(10_400),
+        lease: time::Span::millis(10_350),
+        margin: time::Span::ZERO,
     };
     assert_eq!(expired(&mut owner, 15_400), [owner::Action::Note(note)]);
     assert_eq!(expired(&mut owner, 15_450), []);
--- a/gl-jobs/tests/jobs/uneven.rs
+++ b/gl-jobs/tests/jobs/uneven.rs
@@ -267,7 +267,7 @@
 
 /// Returns a cell with copies whose worker 0 has a run of a speculative task that made 5% progress in
 /// 2 s, and the start of that run.
-fn with_slow_run(copy_share: f64, speculative: bool) -> (Cell, cell::Started) {
+pub fn with_slow_run(copy_share: f64, speculative: bool) -> (Cell, cell::Started) {
     let settings = owner::Settings { copy_share, ..owner::Settings::default() };
     let mut cell = Cell::with_settings(3, settings);
     let phase = job::Phase { speculative, ..cell::phase(1, 10_000) };
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -111,6 +111,8 @@
             owner::Note::Stopping { .. } => self.event("stop"),
             owner::Note::SecondRun { .. } => self.event("second-run"),
             owner::Note::SecondRunsOmitted { runs } => self.count("second-run", *runs as u64),
+            owner::Note::Outlived { .. } => self.event("outlived"),
+            owner::Note::OutlivedOmitted { runs, .. } => self.count("outlived", *runs as u64),
             owner::Note::OrderedAgain { .. } => self.event("ordered-again"),
             owner::Note::Overtaken { .. } => self.event("overtaken"),
             owner::Note::Implicated { .. } => self.event("implicated"),
--- a/gl-meter/tests/meter/jobs.rs
+++ b/gl-meter/tests/meter/jobs.rs
@@ -46,3 +46,11 @@
     metrics.note(&owner::Note::SecondRunsOmitted { runs: 30 });
     assert_eq!(value(&metrics.render(), &["kind=\"second-run\""]), "30");
 }
+
+/// Guards against runs that were wrongly taken for gone and are missing in the count, as they are not logged.
+#[test]
+fn outlived_runs_that_are_not_logged_are_counted() {
+    let metrics = Metrics::new().unwrap();
+    metrics.note(&owner::Note::OutlivedOmitted { runs: 30, forgotten: 5 });
+    assert_eq!(value(&metrics.render(), &["kind=\"outlived\""]), "30");
+}
