feat: log runs of earlier owners that a new owner had not been told of

A new owner takes a worker's first full reply, or the end of its leases, to show all that it runs. A run of an earlier owner that the worker reported later left no line unless another run of its task was recorded.

`outlived` is logged for it as well, with the basis `reply` or `lease`, and with the time since then. The attempts that the first reply listed are kept for a minute, so that these are no news.

--- a/gl-jobs/src/owner/conclusions.rs
+++ b/gl-jobs/src/owner/conclusions.rs
@@ -5,7 +5,7 @@
 
 use gl_model::time;
 
-use super::{Cause, Note, Owner, Run, Settings, Stage};
+use super::{Cause, Note, Owner, Run, Settings, Stage, token_of};
 use crate::{task, worker};
 
 /// The interval for which the number of reports is limited.
@@ -277,7 +277,8 @@
         self.conclusions.add(attempt, gone);
     }
 
-    /// Notes that a worker reports a run that counts as gone: as running, or as ended with `outcome`.
+    /// Notes that a worker reports a run that counts as gone, as running, or as ended with `outcome`. That may
+    /// be one of an earlier owner.
     pub(super) fn note_outlived(
         &mut self,
         worker: &worker::WorkerId,
@@ -286,7 +287,11 @@
         outcome: Option<worker::Outcome>,
         now: time::Timestamp,
     ) {
-        let Some(gone) = self.conclusions.contradicted(worker, task, attempt, outcome) else {
+        let gone = self.conclusions.contradicted(worker, task, attempt, outcome);
+        let known = gone.map(|gone| (gone.cause, gone.basis, gone.at));
+        let is_earlier = token_of(attempt) < self.token;
+        let unseen = || self.accounts.contradicted(worker, attempt, outcome);
+        let Some((cause, basis, at)) = known.or_else(|| is_earlier.then(unseen).flatten()) else {
             return;
         };
         if !self.conclusions.admit() {
@@ -298,9 +303,9 @@
             attempt,
             worker: worker.clone(),
             outcome,
-            cause: gone.cause,
-            basis: gone.basis,
-            gone: now.since(gone.at),
+            cause,
+            basis,
+            gone: now.since(at),
             other_attempt: other.map(|run| run.attempt),
         });
     }
@@ -309,6 +314,7 @@
 /// Forgets old conclusions, and reports how many lines the log does not have.
 pub(super) fn run(owner: &mut Owner, now: time::Timestamp) {
     let (runs, forgotten) = owner.conclusions.next_interval(now);
+    owner.accounts.expire(RETENTION, now);
     if runs + forgotten > 0 {
         owner.note(Note::OutlivedOmitted { runs, forgotten });
     }
--- a/gl-jobs/src/owner/mod.rs
+++ b/gl-jobs/src/owner/mod.rs
@@ -57,7 +57,7 @@
     advice, copies, distance, drain, gang, headroom, order, preference, search, spread, trials,
     waits,
 };
-use recovery::{store_clock, timeouts};
+use recovery::{accounts, store_clock, timeouts};
 use state::{estimate, footprint, grants, jobs, pages, runs, workers};
 use view::{domains, roster, second_runs, unread};
 
@@ -131,6 +131,8 @@
     unread: unread::Unread,
     /// The reported runs of tasks of which another run is recorded.
     second_runs: second_runs::SecondRuns,
+    /// What workers were taken to run of earlier owners.
+    accounts: accounts::Accounts,
     /// The runs that have lately been taken for gone.
     conclusions: conclusions::Conclusions,
     /// The longest time for which leases that earlier owners have extended may last from the takeover.
@@ -228,6 +230,7 @@
             recovery: None,
             unread: unread::Unread::default(),
             second_runs: second_runs::SecondRuns::default(),
+            accounts: accounts::Accounts::default(),
             conclusions: conclusions::Conclusions::default(),
             inherited_lease: settings.horizon,
             superseded_at: None,
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -1,6 +1,7 @@
 //! Recovery after a change of owner: restores the stored jobs, and waits until all runs that
 //! earlier owners may have started are known.
 
+pub(in crate::owner) mod accounts;
 pub(in crate::owner) mod adoption;
 pub(in crate::owner) mod store_clock;
 pub(in crate::owner) mod timeouts;
@@ -296,9 +297,13 @@
     let count = recovery.pending.len();
     let expired = recovery.pending.extract_if(.., |_, pending| now >= pending.ends());
     let since = recovery.since;
-    let expired = expired.filter_map(|(id, p)| Some((owner.workers.get(&id)?, p.ends())));
-    let notes = expired.map(|(worker, ends)| worker.unseen_leases_expired(since, ends, now));
-    owner.actions.extend(notes.map(Action::Note));
+    for (id, pending) in expired {
+        if let Some(worker) = owner.workers.get(&id) {
+            let note = worker.unseen_leases_expired(since, pending.ends(), now);
+            owner.actions.push(Action::Note(note));
+        }
+        owner.accounts.add_expired(id, now);
+    }
     let left = recovery.pending.len();
     recovery.missing += count - left;
     let took = now.since(recovery.since);
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -255,7 +255,7 @@
             if reported < recorded {
                 self.end_missing(id, call.sent, reply, now);
             }
-            self.mark_replied(id);
+            self.account_replied(id, reply, now);
         }
         self.update_unstored(id);
         throttle::run(self, id, now);
--- a/gl-jobs/tests/jobs/outlived.rs
+++ b/gl-jobs/tests/jobs/outlived.rs
@@ -1,11 +1,12 @@
 //! Reports of runs that had counted as gone. Guards against a log that does not tell that a worker went on
 //! with such a run, and against one that such runs fill.
 
-use gl_jobs::{owner, worker};
+use gl_jobs::{owner, record, worker};
 use gl_model::time;
 
 use crate::cell::{self, Cell};
 use crate::conclusions::{ends, expire, notes, running};
+use crate::recovery;
 
 /// Returns the reports of runs that had counted as gone.
 fn outlived(actions: &[owner::Action]) -> Vec<owner::Note> {
@@ -165,3 +166,87 @@
     forgotten += count_forgotten(&cell.tick());
     assert_eq!(forgotten, attempts - 4_096);
 }
+
+/// Returns a new owner of two workers, which were in the roster of the last one.
+fn after_claim() -> owner::Owner {
+    let roster = vec![cell::registration(0), cell::registration(1)];
+    recovery::after_claim(roster, record::Progress::default())
+}
+
+/// The run of a task that an earlier owner ordered.
+fn inherited(job: u64, attempt: u64) -> worker::Running {
+    worker::Running {
+        task: cell::task(job, 0, 0),
+        attempt,
+        checkpoint: String::new(),
+        progress: 20.0,
+        load: 0.0,
+    }
+}
+
+fn inherited_end(running: &worker::Running, outcome: worker::Outcome) -> worker::Ended {
+    let (task, attempt) = (running.task, running.attempt);
+    worker::Ended { number: 1, task, attempt, outcome, checkpoint: String::new() }
+}
+
+/// Lets a worker of a new owner reply, and returns the causes and bases of the runs that were noted.
+fn noted(
+    owner: &mut owner::Owner,
+    n: usize,
+    running: &[worker::Running],
+    ended: &[worker::Ended],
+    now: u64,
+) -> Vec<(owner::Cause, owner::Basis, time::Span)> {
+    let (running, ended) = (running.to_vec(), ended.to_vec());
+    let reply = worker::PollReply { running, ended, ..recovery::empty(now) };
+    recovery::poll_replied(owner, n, &reply, now);
+    let noted = |note: owner::Note| match note {
+        owner::Note::Outlived { cause, basis, gone, .. } => Some((cause, basis, gone)),
+        _ => None,
+    };
+    outlived(&owner.take_actions()).into_iter().filter_map(noted).collect()
+}
+
+/// Guards against second runs after a change of owner without any trace: a worker did not list the run in its
+/// first reply to the new owner.
+#[test]
+fn earlier_owners_run_that_the_first_reply_did_not_have_is_logged_once() {
+    let mut owner = after_claim();
+    assert_eq!(noted(&mut owner, 0, &[], &[], 5_010), []);
+    let run = inherited(1, 5);
+    let expected = (owner::Cause::Missing, owner::Basis::Reply, time::Span::millis(290));
+    assert_eq!(noted(&mut owner, 0, std::slice::from_ref(&run), &[], 5_300), [expected]);
+    assert_eq!(noted(&mut owner, 0, &[run], &[], 5_400), []);
+}
+
+#[test]
+fn earlier_owners_run_that_the_first_reply_had_is_no_news() {
+    let mut owner = after_claim();
+    // No stored job has the task, so that it is not recorded.
+    let run = inherited(99, 5);
+    for now in [5_010, 5_300] {
+        assert_eq!(noted(&mut owner, 0, std::slice::from_ref(&run), &[], now), []);
+    }
+    let end = inherited_end(&run, worker::Outcome::Stopped);
+    assert_eq!(noted(&mut owner, 0, &[], &[end], 5_400), []);
+}
+
+/// Guards against second runs after a change of owner without any trace: the leases of the worker were taken to
+/// have expired.
+#[test]
+fn earlier_owners_run_is_logged_after_the_leases_of_a_worker_that_did_not_reply() {
+    let run = inherited(1, 5);
+    let (done, lapsed) = (worker::Outcome::Done, worker::Outcome::Lapsed);
+    for (outcome, count) in [(None, 1), (Some(done), 1), (Some(lapsed), 0)] {
+        let mut owner = after_claim();
+        noted(&mut owner, 0, &[], &[], 15_000);
+        owner.tick(&cell::moment(15_400));
+        owner.take_actions();
+        let ended: Vec<_> =
+            outcome.map(|outcome| inherited_end(&run, outcome)).into_iter().collect();
+        let running = if outcome.is_none() { vec![run.clone()] } else { Vec::new() };
+        let expected = (owner::Cause::Lapsed, owner::Basis::Lease, time::Span::millis(100));
+        let noted = noted(&mut owner, 1, &running, &ended, 15_500);
+        assert_eq!(noted, vec![expected; count], "{outcome:?}");
+    }
+}
--- a/gl-jobs/tests/jobs/recovery.rs
+++ b/gl-jobs/tests/jobs/recovery.rs
@@ -6,7 +6,7 @@
 
 use crate::cell;
 
-fn after_claim(roster: Vec<worker::Registration>, progress: record::Progress) -> owner::Owner {
+pub fn after_claim(roster: Vec<worker::Registration>, progress: record::Progress) -> owner::Owner {
     let mut owner = owner::Owner::new(owner::Settings::default(), 9, cell::at(5_000));
     owner.workers_listed(&[cell::registration(0)], cell::at(5_000), cell::at(5_000));
     let jobs = vec![cell::stored(1, cell::job(vec![cell::phase(2, 1_000)]), progress)];
@@ -19,7 +19,7 @@
     owner
 }
 
-fn poll_replied(owner: &mut owner::Owner, n: usize, reply: &worker::PollReply, now: u64) {
+pub fn poll_replied(owner: &mut owner::Owner, n: usize, reply: &worker::PollReply, now: u64) {
     owner.poll_request(&cell::worker(n), cell::at(now - 5));
     owner.poll_replied(
         &cell::worker(n),
@@ -29,7 +29,7 @@
     );
 }
 
-fn empty(now: u64) -> worker::PollReply {
+pub fn empty(now: u64) -> worker::PollReply {
     worker::PollReply {
         clock: cell::at(now),
         incarnation: worker::Incarnation(1),
