test: second runs in the emulator name both workers, and whether one owner ordered both

A second run of one owner in its term and one of a new owner after a takeover follow from different bounds, but the report named the task only. Besides, a start of another attempt on a worker that still ran the task replaced that run and was not checked. The violation now names both workers and says "by one owner" or "by two owners", and such a start counts.

--- a/gl-emulate/src/simulation/checks.rs
+++ b/gl-emulate/src/simulation/checks.rs
@@ -79,13 +79,13 @@
 
     pub(super) fn check_start(&mut self, n: usize, task: task::TaskId, is_speculative: bool) {
         self.check_crash_limit(task);
-        let runs_elsewhere = self
-            .workers
-            .iter()
-            .enumerate()
-            .any(|(other, w)| other != n && !w.is_down && w.runs.contains_key(&task));
-        if runs_elsewhere && !is_speculative {
-            self.record_violation(report::Guarantee::SingleRun, &task);
+        let owner = self.workers[n].runs.get(&task).map(|run| run.owner).unwrap_or_default();
+        let elsewhere = self.workers.iter().enumerate().find_map(|(other, w)| {
+            let run = w.runs.get(&task).filter(|_| other != n && !w.is_down)?;
+            Some((other, run.owner))
+        });
+        if let Some(first) = elsewhere.filter(|_| !is_speculative) {
+            self.record_second_run(task, (n, owner), first);
         }
         if !self.workers[n].reserved().fits_in(&self.workers[n].spec.size) {
             self.record_violation(report::Guarantee::Capacity, &task);
@@ -198,6 +198,18 @@
         job.final_state().is_some() || job.pages.values().flat_map(|page| &page.phases).any(is_done)
     }
 
+    /// Records that a task starts while it runs. Both runs are named by their workers and their owners.
+    pub(super) fn record_second_run(
+        &mut self,
+        task: task::TaskId,
+        (worker, owner): (usize, usize),
+        (first, first_owner): (usize, usize),
+    ) {
+        let owners = if owner == first_owner { "one owner" } else { "two owners" };
+        let subject = format!("{task} by {owners}, on w-{worker} while on w-{first}");
+        self.record_violation(report::Guarantee::SingleRun, &subject);
+    }
+
     pub(super) fn record_violation(
         &mut self,
         guarantee: report::Guarantee,
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -30,7 +30,7 @@
                     order.deadline = self.workers[n].clock(now);
                 }
                 let (task, attempt) = (order.task, order.attempt);
-                let reply = self.start(n, &order);
+                let reply = self.start(n, delivery.owner, &order);
                 if reply == model::OrderReply::Refused(model::Refusal::Fenced) {
                     self.refused(delivery.owner, n, order.token);
                 }
@@ -147,12 +147,17 @@
         self.reply(delivery.call, owner, n, Message::PollReply(call, Some(reply), false));
     }
 
-    pub(super) fn start(&mut self, n: usize, order: &model::StartOrder) -> model::OrderReply {
+    pub(super) fn start(
+        &mut self,
+        n: usize,
+        owner: usize,
+        order: &model::StartOrder,
+    ) -> model::OrderReply {
         let Some(behaviour) = self.behaviour(order.task.phase) else {
             self.record_violation(report::Guarantee::Requested, &order.task);
             return model::OrderReply::Refused(model::Refusal::Unspecified);
         };
-        let was_running = self.workers[n].runs.contains_key(&order.task);
+        let before = self.workers[n].runs.get(&order.task).map(|run| (run.attempt, run.owner));
         let is_speculative = behaviour.speculative;
         let is_best_effort = behaviour.best_effort;
         let crashes_worker = behaviour.crashes_worker && order.task.index == 0;
@@ -162,15 +167,20 @@
             1.0
         };
         let reply = self.workers[n].start(order, behaviour, self.now);
-        if reply == model::OrderReply::Done && !was_running {
+        let is_new = before.is_none_or(|(attempt, _)| attempt != order.attempt);
+        if reply == model::OrderReply::Done && is_new {
             self.report.starts += 1;
             if let Some(run) = self.workers[n].runs.get_mut(&order.task) {
                 run.slowdown = slowdown;
+                run.owner = owner;
             }
             self.report.colocation.starts += u64::from(is_best_effort);
             if crashes_worker {
                 self.crashes.push((self.now + CRASH_DELAY, n, order.task));
             }
+            if let Some(before) = before.filter(|_| !is_speculative) {
+                self.record_second_run(order.task, (n, owner), (n, before.1));
+            }
             self.check_start(n, order.task, is_speculative);
         }
         reply
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -73,6 +73,8 @@
     /// The CPU usage in thousandths of a core, or, for a long-running task, the tail latency in
     /// milliseconds.
     pub load: f64,
+    /// The number of the owner that ordered the start.
+    pub owner: usize,
     stop_at: Option<time::Timestamp>,
 }
 
@@ -222,6 +224,7 @@
             slowdown: 1.0,
             cpu_limit: 1.0,
             load: 0.0,
+            owner: 0,
             stop_at: None,
         };
         self.runs.insert(order.task, run);
