feat: emulated workers that notice late that their lease has expired

Workers of the emulator killed what ran at the end of their lease, to the step of 5 ms. The protocol says that all is killed then, but gives no time for it; the only time for ending a run is the one of a stop. With `lapse_delay`, a worker notices the end of a lease after a drawn time of up to that. Until then its runs go on, may end as done and are reported; a call that extends the lease meanwhile serves new runs only. The time has a generator of its own, so that all other draws stay as they are; the default is zero.

--- a/gl-emulate/src/simulation/mod.rs
+++ b/gl-emulate/src/simulation/mod.rs
@@ -42,6 +42,8 @@
     settings: Settings,
     now: time::Timestamp,
     rng: rngs::SmallRng,
+    /// Draws the times after which workers notice that their leases have expired.
+    lapse_rng: rngs::SmallRng,
     workers: Vec<worker::Worker>,
     ownerships: Vec<Ownership>,
     deliveries: collections::BinaryHeap<Delivery>,
@@ -108,8 +110,9 @@
                 workers[n].is_down = true;
             }
         }
-        Self {
+        let mut simulation = Self {
             rng: rngs::SmallRng::seed_from_u64(settings.seed),
+            lapse_rng: rngs::SmallRng::seed_from_u64(!settings.seed),
             settings,
             now,
             workers,
@@ -147,7 +150,9 @@
             pending_ends: Vec::new(),
             spoiled: collections::BTreeSet::new(),
             report: report::Report::default(),
-        }
+        };
+        (0..simulation.workers.len()).for_each(|n| simulation.draw_lapse_delay(n));
+        simulation
     }
 
     /// Runs the simulation until all jobs have ended or the time limit is reached.
--- a/gl-emulate/src/simulation/settings.rs
+++ b/gl-emulate/src/simulation/settings.rs
@@ -94,6 +94,8 @@
     pub load_time: time::Span,
     /// Whether the next incarnation of a worker carries out the calls that the last one has delayed.
     pub keeps_calls: bool,
+    /// The longest time after which workers notice that their leases have expired. It is drawn for each lease.
+    pub lapse_delay: time::Span,
     /// The factor by which tasks away from their rack or data take longer.
     pub remote_factor: f64,
     /// Mechanisms that are disabled, to show that they are necessary.
@@ -115,6 +117,7 @@
             },
             load_time: time::Span::ZERO,
             keeps_calls: false,
+            lapse_delay: time::Span::ZERO,
             remote_factor: 1.0,
             disabled: Disabled::default(),
             trace: None,
--- a/gl-emulate/src/simulation/workers.rs
+++ b/gl-emulate/src/simulation/workers.rs
@@ -2,6 +2,7 @@
 
 use gl_jobs::{task, worker as model};
 use gl_model::time;
+use rand::Rng as _;
 
 use super::checks::PendingEnd;
 use super::messages::{Call, Delivery, Message, call_of, lost_reply};
@@ -208,7 +209,11 @@
             if self.workers[n].is_down {
                 continue;
             }
+            let expiries = self.workers[n].lease_expiries;
             let ends = self.workers[n].advance(&load::interference, now, TIME_STEP);
+            if self.workers[n].lease_expiries > expiries {
+                self.draw_lapse_delay(n);
+            }
             let (incarnation, lease_expiries) =
                 (self.workers[n].incarnation, self.workers[n].lease_expiries);
             for end in ends {
@@ -244,6 +249,15 @@
         }
     }
 
+    /// Draws the time after which a worker notices that its next lease has expired.
+    pub(super) fn draw_lapse_delay(&mut self, n: usize) {
+        let longest = self.settings.lapse_delay.as_millis();
+        if longest > 0 {
+            let drawn = self.lapse_rng.random_range(0..=longest);
+            self.workers[n].lapse_delay = time::Span::millis(drawn);
+        }
+    }
+
     /// Adds the payoff of long-running jobs, by the share of their tasks that are ready and within
     /// their tail latency target.
     pub(super) fn score_long_running(&mut self) {
--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -76,6 +76,8 @@
     /// The number of the owner that ordered the start.
     pub owner: usize,
     stop_at: Option<time::Timestamp>,
+    /// The time at which the worker kills it, as the lease has expired under which it ran.
+    lapses_at: Option<time::Timestamp>,
 }
 
 /// A worker.
@@ -99,11 +101,16 @@
     pub is_down: bool,
     /// The time until which its runs are slower, if it has started cold.
     pub cold_until: Option<time::Timestamp>,
+    /// The time after which the worker notices that its lease has expired. Until then what runs goes on,
+    /// also if a call extends the lease meanwhile.
+    pub lapse_delay: time::Span,
     /// Whether the worker is draining.
     pub draining: bool,
-    /// The number of lease expiries also while nothing ran: ends that were listed count as lost.
+    /// The number of lease expiries that it has noticed, also while nothing ran: ends that were listed count as lost.
     pub lease_expiries: u64,
     was_expired: bool,
+    /// The time at which the worker notices that its lease has expired.
+    notices_at: Option<time::Timestamp>,
     ended: Vec<worker::Ended>,
     end_count: u64,
     /// The highest attempt of each task that was stopped or has ended. It is not started again.
@@ -131,9 +138,11 @@
             fault: Fault::default(),
             is_down: false,
             cold_until: None,
+            lapse_delay: time::Span::ZERO,
             draining: false,
             lease_expiries: 0,
             was_expired: true,
+            notices_at: None,
             ended: Vec::new(),
             end_count: 0,
             refused_attempts: collections::BTreeMap::new(),
@@ -157,6 +166,7 @@
         self.refused_attempts.clear();
         self.lease_expiry = time::Timestamp::default();
         self.was_expired = true;
+        self.notices_at = None;
         self.is_down = false;
         let is_cold = self.spec.cold_time > time::Span::ZERO;
         self.cold_until = is_cold.then(|| now + self.spec.cold_time);
@@ -226,6 +236,7 @@
             load: 0.0,
             owner: 0,
             stop_at: None,
+            lapses_at: None,
         };
         self.runs.insert(order.task, run);
         worker::OrderReply::Done
@@ -318,13 +329,20 @@
         self.advance_runs(interference, now, step);
         let clock = self.clock(now);
         let is_expired = clock > self.lease_expiry;
+        let lapses_at = now + self.lapse_delay;
         if is_expired && !self.was_expired {
-            self.lease_expiries += 1;
+            self.notices_at.get_or_insert(lapses_at);
         }
         self.was_expired = is_expired;
+        self.lease_expiries += u64::from(self.notices_at.take_if(|at| now >= *at).is_some());
+        if is_expired {
+            for run in self.runs.values_mut() {
+                run.lapses_at.get_or_insert(lapses_at);
+            }
+        }
         let mut finished = Vec::new();
         for (task, run) in &self.runs {
-            let outcome = if is_expired {
+            let outcome = if run.lapses_at.is_some_and(|at| now >= at) {
                 Some(worker::Outcome::Lapsed)
             } else if run.stop_at.is_some_and(|at| now >= at) {
                 Some(worker::Outcome::Stopped)
