test: workers that are cut off, and that end runs late, in the soak

Cause: the soak could cut failure domains and delay calls, but not cut single workers off for about a lease, and its workers ended all runs at the very end of the lease. The record gave a lapsed run the end of its lease in place of its real end, so that a run that goes on could not be seen. Change: `--only worker-cut` loses requests, replies or both of one to eight workers, or of a failure domain, for 4 to 11 s. `--only stall` has such workers end runs 100 to 900 ms late; a stop takes 900 ms at most, and nothing revokes an end that is under way. `--wide N` adds jobs of 27 to 60 tasks of 15 s, `--hand-over S` kills the owner at that second. Ends on workers that are not stalled are recorded as before.

--- a/gl-emulate/src/worker.rs
+++ b/gl-emulate/src/worker.rs
@@ -22,6 +22,8 @@
     pub is_stalled: bool,
     /// Every run fails at the point at which it would be done.
     pub fails_runs: bool,
+    /// The time for which runs go on after they should have ended.
+    pub late_ends: time::Span,
 }
 
 /// The actual behaviour of a task, which may differ from what its job declares.
@@ -76,8 +78,23 @@
     /// The number of the owner that ordered the start.
     pub owner: usize,
     stop_at: Option<time::Timestamp>,
-    /// The time at which the worker kills it, as the lease has expired under which it ran.
+    /// The time at which the worker notices that the lease has expired under which it ran.
     lapses_at: Option<time::Timestamp>,
+    end: Option<PendingEnd>,
+}
+
+/// The end of a run that is under way. Nothing revokes it.
+#[derive(Clone, Copy, Debug)]
+struct PendingEnd {
+    outcome: worker::Outcome,
+    at: time::Timestamp,
+}
+
+impl Run {
+    /// Returns the time at which the run ends, if its end is under way.
+    pub fn ends_at(&self) -> Option<time::Timestamp> {
+        self.end.map(|end| end.at)
+    }
 }
 
 /// A worker.
@@ -122,6 +139,8 @@
 const LISTED_ENDS: usize = 500;
 /// The time that a run takes to stop.
 const STOP_TIME: time::Span = time::Span::millis(200);
+/// The longest time by which a stop is late: with [`STOP_TIME`], the protocol's longest time for one.
+const MAX_LATE_STOP: time::Span = time::Span::millis(700);
 /// The longest lease that the worker accepts.
 const MAX_LEASE: time::Span = time::Span::seconds(10);
 
@@ -237,6 +256,7 @@
             owner: 0,
             stop_at: None,
             lapses_at: None,
+            end: None,
         };
         self.runs.insert(order.task, run);
         worker::OrderReply::Done
@@ -329,31 +349,35 @@
         self.advance_runs(interference, now, step);
         let clock = self.clock(now);
         let is_expired = clock > self.lease_expiry;
-        let lapses_at = now + self.lapse_delay;
         if is_expired && !self.was_expired {
-            self.notices_at.get_or_insert(lapses_at);
+            self.notices_at.get_or_insert(now + self.lapse_delay);
         }
         self.was_expired = is_expired;
         self.lease_expiries += u64::from(self.notices_at.take_if(|at| now >= *at).is_some());
         if is_expired {
+            let noticed_at = self.lease_end().min(now) + self.lapse_delay;
             for run in self.runs.values_mut() {
-                run.lapses_at.get_or_insert(lapses_at);
+                run.lapses_at.get_or_insert(noticed_at);
             }
         }
+        let late = self.fault.late_ends;
         let mut finished = Vec::new();
-        for (task, run) in &self.runs {
-            let outcome = if run.lapses_at.is_some_and(|at| now >= at) {
-                Some(worker::Outcome::Lapsed)
+        for (task, run) in &mut self.runs {
+            let due = if let Some(at) = run.lapses_at.filter(|at| now >= *at) {
+                Some((worker::Outcome::Lapsed, at + late))
             } else if run.stop_at.is_some_and(|at| now >= at) {
-                Some(worker::Outcome::Stopped)
+                Some((worker::Outcome::Stopped, now + late.min(MAX_LATE_STOP)))
             } else if !run.behaviour.long_running && run.done >= run.behaviour.work {
                 let has_failed = run.behaviour.always_fails || self.fault.fails_runs;
-                Some(if has_failed { worker::Outcome::Failed } else { worker::Outcome::Done })
+                let outcome =
+                    if has_failed { worker::Outcome::Failed } else { worker::Outcome::Done };
+                Some((outcome, now + late))
             } else {
                 None
             };
-            if let Some(outcome) = outcome {
-                finished.push((*task, outcome));
+            run.end = run.end.or(due.map(|(outcome, at)| PendingEnd { outcome, at }));
+            if let Some(end) = run.end.filter(|end| end.at <= now) {
+                finished.push((*task, end.outcome));
             }
         }
         finished.into_iter().filter_map(|(task, outcome)| self.end(task, outcome)).collect()
--- a/gl-standin/examples/soak/clients.rs
+++ b/gl-standin/examples/soak/clients.rs
@@ -37,12 +37,18 @@
     pub interval: Duration,
     /// The long-running tasks that it submits first.
     pub long_running: usize,
+    /// One in so many jobs has many tasks at once, of [`WIDE_WORK_MS`] each; none if zero.
+    pub wide_one_in: u32,
     /// The seed of its choices.
     pub seed: u64,
 }
 
 /// The tasks of a long-running job.
 const LONG_RUNNING_TASKS: usize = 10;
+/// The tasks of a wide job, which start at once.
+const WIDE_TASKS: std::ops::RangeInclusive<usize> = 27..=60;
+/// The run time of these tasks.
+const WIDE_WORK_MS: u64 = 15_000;
 /// The pause before a request is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
@@ -77,6 +83,10 @@
     }
 
     fn random_request(&self, random: &mut rngs::SmallRng) -> Request {
+        if self.wide_one_in > 0 && random.random_ratio(1, self.wide_one_in) {
+            let spec = json!({"work-ms": WIDE_WORK_MS}).to_string();
+            return self.request(&[random.random_range(WIDE_TASKS)], &spec, false);
+        }
         let work_ms = match random.random_range(0..10) {
             0..6 => random.random_range(100..2_000),
             _ => random.random_range(5_000..25_000),
--- a/gl-standin/examples/soak/main.rs
+++ b/gl-standin/examples/soak/main.rs
@@ -27,6 +27,8 @@
     gap: Duration,
     settling: Duration,
     kinds: Vec<plan::Kind>,
+    hand_over: Option<Duration>,
+    wide_one_in: u32,
     /// The folder for the logs of seeds with violations.
     logs: Option<path::PathBuf>,
 }
@@ -76,9 +78,11 @@
     options.optmulti(
         "",
         "only",
-        "only this kind: cut, store, pause, kill, crash, late or delay; may be repeated",
+        "only this kind: cut, store, pause, kill, crash, late, delay, worker-cut or stall; may be repeated",
         "KIND",
     );
+    options.optopt("", "wide", "one in so many jobs has 27 to 60 tasks of 15 s (0: none)", "N");
+    options.optopt("", "hand-over", "kill the owner after so many seconds (0: not)", "N");
     options.optopt("", "logs", "folder for the logs of seeds with violations", "PATH");
     let matches = options.parse(std::env::args().skip(1)).map_err(|e| e.to_string())?;
     if matches.opt_present("help") {
@@ -95,9 +99,8 @@
     let names = matches.opt_strs("only");
     let is_known = |name: &String| plan::KINDS.iter().any(|(_, known, _)| name == known);
     if let Some(name) = names.iter().find(|name| !is_known(name)) {
-        return Err(format!(
-            "--only: no kind `{name}`; give cut, store, pause, kill, crash, late or delay"
-        ));
+        let known: Vec<_> = plan::KINDS.iter().map(|(_, name, _)| *name).collect();
+        return Err(format!("--only: no kind `{name}`; give one of {}", known.join(", ")));
     }
     let is_chosen = |name: &str| names.is_empty() || names.iter().any(|chosen| chosen == name);
     let kinds = plan::KINDS.iter().filter(|(_, name, _)| is_chosen(name));
@@ -114,6 +117,8 @@
         gap: Duration::from_millis(number("gap", 9_000)?),
         settling: Duration::from_secs(number("settling", 30)?),
         kinds: kinds.map(|(kind, ..)| *kind).collect(),
+        hand_over: Some(number("hand-over", 0)?).filter(|at| *at > 0).map(Duration::from_secs),
+        wide_one_in: u32::try_from(number("wide", 0)?).map_err(|e| e.to_string())?,
         logs: matches.opt_str("logs").map(path::PathBuf::from),
     }))
 }
@@ -129,6 +134,7 @@
         length: options.length,
         gap: options.gap,
         kinds: options.kinds.clone(),
+        hand_over: options.hand_over,
     };
     let steps = plan::series(seed, size);
     let mut series = series::Series::new(&mut deployment, domains);
@@ -178,6 +184,7 @@
             daemons,
             interval,
             long_running: workers / count,
+            wide_one_in: options.wide_one_in,
             seed: seed << 8 | n as u64,
         };
         ntex::rt::spawn(client.run());
--- a/gl-standin/examples/soak/plan.rs
+++ b/gl-standin/examples/soak/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gl_standin::fleet::{
-    Start,
+    Lost, Start,
     network::{Scope, State},
 };
 use rand::{Rng as _, SeedableRng as _, rngs};
@@ -45,10 +45,14 @@
     Late,
     /// Calls to some workers wait before these see them.
     Delay,
+    /// Calls to some workers, or their replies, are lost, for about the length of a lease.
+    WorkerCut,
+    /// Some workers end runs late.
+    Stall,
 }
 
 /// All kinds, with their names in arguments and reports and their weights.
-pub const KINDS: [(Kind, &str, u32); 7] = [
+pub const KINDS: [(Kind, &str, u32); 9] = [
     (Kind::Cut, "cut", 4),
     (Kind::Store, "store", 3),
     (Kind::Pause, "pause", 2),
@@ -56,6 +60,8 @@
     (Kind::Crash, "crash", 6),
     (Kind::Late, "late", 3),
     (Kind::Delay, "delay", 3),
+    (Kind::WorkerCut, "worker-cut", 4),
+    (Kind::Stall, "stall", 4),
 ];
 
 /// What a disturbance does.
@@ -75,6 +81,10 @@
     Late { one_in: u64 },
     /// See [`Kind::Delay`].
     Delay { workers: Vec<usize>, millis: u64 },
+    /// See [`Kind::WorkerCut`].
+    WorkerCut { workers: Vec<usize>, lost: Lost },
+    /// See [`Kind::Stall`].
+    Stall { workers: Vec<usize>, millis: u64 },
 }
 
 impl Action {
@@ -88,6 +98,8 @@
             Self::Crash { .. } => Kind::Crash,
             Self::Late { .. } => Kind::Late,
             Self::Delay { .. } => Kind::Delay,
+            Self::WorkerCut { .. } => Kind::WorkerCut,
+            Self::Stall { .. } => Kind::Stall,
         }
     }
 }
@@ -118,12 +130,16 @@
     pub gap: Duration,
     /// The kinds of disturbances.
     pub kinds: Vec<Kind>,
+    /// The time at which the owner is killed, also if kills are not among the kinds.
+    pub hand_over: Option<Duration>,
 }
 
 /// The time before the first disturbance.
 const CALM: Duration = Duration::from_secs(3);
 /// The shortest time between the starts of two disturbances, in milliseconds.
 const MIN_GAP_MS: u64 = 500;
+/// The time after which the owner that was killed for a hand-over starts again.
+const DOWN_TIME: Duration = Duration::from_secs(2);
 
 struct Generator {
     random: rngs::SmallRng,
@@ -142,6 +158,10 @@
         generator.disturb(at, &mut steps);
         at += generator.millis(gaps.clone());
     }
+    if let Some(at) = generator.size.hand_over {
+        let action = Action::Kill(Target::Owner);
+        generator.push(Step { at, until: at + DOWN_TIME, action }, &mut steps);
+    }
     steps
 }
 
@@ -171,9 +191,9 @@
         }
     }
 
-    /// Returns one to three workers.
-    fn workers(&mut self) -> Vec<usize> {
-        let count = self.random.random_range(1..=3);
+    /// Returns one to `most` workers.
+    fn workers(&mut self, most: usize) -> Vec<usize> {
+        let count = self.random.random_range(1..=most);
         let workers = (0..count).map(|_| self.random.random_range(0..self.size.workers));
         let mut workers: Vec<_> = workers.collect();
         workers.sort_unstable();
@@ -181,6 +201,15 @@
         workers
     }
 
+    /// Returns one to eight workers, or all of a failure domain.
+    fn workers_or_domain(&mut self) -> Vec<usize> {
+        if self.random.random_bool(0.75) {
+            return self.workers(8);
+        }
+        let domain = self.random.random_range(0..self.size.domains);
+        (domain..self.size.workers).step_by(self.size.domains).collect()
+    }
+
     fn state(&mut self) -> State {
         [State::Held, State::Reset, State::Refused][self.random.random_range(0..3)]
     }
@@ -200,7 +229,7 @@
             }
             Kind::Kill => (Action::Kill(self.target(self.size.daemons)), self.millis(50..6_000)),
             Kind::Crash => {
-                let workers = self.workers();
+                let workers = self.workers(3);
                 let is_renamed = self.random.random_bool(0.3);
                 let start = if is_renamed { Start::OtherName } else { Start::SameName };
                 let is_dark = self.random.random_bool(0.5);
@@ -211,10 +240,21 @@
                 (Action::Late { one_in }, self.millis(3_000..12_000))
             }
             Kind::Delay => {
-                let workers = self.workers();
+                let workers = self.workers(3);
                 let millis = self.random.random_range(100..1_600);
                 (Action::Delay { workers, millis }, self.millis(1_000..6_000))
             }
+            Kind::WorkerCut => {
+                let workers = self.workers_or_domain();
+                let lost = [Lost::Requests, Lost::Replies, Lost::Both];
+                let lost = lost[self.random.random_range(0..lost.len())];
+                (Action::WorkerCut { workers, lost }, self.millis(4_000..11_000))
+            }
+            Kind::Stall => {
+                let workers = self.workers_or_domain();
+                let millis = self.random.random_range(100..=900);
+                (Action::Stall { workers, millis }, self.millis(4_000..14_000))
+            }
         };
         self.push(Step { at, until: at + length, action }, steps);
     }
--- a/gl-standin/examples/soak/series.rs
+++ b/gl-standin/examples/soak/series.rs
@@ -57,7 +57,11 @@
                 let domain = self.index(*domain).await % self.domains;
                 Action::Cut { domain: Target::Index(domain), scope: *scope, state: *state }
             }
-            Action::Store { .. } | Action::Late { .. } | Action::Delay { .. } => action.clone(),
+            Action::Store { .. }
+            | Action::Late { .. }
+            | Action::Delay { .. }
+            | Action::WorkerCut { .. }
+            | Action::Stall { .. } => action.clone(),
             Action::Crash { workers, start, is_dark } => {
                 let is_down = |worker: &usize| {
                     let is_of = |other: &Action| matches!(other, Action::Crash { workers, .. } if workers.contains(worker));
@@ -142,6 +146,15 @@
                 Action::Delay { workers, millis } => {
                     calls.delays_ms.extend(workers.iter().map(|worker| (*worker, *millis)));
                 }
+                Action::WorkerCut { workers, lost } => {
+                    for worker in workers {
+                        let all = calls.cut.entry(*worker).or_insert(*lost);
+                        *all = all.and(*lost);
+                    }
+                }
+                Action::Stall { workers, millis } => {
+                    calls.stalls_ms.extend(workers.iter().map(|worker| (*worker, *millis)));
+                }
                 _ => {}
             }
         }
--- a/gl-standin/src/fleet/admin.rs
+++ b/gl-standin/src/fleet/admin.rs
@@ -119,11 +119,12 @@
     web::HttpResponse::Ok().finish()
 }
 
-/// Sets what befalls calls to workers.
+/// Sets what befalls calls to workers, and these themselves.
 async fn set_calls(
     fleet: web::types::State<Fleet>,
     body: web::types::Json<Calls>,
 ) -> web::HttpResponse {
+    fleet.workers.lock().stall(&body.stalls_ms);
     let mut calls = fleet.calls.lock();
     *calls = Calls { starts: calls.starts, ..body.into_inner() };
     web::HttpResponse::Ok().finish()
--- a/gl-standin/src/fleet/mod.rs
+++ b/gl-standin/src/fleet/mod.rs
@@ -21,6 +21,6 @@
 
 pub use admin::{Peer, Restart};
 pub use recorder::Run;
-pub use server::{Calls, Size, run};
+pub use server::{Calls, Lost, Size, run};
 pub use store::Store;
 pub use workers::{Recipient, Start, Workers};
--- a/gl-standin/src/fleet/server.rs
+++ b/gl-standin/src/fleet/server.rs
@@ -34,7 +34,36 @@
     pub calls: sync::Arc<Mutex<Calls>>,
 }
 
-/// What befalls calls to workers.
+/// What is lost between the daemons and a worker.
+#[gl_derive::tag]
+pub enum Lost {
+    /// Requests.
+    Requests,
+    /// Replies. The requests are carried out.
+    Replies,
+    /// Both.
+    Both,
+}
+
+impl Lost {
+    /// Returns whether the requests are lost.
+    pub const fn has_requests(self) -> bool {
+        matches!(self, Self::Requests | Self::Both)
+    }
+
+    /// Returns whether the replies are lost.
+    pub const fn has_replies(self) -> bool {
+        matches!(self, Self::Replies | Self::Both)
+    }
+
+    /// Returns what is lost if this and `other` are.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        if self == other { self } else { Self::Both }
+    }
+}
+
+/// What befalls calls to workers, and these themselves.
 #[gl_derive::domain]
 #[derive(Default)]
 pub struct Calls {
@@ -42,6 +71,10 @@
     pub late_one_in: u64,
     /// The time for which calls wait before the workers see them, in milliseconds, by worker.
     pub delays_ms: collections::BTreeMap<usize, u64>,
+    /// The workers that the daemons do not reach, and what is lost. What is lost is not delivered later.
+    pub cut: collections::BTreeMap<usize, Lost>,
+    /// The time for which workers end runs late, in milliseconds, by worker.
+    pub stalls_ms: collections::BTreeMap<usize, u64>,
     /// The workers that do not answer at all while they are down. Others reset the connection.
     pub dark: collections::BTreeSet<usize>,
     /// The number of start orders so far.
--- a/gl-standin/src/fleet/worker_api.rs
+++ b/gl-standin/src/fleet/worker_api.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use super::{
-    server::{Fleet, WorkerIndex, response},
+    server::{Fleet, Lost, WorkerIndex, response},
     workers::Recipient,
 };
 
@@ -33,9 +33,27 @@
     Recipient { index, name: name.map(str::to_owned) }
 }
 
+/// Returns what is lost between the daemons and a worker.
+fn lost(fleet: &Fleet, index: usize) -> Option<Lost> {
+    fleet.calls.lock().cut.get(&index).copied()
+}
+
+/// Returns the response to a call to a worker, unless that is lost.
+async fn reply(fleet: &Fleet, index: usize, reply: (u16, Value)) -> web::HttpResponse {
+    if lost(fleet, index).is_some_and(Lost::has_replies) {
+        ntex::time::sleep(SILENCE).await;
+        return response((RESET, Value::Null));
+    }
+    response(reply)
+}
+
 /// Has a call wait on its way to the worker, and returns the incarnation that receives it. Calls to a worker
 /// that is down get no answer.
 async fn arrive(fleet: &Fleet, index: usize) -> Option<worker::Incarnation> {
+    if lost(fleet, index).is_some_and(Lost::has_requests) {
+        ntex::time::sleep(SILENCE).await;
+        return None;
+    }
     let delay = fleet.calls.lock().delays_ms.get(&index).copied();
     if let Some(delay) = delay {
         ntex::time::sleep(time::Duration::from_millis(delay)).await;
@@ -80,11 +98,12 @@
     }
     // A call whose caller has given it up is carried out all the same.
     let (own, body) = (fleet.get_ref().clone(), body.into_inner());
-    let reply = ntex::rt::spawn(async move {
+    let carried_out = ntex::rt::spawn(async move {
         arrive(&own, recipient.index).await?;
         Some(own.workers.lock().order(&recipient, &path, &body))
     });
-    response(reply.await.ok().flatten().unwrap_or((RESET, Value::Null)))
+    let outcome = carried_out.await.ok().flatten().unwrap_or((RESET, Value::Null));
+    reply(&fleet, index.0, outcome).await
 }
 
 async fn poll(
@@ -105,9 +124,9 @@
         if fleet.workers.lock().incarnation(index.0) != Some(incarnation) {
             return response((RESET, Value::Null));
         }
-        let reply = fleet.workers.lock().poll(&recipient, &body, left.is_zero());
-        if let Some(reply) = reply {
-            return response(reply);
+        let outcome = fleet.workers.lock().poll(&recipient, &body, left.is_zero());
+        if let Some(outcome) = outcome {
+            return reply(&fleet, index.0, outcome).await;
         }
         // The next reply follows both an end and the time-out.
         let _ = ntex::time::timeout(left, ended).await;
--- a/gl-standin/src/fleet/workers.rs
+++ b/gl-standin/src/fleet/workers.rs
@@ -1,7 +1,7 @@
 //! Workers that speak the published protocol; the execution of tasks is that of the emulator's
 //! workers.
 
-use std::time;
+use std::{collections, time};
 
 use gl_emulate::{fleet, worker as emulated};
 use gl_jobs::{task, worker};
@@ -153,6 +153,14 @@
         is_other.then(|| (OTHER_INSTANCE, json!({})))
     }
 
+    /// Sets the time for which workers end runs late, by index; the others end them on time.
+    pub fn stall(&mut self, stalls_ms: &collections::BTreeMap<usize, u64>) {
+        for (index, worker) in self.workers.iter_mut().enumerate() {
+            let millis = stalls_ms.get(&index).copied().unwrap_or_default();
+            worker.emulated.fault.late_ends = model::Span::millis(millis);
+        }
+    }
+
     /// Advances a worker to the current time; returns whether a run has ended.
     fn advance(&mut self, index: usize) -> bool {
         let now = self.now();
@@ -162,11 +170,18 @@
         }
         let step = now.since(worker.advanced_to);
         worker.advanced_to = now;
+        let late =
+            worker.emulated.runs.iter().filter_map(|(task, run)| Some((*task, run.ends_at()?)));
+        let late: collections::BTreeMap<_, _> = late.collect();
         let ends = worker.emulated.advance(&|_, _| 0.0, now, step);
         let lease_end = worker.emulated.lease_end();
         for end in &ends {
             let has_lapsed = end.outcome == worker::Outcome::Lapsed;
-            let at = if has_lapsed { lease_end.min(now) } else { now };
+            let at = match late.get(&end.task) {
+                Some(at) => *at,
+                None if has_lapsed => lease_end.min(now),
+                None => now,
+            };
             self.recorder.ended(index, end, self.unix_millis(at));
         }
         !ends.is_empty()
--- a/gl-standin/tests/process/mod.rs
+++ b/gl-standin/tests/process/mod.rs
@@ -9,6 +9,7 @@
 mod plans;
 mod ports;
 mod shards;
+mod workers;
 
 use gl_standin::{caller, cluster, http, runs};
 
