test: runs that end later than their lease, on workers that are cut off

Cause: no test had a worker that the daemons cannot reach and that takes time to end its runs once its lease has ended.

--- a/gl-standin/tests/process/hosted.rs
+++ b/gl-standin/tests/process/hosted.rs
@@ -12,6 +12,7 @@
 mod cancellations;
 mod domain_cuts;
 mod events;
+mod late_ends;
 mod regained;
 mod restarted_workers;
 mod slow_claims;
