feat: log when a start order without an answer counts as void

A task whose start order got no answer starts elsewhere once the order cannot be carried out any more. That wait ended without a line, so that a second run after it could not be told from others.

`order-expired` names the task, the attempt, the worker and the time that was awaited. It is logged for tasks that are not finished.

--- a/geraniumlatchd/src/jobs/event/mod.rs
+++ b/geraniumlatchd/src/jobs/event/mod.rs
@@ -143,6 +143,9 @@
     },
     /// A start was ordered again on the same worker, as the last order got no answer.
     OrderedAgain { task: Text<task::TaskId>, attempt: u64, worker: &'a str },
+    /// An order without an answer counts as one that cannot be carried out any more, `bound_ms` after it was
+    /// sent. The `attempt` is zero if an earlier owner has sent it.
+    OrderExpired { task: Text<task::TaskId>, attempt: u64, worker: &'a str, bound_ms: u64 },
     /// A task starts again elsewhere while this run continues.
     #[serde(rename = "overtaken")]
     RunOvertaken { task: Text<task::TaskId>, attempt: u64, worker: &'a str },
--- a/geraniumlatchd/src/jobs/event/notes.rs
+++ b/geraniumlatchd/src/jobs/event/notes.rs
@@ -20,6 +20,12 @@
             Note::OrderedAgain { task, attempt, worker } => {
                 Self::OrderedAgain { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
             }
+            Note::OrderExpired { task, attempt, worker, bound } => Self::OrderExpired {
+                task: Text(*task),
+                attempt: *attempt,
+                worker: worker.as_str(),
+                bound_ms: bound.as_millis(),
+            },
             Note::Overtaken { task, attempt, worker } => {
                 Self::RunOvertaken { task: Text(*task), attempt: *attempt, worker: worker.as_str() }
             }
--- a/geraniumlatchd/tests/log_notes.rs
+++ b/geraniumlatchd/tests/log_notes.rs
@@ -154,6 +154,21 @@
     assert_eq!(fields(&omitted), expected);
 }
 
+#[test]
+fn expired_order_names_its_worker_and_the_bound() {
+    let note = owner::Note::OrderExpired {
+        task: task(7),
+        attempt: ATTEMPT + 7,
+        worker: worker(0),
+        bound: millis(13_500),
+    };
+    let expected = json!({
+        "event": "order-expired", "task": "cfbf44dc3484d9ec.0.0.7", "attempt": 8_389_255,
+        "worker": "i-459d3090", "bound_ms": 13_500,
+    });
+    assert_eq!(fields(&note), expected);
+}
+
 /// A pipe that nobody reads until it is opened.
 #[derive(Clone, Default)]
 struct Pipe(sync::Arc<sync::Mutex<State>>);
--- a/gl-jobs/src/owner/action.rs
+++ b/gl-jobs/src/owner/action.rs
@@ -100,6 +100,17 @@
         /// Why it counts as gone; `None` if the worker has reported the end.
         conclusion: Option<Conclusion>,
     },
+    /// An order that got no answer counts as one that cannot be carried out any more.
+    OrderExpired {
+        /// The task.
+        task: task::TaskId,
+        /// The attempt; zero if an earlier owner has sent the order.
+        attempt: u64,
+        /// The worker that it was sent to.
+        worker: worker::WorkerId,
+        /// The time that it was awaited for.
+        bound: time::Span,
+    },
     /// A worker reports a run that this owner had taken for gone.
     Outlived {
         /// The task.
--- a/gl-jobs/src/owner/unsettled.rs
+++ b/gl-jobs/src/owner/unsettled.rs
@@ -134,6 +134,7 @@
 
 /// Records the orders that were not answered in time, and forgets those that cannot be carried out any more.
 pub(in crate::owner) fn run(owner: &mut Owner, now: time::Timestamp) {
+    note_expired(owner, now);
     owner.unsettled.retain(|order| now < order.until);
     let late: Vec<_> = owner.in_flight.late(owner.settings.answer_time, now).collect();
     for (task, attempt) in late {
@@ -143,6 +144,21 @@
     }
 }
 
+/// Notes the orders of unfinished tasks that cannot be carried out any more, so that these may start elsewhere.
+fn note_expired(owner: &mut Owner, now: time::Timestamp) {
+    let orders = owner.unsettled.orders.iter();
+    let orders = orders.flat_map(|(task, orders)| orders.iter().map(|order| (*task, order)));
+    let expired = orders.filter(|(task, order)| now >= order.until && owner.is_open(*task));
+    let notes = expired.map(|(task, order)| Note::OrderExpired {
+        task,
+        attempt: order.attempt,
+        worker: order.worker.clone(),
+        bound: owner.settings.start_window + owner.settings.order_lateness,
+    });
+    let notes: Vec<_> = notes.collect();
+    notes.into_iter().for_each(|note| owner.note(note));
+}
+
 /// Starts the waiting tasks that have such orders where these may be carried out.
 pub(in crate::owner) fn place(owner: &mut Owner, now: time::Timestamp) {
     let tasks = owner.unsettled.orders.keys().copied();
--- a/gl-jobs/tests/jobs/conclusions.rs
+++ b/gl-jobs/tests/jobs/conclusions.rs
@@ -274,3 +274,27 @@
     let found: Vec<_> = found.iter().map(basis).collect();
     assert_eq!(found, [(owner::Cause::Missing, Some(owner::Basis::Reply))]);
 }
+
+/// Guards against a second start elsewhere after an order without an answer, whose wait leaves no line.
+#[test]
+fn order_that_cannot_be_carried_out_any_more_is_reported_once() {
+    let (mut cell, start) = unsettled::ordered(2);
+    unsettled::lose(&mut cell, &start);
+    let settings = owner::Settings::default();
+    let bound = settings.start_window + settings.order_lateness;
+    let note = owner::Note::OrderExpired {
+        task: start.task,
+        attempt: start.attempt,
+        worker: start.worker,
+        bound,
+    };
+    let is_expired = |note: &owner::Note| matches!(note, owner::Note::OrderExpired { .. });
+    let from = cell.now;
+    let mut found = Vec::new();
+    while cell.now < from + 20_000 {
+        cell.now += 190;
+        let expired = notes(&cell.tick()).into_iter().filter(is_expired);
+        found.extend(expired.map(|note| (note, cell.now > from + unsettled::LATENESS)));
+    }
+    assert_eq!(found, [(note, true)]);
+}
--- a/gl-meter/src/jobs.rs
+++ b/gl-meter/src/jobs.rs
@@ -114,6 +114,7 @@
             owner::Note::Outlived { .. } => self.event("outlived"),
             owner::Note::OutlivedOmitted { runs, .. } => self.count("outlived", *runs as u64),
             owner::Note::OrderedAgain { .. } => self.event("ordered-again"),
+            owner::Note::OrderExpired { .. } => self.event("order-expired"),
             owner::Note::Overtaken { .. } => self.event("overtaken"),
             owner::Note::Implicated { .. } => self.event("implicated"),
             owner::Note::GivenUp { .. } => self.event("given-up"),
