test: violations in the soak are told apart by the cell's fencing token

Cause: calls to workers carry the cell's token times 2^20 and a count of lifetimes, and the report compared it with the tokens of claims. No claim was found ("unknown"), no superseded owner was named, and runs of one owner with different lifetimes read as runs of different owners. Change: the report divides the token of a run by the numbers per token first.

--- a/gl-standin/examples/soak/owners.rs
+++ b/gl-standin/examples/soak/owners.rs
@@ -9,6 +9,14 @@
 /// forget the followers that it does not hear.
 const SOON_MS: u64 = 10_000;
 
+/// The fencing tokens of calls to workers for each one of the cell: these also count the lifetimes of workers.
+const CALLS_PER_TOKEN: u64 = 1 << 20;
+
+/// Returns the fencing token of the cell with which the owner claimed it that ordered a run.
+const fn cell_token(run: &Run) -> u64 {
+    run.token / CALLS_PER_TOKEN
+}
+
 /// An ownership. Times are Unix times in milliseconds.
 #[derive(Debug, Default)]
 struct Owner {
@@ -141,9 +149,9 @@
         let now = later.started;
         let is_superseded =
             |token: u64| self.owners.range(token + 1..).any(|(_, owner)| owner.claimed <= now);
-        let by_later = self.owners.get(&later.token);
-        if let Some(owner) = by_later.filter(|owner| is_superseded(later.token) && owner.holds(now))
-        {
+        let token = cell_token(later);
+        let by_later = self.owners.get(&token);
+        if let Some(owner) = by_later.filter(|owner| is_superseded(token) && owner.holds(now)) {
             return format!("started by a superseded owner {}", owner.way(now));
         }
         let keeps = |(token, owner): &(&u64, &Owner)| {
@@ -161,7 +169,7 @@
 }
 
 fn relation(earlier: &Run, later: &Run) -> &'static str {
-    match earlier.token.cmp(&later.token) {
+    match cell_token(earlier).cmp(&cell_token(later)) {
         std::cmp::Ordering::Less => "the other run is of an earlier owner",
         std::cmp::Ordering::Equal => "the other run is its own",
         std::cmp::Ordering::Greater => "the other run is of a later owner",
