test: replies to polls that cross each other and a start

A run that a reply does not list counts as gone if its start was confirmed before the poll was sent (end_missing()). All orders of two polls (sent, composed, arrived), an execution and an answer or none, at moments that the worker's clock does not tell apart, end no run and start no other.

--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -35,6 +35,7 @@
 mod pressure;
 mod probation;
 mod recovery;
+mod replies;
 mod retry_after;
 mod room;
 mod roster;
