fix: a worker ends the older ones of its VM once it has replied

Callers would see all tasks of a worker run twice, for as long as its lease lasts: an entry in the list ended the runs of all older workers of its VM, and took them off those that a new owner waits for, whoever had written it (end_older_on_vm(), add_enrolled()). By the protocol an entry of another writer names no worker.

Now the worker of the entry has to reply as the incarnation in it; a call to an address that another worker has gets 421, and one to nobody's gets no reply. A worker is compared by the newest incarnation that its entry or a reply has shown. The routing, which may be older than an entry, is not needed for that.

A VM that is replaced pays one poll more before the tasks of its last worker start elsewhere. Four tests took the entry alone for proof (newer_worker_on_the_same_vm..., task_starts_elsewhere_once_another_worker..., and two of conclusions): they now expect no end before the reply, and the same end after it.

--- a/gl-jobs/src/owner/conclusions.rs
+++ b/gl-jobs/src/owner/conclusions.rs
@@ -22,7 +22,7 @@
 pub enum Basis {
     /// All leases of its worker are taken to have expired.
     Lease,
-    /// An entry in the list of workers, for a newer worker of its VM.
+    /// An entry in the list of workers, for a newer worker of its VM that has replied.
     Entry,
     /// A reply of the next incarnation of its worker, which does not have it.
     Incarnation,
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -154,19 +154,6 @@
     /// Adds a worker of the roster, on which earlier owners may have started tasks.
     fn add_enrolled(&mut self, row: record::Enrolment, now: time::Timestamp) {
         let entry = row.worker;
-        let newer = self.workers.values().find(|w| {
-            w.registration.vm == entry.vm
-                && w.registration.id != entry.id
-                && w.registration.incarnation > entry.incarnation
-        });
-        if let Some(newer) = newer {
-            let successor = self.successor_on_vm(&newer.registration, now);
-            let (worker, incarnation) = (entry.id.clone(), entry.incarnation);
-            self.note(Note::Replaced { worker, runs: None, incarnation, silent: None, successor });
-            self.removed_workers.insert(entry.id);
-            self.has_hidden_crashes = true;
-            return;
-        }
         let settings = self.settings;
         let worker = self.workers.entry(entry.id.clone()).or_insert_with(|| {
             let mut worker = crate::owner::Worker::new(entry.clone(), &settings, now);
--- a/gl-jobs/src/owner/state/workers.rs
+++ b/gl-jobs/src/owner/state/workers.rs
@@ -264,6 +264,17 @@
             || self.incarnation != Some(self.registration.incarnation)
     }
 
+    /// Returns whether the incarnation in the worker's entry has replied, and none has replaced it since.
+    pub(in crate::owner) fn is_confirmed(&self) -> bool {
+        self.incarnation == Some(self.registration.incarnation) && self.unconfirmed_since.is_none()
+    }
+
+    /// Returns the newest incarnation that an entry or a reply has shown.
+    pub(in crate::owner) fn newest_incarnation(&self) -> worker::Incarnation {
+        let listed = self.registration.incarnation;
+        self.incarnation.map_or(listed, |replied| replied.max(listed))
+    }
+
     /// Returns whether the worker has restarted since an earlier owner enrolled it.
     pub(in crate::owner) fn was_replaced(&self) -> bool {
         self.enrolled_as.is_some_and(|enrolled| enrolled < self.registration.incarnation)
--- a/gl-jobs/src/owner/view/lifetimes.rs
+++ b/gl-jobs/src/owner/view/lifetimes.rs
@@ -87,10 +87,14 @@
             None => self.first_replied(id, reply, now),
             Some(_) => {}
         }
+        let was_confirmed = self.workers.get(id).is_some_and(Worker::is_confirmed);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.incarnation = Some(reply.incarnation);
             worker.unconfirmed_since = None;
         }
+        if !was_confirmed {
+            self.end_older_on_vm(id, now);
+        }
         true
     }
 
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -5,8 +5,8 @@
 use gl_model::time;
 
 use crate::owner::{
-    Action, Cause, Evidence, Note, Owner, Run, Stage, StopReason, Successor, Worker, estimate,
-    runs, throttle, workers,
+    Action, Cause, Evidence, Note, Owner, Run, Stage, StopReason, Successor, Worker, runs,
+    throttle, workers,
 };
 use crate::{task, worker};
 
@@ -60,17 +60,12 @@
             return;
         }
         let is_late = known.is_none() && !self.runs.is_empty();
-        let earlier = self.end_older_on_vm(entry, now);
         let (settings, lifetime) = (self.settings, self.lifetimes);
         let worker = self
             .workers
             .entry(entry.id.clone())
             .or_insert_with(|| Worker { lifetime, ..Worker::new(entry.clone(), &settings, now) });
         worker.is_unproven |= is_late;
-        if let Some(record) = earlier {
-            worker.record = record;
-            worker.record.add_flap(now);
-        }
         if let Some(left) = entry.cold_left {
             worker.cold_until = now + left;
         }
@@ -94,31 +89,39 @@
         if has_restarted {
             self.lifetime_listed(&entry.id, now);
         }
+        self.end_older_on_vm(&entry.id, now);
     }
 
-    /// Removes the older workers of a VM. A VM runs one worker at a time, so a newer entry for the
-    /// same VM means that the older worker has ended. Returns what is known of the VM from it.
-    fn end_older_on_vm(
+    /// Removes the older workers of a VM, which runs one worker at a time, once the worker has replied as the
+    /// incarnation in its entry. The entry alone proves nothing: others may have written it, or it may be that
+    /// of an earlier worker, if the time of day of the VM was set back.
+    pub(in crate::owner) fn end_older_on_vm(
         &mut self,
-        entry: &worker::Registration,
+        id: &worker::WorkerId,
         now: time::Timestamp,
-    ) -> Option<estimate::Record> {
+    ) {
+        let Some(newer) = self.workers.get(id).filter(|worker| worker.is_confirmed()) else {
+            return;
+        };
+        let entry = &newer.registration;
         let is_older = |w: &&Worker| {
             w.registration.vm == entry.vm
                 && w.registration.id != entry.id
-                && w.registration.incarnation < entry.incarnation
+                && w.newest_incarnation() < entry.incarnation
         };
         let older: Vec<_> =
             self.workers.values().filter(is_older).map(|w| w.registration.id.clone()).collect();
-        let mut record = None;
-        for id in older {
-            record = self.workers.get(&id).map(|worker| worker.record).or(record);
-            let successor = self.successor_on_vm(entry, now);
-            self.end_incarnation(&id, &collections::BTreeSet::new(), successor, now);
-            self.forget_orders(&id);
-            self.remove_worker(&id);
+        let successor = self.successor_on_vm(entry, now);
+        for older_id in older {
+            let record = self.workers.get(&older_id).map(|worker| worker.record);
+            if let (Some(record), Some(worker)) = (record, self.workers.get_mut(id)) {
+                worker.record = record;
+                worker.record.add_flap(now);
+            }
+            self.end_incarnation(&older_id, &collections::BTreeSet::new(), successor.clone(), now);
+            self.forget_orders(&older_id);
+            self.remove_worker(&older_id);
         }
-        record
     }
 
     /// Removes a worker without runs from the table.
--- a/gl-jobs/tests/jobs/cell.rs
+++ b/gl-jobs/tests/jobs/cell.rs
@@ -172,6 +172,18 @@
         self.owner.poll_replied(&worker(n), call, &reply, at(self.now));
     }
 
+    /// Delivers the reply of an incarnation of a worker that runs nothing.
+    pub fn reply_as(&mut self, n: usize, incarnation: u64) {
+        let now = at(self.now);
+        let call = call(&self.owner, &worker(n), now);
+        let reply = worker::PollReply {
+            clock: now,
+            incarnation: worker::Incarnation(incarnation),
+            ..worker::PollReply::default()
+        };
+        self.owner.poll_replied(&worker(n), call, &reply, now);
+    }
+
     /// Adds the end of a run to the worker's next reply.
     pub fn report_end(&mut self, n: usize, start: &Started, outcome: worker::Outcome) {
         self.numbers[n] += 1;
--- a/gl-jobs/tests/jobs/conclusions.rs
+++ b/gl-jobs/tests/jobs/conclusions.rs
@@ -118,12 +118,15 @@
     let since = cell.now - if n == 1 { 0 } else { 10 };
     let (requested, now) = (cell::at(cell.now + 20), cell::at(cell.now + 60));
     cell.owner.workers_listed(&[cell::registration(1 - n), newer], requested, now);
+    assert_eq!(ends(&cell.owner.take_actions()), [], "the newer worker has not replied");
+    cell.now += 60;
+    cell.reply_as(9, 2);
     let notes_now = cell.owner.take_actions();
     let replaced = owner::Note::Replaced {
         worker: cell::worker(n),
         runs: Some(1),
         incarnation: worker::Incarnation(1),
-        silent: Some(time::Span::millis(cell.now + 60 - since)),
+        silent: Some(time::Span::millis(cell.now - since)),
         successor: owner::Successor {
             incarnation: worker::Incarnation(2),
             entry: Some(owner::Entry { worker: cell::worker(9), service: "other".to_owned() }),
@@ -132,7 +135,7 @@
     };
     let found = notes(&notes_now);
     assert!(found.contains(&replaced), "{found:?}");
-    let seen = Some(cell.now + 60 - since);
+    let seen = Some(cell.now - since);
     let expected = conclusion(owner::Basis::Entry, 40, None, owner::LastStage::Running, seen);
     assert_eq!(ends(&notes_now), [(owner::Cause::Lapsed, expected)]);
 }
@@ -241,6 +244,13 @@
     let roster = cell::roster([cell::registration(0)]);
     let takeover = owner::Takeover { jobs: vec![stored], roster, ..owner::Takeover::default() };
     owner.recover(takeover, &cell::moment(5_000));
+    let (id, now) = (cell::worker(9), cell::at(5_000));
+    let reply = worker::PollReply {
+        clock: now,
+        incarnation: worker::Incarnation(2),
+        ..worker::PollReply::default()
+    };
+    owner.poll_replied(&id, cell::call(&owner, &id, now), &reply, now);
     let replaced = owner::Note::Replaced {
         worker: cell::worker(0),
         runs: None,
--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -128,6 +128,8 @@
         cell::at(cell.now),
         cell::at(cell.now),
     );
+    assert_eq!(cell::starts(&cell.tick()), [], "anybody may have written the entry");
+    cell.reply_as(9, 2);
     let again = cell::starts(&cell.tick()).remove(0);
     assert_eq!(again.worker, cell::worker(1 - n));
     assert!(cell.owner.worker(&start.worker).is_none());
--- a/gl-jobs/tests/jobs/main.rs
+++ b/gl-jobs/tests/jobs/main.rs
@@ -27,6 +27,7 @@
 mod lists;
 mod order;
 mod orders;
+mod other_writers;
 mod outlived;
 mod pages;
 mod phases;
--- a/gl-jobs/tests/jobs/unsettled.rs
+++ b/gl-jobs/tests/jobs/unsettled.rs
@@ -215,6 +215,8 @@
     let list = [cell::registration(1 - n), newer];
     let now = cell::at(cell.now);
     cell.owner.workers_listed(&list, now, now);
+    assert_eq!(starts_within(&mut cell, &[n, 2], 500), [], "anybody may have written the entry");
+    cell.reply_as(2, 2);
     let again = starts_within(&mut cell, &[n, 2], 500);
     assert_eq!(again.first().map(|again| again.task), Some(start.task));
     assert_eq!(again[0].worker, cell::worker(1 - n));
