fix: leases of workers that are new to the owner are waited for

Callers would see tasks run twice: polls extend the leases of all workers in the table, also of those that are not in the roster. A worker that is not listed and runs nothing is removed from both; once it is listed again, the owner, or the next one, knew of the deadline of its first order only (1.5 s). The tasks of such a worker that fell silent right after its first reply started elsewhere while they may run.

At its first reply a worker that an earlier owner had not enrolled, or that this one had removed, now counts as having a lease of the usual length, until polls extend it. Nothing is slower in calm operation, as the next poll extends the lease to the same time. Not covered: a worker that starts again between its removal and its first reply, and has got a call to its last incarnation meanwhile.

--- a/gl-jobs/src/owner/view/lifetimes.rs
+++ b/gl-jobs/src/owner/view/lifetimes.rs
@@ -133,7 +133,8 @@
         }
     }
 
-    /// Handles the first reply of a worker to this owner. Earlier ones may have extended its leases.
+    /// Handles the first reply of a worker to this owner. Earlier ones may have extended its leases, also if it
+    /// is not in the roster, and so may this one, if the worker was removed from the table since.
     fn first_replied(
         &mut self,
         id: &worker::WorkerId,
@@ -141,9 +142,13 @@
         now: time::Timestamp,
     ) {
         let (settings, inherited) = (self.settings, self.inherited_lease);
-        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.was_enrolled) else {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if !worker.was_enrolled {
+            worker.inherited_until = reply.clock + settings.lease;
+            return;
+        }
         if worker.stored_as != Some(reply.incarnation) {
             return worker.carry_leases(reply, &settings, now);
         }
