fix: a job that was removed during a read is not added again

The work feed reads the whole table of jobs once the store has discarded its history. An ended job whose retention time passes meanwhile is removed from the store and forgotten by the owner; the rows that were read before arrive later, and the job is added again without progress. So its tasks run again.

The owner keeps the jobs that it has removed until the read in progress has been applied, and doesn't add them from it. Reads follow each other, so the next one is sent after the removal. A job that is sent again under the same name within that read (0.4 s), 180 s or more after its end, is not found by reading either; it is announced to the owner by the daemon that stores it.

--- a/gl-jobs/src/owner/intake.rs
+++ b/gl-jobs/src/owner/intake.rs
@@ -36,7 +36,7 @@
     }
 
     /// Adds a job that was read in the store, and stored after `after`. It may have been announced to an
-    /// earlier owner.
+    /// earlier owner. A job that was removed during the read has ended.
     pub fn add_read_job(
         &mut self,
         id: task::JobId,
@@ -44,7 +44,7 @@
         after: time::Timestamp,
         moment: &Moment,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.unread.was_removed(id) {
             return;
         }
         self.add_job_after(id, job, after, moment);
@@ -68,6 +68,7 @@
     pub(super) fn remove_job(&mut self, id: task::JobId) {
         if let Some(entry) = self.jobs.remove(&id) {
             self.job_bytes -= entry.footprint;
+            self.unread.job_removed(id);
         }
     }
 
--- a/gl-jobs/src/owner/view/unread.rs
+++ b/gl-jobs/src/owner/view/unread.rs
@@ -18,6 +18,8 @@
     jobs: collections::BTreeMap<task::JobId, time::Timestamp>,
     /// The time at which the newest read of the stored jobs was sent.
     read_at: time::Timestamp,
+    /// The jobs that were removed since then. A read that was in progress may still have them.
+    removed: collections::BTreeSet<task::JobId>,
     /// The tasks with a reported run or end that is not taken into account yet, by worker.
     held: collections::BTreeMap<worker::WorkerId, collections::BTreeSet<task::TaskId>>,
 }
@@ -29,6 +31,16 @@
         *self.jobs.entry(job).or_insert(now) >= self.read_at
     }
 
+    /// Records that an ended job was removed from the store.
+    pub fn job_removed(&mut self, job: task::JobId) {
+        self.removed.insert(job);
+    }
+
+    /// Returns whether a job that a read has was removed during the read.
+    pub fn was_removed(&self, job: task::JobId) -> bool {
+        self.removed.contains(&job)
+    }
+
     /// Holds these tasks, and no others, because of the newest reply of a worker.
     pub fn hold(&mut self, id: &worker::WorkerId, tasks: collections::BTreeSet<task::TaskId>) {
         if tasks.is_empty() {
@@ -79,9 +91,11 @@
         !self.jobs.contains_key(&job) && self.unread.is_unread(job, now)
     }
 
-    /// Records that all jobs are known that were stored when a read was sent at `sent`.
+    /// Records that all jobs are known that were stored when a read was sent at `sent`. The next one is sent
+    /// later than this.
     pub fn work_read(&mut self, sent: time::Timestamp) {
         let unread = &mut self.unread;
+        unread.removed.clear();
         unread.read_at = unread.read_at.max(sent);
         unread.jobs.retain(|id, at| !self.jobs.contains_key(id) && sent.since(*at) < VALIDITY);
     }
--- a/gl-jobs/tests/jobs/commits.rs
+++ b/gl-jobs/tests/jobs/commits.rs
@@ -102,6 +102,25 @@
     assert_eq!(cell.owner.state(cell::id(1)), None);
 }
 
+/// Guards against jobs that run a second time: the whole table of jobs is read, as its history was discarded,
+/// while a job that has ended long ago is removed, and the rows arrive after that.
+#[test]
+fn job_that_was_read_before_its_removal_does_not_run_again() {
+    let mut cell = Cell::new(1);
+    let job = cell::job(vec![cell::phase(1, 1_000)]);
+    let actions = cell.submit(1, job.clone());
+    cell.run_all(&actions);
+    cell.commit();
+    cell.now += 200_000;
+    cell.poll(0, &[]);
+    let sent = cell.now;
+    cell.commit();
+    assert_eq!(cell.owner.state(cell::id(1)), None, "it is removed");
+    cell.owner.add_read_job(cell::id(1), job, cell::at(sent - 400), &cell::moment(cell.now));
+    cell.poll(0, &[]);
+    assert_eq!(cell::starts(&cell.tick()), []);
+}
+
 #[test]
 fn encoded_row_decodes_to_the_same_value() {
     let job = record::Work::Job(Box::new(cell::job(vec![cell::phase(3, 1_000)])));
