fix: an entry alone does not show that a worker has crashed

The crash of a worker that has left the table is found by any later entry of its VM (verdict()), whoever wrote it. Two or three such crashes fail the job of a task.

The crash of a worker that has left the table counts once a later worker of its VM has replied as the incarnation in its entry, as for the ends of its runs. A new owner, which has had no replies yet, leaves it open for as long as it recovers if there is such an entry.

The case of the recovery has no test of its own.

--- a/gl-jobs/src/owner/crashes.rs
+++ b/gl-jobs/src/owner/crashes.rs
@@ -201,12 +201,20 @@
             return Verdict::Open;
         }
         let Some(worker) = self.workers.get(&trial.worker) else {
-            let has_newer = self
-                .workers
-                .values()
-                .map(|w| &w.registration)
-                .any(|entry| entry.vm == trial.vm && entry.incarnation > trial.incarnation);
-            return if has_newer { Verdict::Crashed } else { Verdict::Survived };
+            let is_newer = |w: &&super::Worker| {
+                let entry = &w.registration;
+                entry.vm == trial.vm && entry.incarnation > trial.incarnation
+            };
+            let mut newer = self.workers.values().filter(is_newer).peekable();
+            // A new owner has had no replies yet.
+            let may_reply = self.is_recovering() && newer.peek().is_some();
+            return if newer.any(super::Worker::is_confirmed) {
+                Verdict::Crashed
+            } else if may_reply {
+                Verdict::Open
+            } else {
+                Verdict::Survived
+            };
         };
         let newest = worker.incarnation.max(Some(worker.registration.incarnation));
         if newest > Some(trial.incarnation) {
--- a/gl-jobs/tests/jobs/other_writers.rs
+++ b/gl-jobs/tests/jobs/other_writers.rs
@@ -129,3 +129,27 @@
     cell.reply_as(ABSENT, 2);
     assert!(cell.owner.worker(&cell::worker(0)).is_some());
 }
+
+/// Guards against blame for a task whose worker was lost, because of an entry on its VM that nobody answers for.
+#[test]
+fn entry_on_the_vm_of_a_worker_that_was_lost_is_no_crash() {
+    let mut cell = Cell::new(2);
+    let start = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 1_000)]))).remove(0);
+    cell.start_replied(&start, worker::OrderReply::Done);
+    let n = cell::index(&start.worker);
+    cell.owner.poll_failed(&start.worker, cell::at(cell.now));
+    let list = [cell::registration(1 - n), entry_on_vm_of(n, "nowhere")];
+    cell.owner.workers_listed(&list, cell::at(cell.now), cell::at(cell.now));
+    let mut blamed = Vec::new();
+    let until = cell.now + 14_000;
+    while cell.now < until {
+        cell.poll(1 - n, &[]);
+        cell.commit();
+        let actions = cell.tick();
+        blamed.extend(actions.into_iter().filter(|action| {
+            matches!(action, owner::Action::Note(owner::Note::Implicated { .. }))
+        }));
+    }
+    assert!(cell.owner.worker(&start.worker).is_none(), "it was removed from the table");
+    assert_eq!(blamed, []);
+}
