test: leases of workers with slow clocks

A worker's clock may be 2% slow: a lease of its clock lasts 1/0.98 as long by the owner's. The tasks of a silent worker with such a clock start elsewhere after the lease, for leases of 6 and 10 s.

--- a/gl-jobs/tests/jobs/leases.rs
+++ b/gl-jobs/tests/jobs/leases.rs
@@ -310,3 +310,48 @@
     assert!(moved >= last, "after {moved}, and the run may go on until {last}");
     assert!(moved < last + time::Span::millis(50), "after {moved}, and it has ended at {last}");
 }
+
+/// Guards against second runs of tasks on workers whose clocks are as slow as they may be, with leases of the
+/// usual and of the longest length.
+#[test]
+fn lease_of_a_worker_with_a_slow_clock_is_waited_for() {
+    for lease in [6_000, 10_000] {
+        let settings =
+            owner::Settings { lease: time::Span::millis(lease), ..owner::Settings::default() };
+        let mut cell = Cell::with_settings(2, settings);
+        let slow = |now: u64| time::Timestamp(cell::at(now).0 / 100 * 98);
+        let start = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 1_000)]))).remove(0);
+        cell.start_replied(&start, worker::OrderReply::Done);
+        let n = cell::index(&start.worker);
+        let mut granted = time::Timestamp::default();
+        // Its clock falls behind that of the owner by 80 ms.
+        for _ in 0..40 {
+            cell.now += 100;
+            let now = cell::at(cell.now);
+            let request = cell.owner.poll_request(&start.worker, now).expect("a known worker");
+            granted = request.lease.unwrap_or(granted);
+            let call = cell::call(&cell.owner, &start.worker, now);
+            let reply = worker::PollReply {
+                clock: slow(cell.now),
+                incarnation: worker::Incarnation(1),
+                running: vec![cell::running(&start, 5.0, 900.0)],
+                ..worker::PollReply::default()
+            };
+            cell.owner.poll_replied(&start.worker, call, &reply, now);
+            cell.poll(1 - n, &[]);
+            cell.tick();
+        }
+        cell.owner.poll_failed(&start.worker, cell::at(cell.now));
+        let again = loop {
+            cell.poll(1 - n, &[]);
+            cell.commit();
+            if let Some(again) = cell::starts(&cell.tick()).pop() {
+                break again;
+            }
+            assert!(cell.now < 40_000, "it starts again");
+        };
+        assert_eq!(again.task, start.task);
+        let left = granted.since(slow(cell.now));
+        assert_eq!(left, time::Span::ZERO, "of a lease of {lease} ms");
+    }
+}
