fix: count failures of silent workers before a failed task starts again

A new owner let a task start again at once if a worker had reported a run of it, as that was the only run. Its earlier runs had ended, but their ends need not be stored: an owner that is cut off from the store counts failures and starts tasks until its lease expires. If the workers of these runs were silent at first, the task started beyond its limit, and the late failures failed its job.

A task whose reported run, or a later one, fails now waits for all workers or their leases, as a task without a reported run does. One whose run ended otherwise starts at once as before: no owner starts a task at its limit, so the earlier failures alone do not reach it. Long-running tasks have no limit.

Evidence: of four new tests of takeover two failed before, and pass; the others bound the wait.

--- a/gl-jobs/src/owner/completion.rs
+++ b/gl-jobs/src/owner/completion.rs
@@ -123,6 +123,7 @@
                 }
                 let has_failed = failures.len() >= attempts as usize;
                 self.mark_dirty(task::TaskId { phase, index });
+                self.reported_failed(end.task, end.attempt);
                 if has_failed {
                     self.end_job(phase.job, job::State::Failed, now);
                 }
--- a/gl-jobs/src/owner/recovery/adoption.rs
+++ b/gl-jobs/src/owner/recovery/adoption.rs
@@ -58,7 +58,7 @@
         run.progress = running.progress;
         run.load = running.load;
         self.add_run(task, run);
-        self.mark_reported(task);
+        self.mark_reported(task, running.attempt);
         self.mark_started(task);
         if has_ended {
             self.stop(task, StopReason::JobEnded, now);
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -55,9 +55,9 @@
 pub struct Recovery {
     /// The workers that have not replied to a poll yet and may have valid leases.
     pending: collections::BTreeMap<worker::WorkerId, Pending>,
-    /// The tasks that workers reported as running. As their earlier runs have ended, no other worker
-    /// runs them.
-    reported: collections::BTreeSet<task::TaskId>,
+    /// The tasks that workers reported as running, with the attempt. As their earlier runs have ended, no other
+    /// worker runs them.
+    reported: collections::BTreeMap<task::TaskId, u64>,
     /// The number of workers whose leases have expired before they replied.
     missing: usize,
     /// The time at which the stored state was read.
@@ -85,10 +85,11 @@
 }
 
 impl Recovery {
-    /// Returns whether the task may be running on a worker that has not replied.
+    /// Returns whether a worker that has not replied may be running the task, or may list a failure with which
+    /// the task reaches its attempt limit.
     pub(in crate::owner) fn blocks(&self, task: task::TaskId) -> bool {
         let may_run = |p: &Pending| p.tasks.as_ref().is_none_or(|tasks| tasks.contains(&task));
-        !self.reported.contains(&task) && self.pending.values().any(may_run)
+        !self.reported.contains_key(&task) && self.pending.values().any(may_run)
     }
 
     /// Returns the workers that have not replied for some time, with the end of their leases.
@@ -124,7 +125,7 @@
         let pending = enrolled.map(|w| (w.registration.id.clone(), self.pending_at(w, moment.now)));
         self.recovery = Some(Recovery {
             pending: pending.collect(),
-            reported: collections::BTreeSet::new(),
+            reported: collections::BTreeMap::new(),
             missing: 0,
             since: moment.now,
             is_reported: false,
@@ -269,9 +270,20 @@
         }
     }
 
-    pub(in crate::owner) fn mark_reported(&mut self, task: task::TaskId) {
+    pub(in crate::owner) fn mark_reported(&mut self, task: task::TaskId, attempt: u64) {
         if let Some(recovery) = &mut self.recovery {
-            recovery.reported.insert(task);
+            recovery.reported.insert(task, attempt);
+        }
+    }
+
+    /// Has a reported task wait for all workers again, as its reported run or a later one has failed. An owner
+    /// starts no task at its attempt limit, but the workers of earlier runs may list failures that only that
+    /// owner knew, with which this one reaches the limit.
+    pub(in crate::owner) fn reported_failed(&mut self, task: task::TaskId, failed: u64) {
+        if let Some(recovery) = &mut self.recovery
+            && recovery.reported.get(&task).is_some_and(|attempt| failed >= *attempt)
+        {
+            recovery.reported.remove(&task);
         }
     }
 }
--- a/gl-jobs/tests/jobs/takeover.rs
+++ b/gl-jobs/tests/jobs/takeover.rs
@@ -100,3 +100,66 @@
         assert_eq!(started.first(), Some(&after), "{outcome:?}");
     }
 }
+
+/// Delivers the replies of a worker on which a run that an earlier owner has started ends as `outcome`.
+fn end_reported_run(owner: &mut owner::Owner, task: task::TaskId, outcome: worker::Outcome) {
+    let running =
+        worker::Running { task, attempt: 5, checkpoint: String::new(), progress: 20.0, load: 0.0 };
+    poll(owner, 0, &worker::PollReply { running: vec![running], ..reply(5_010) }, 5_010);
+    assert_eq!(starts(owner, 5_050), [], "{outcome:?}: it is running");
+    let end = ended(1, task, outcome);
+    poll(owner, 0, &worker::PollReply { ended: vec![end], ..reply(5_100) }, 5_100);
+}
+
+/// Guards against runs beyond the attempt limit: the last owner, cut off from the store, has counted failed
+/// runs and started the task again, and the workers of those runs have not replied to the new owner.
+#[test]
+fn reported_task_that_failed_waits_for_workers_that_may_list_earlier_failures() {
+    let task = cell::task(1, 0, 0);
+    let mut owner = after_claim(2, vec![cell::phase(1, 1_000)]);
+    end_reported_run(&mut owner, task, worker::Outcome::Failed);
+    assert_eq!(starts(&mut owner, 5_150), [], "w-1 may list earlier failures");
+    let failed =
+        |number| worker::Ended { attempt: number, ..ended(number, task, worker::Outcome::Failed) };
+    let ends = worker::PollReply { ended: vec![failed(1), failed(2)], ..reply(5_200) };
+    poll(&mut owner, 1, &ends, 5_200);
+    assert_eq!(starts(&mut owner, 5_250), [], "it has failed three times");
+    assert_eq!(owner.state(cell::id(1)), Some(job::State::Failed));
+}
+
+/// Guards against tasks that wait without need: the last owner would not have started a task at its limit.
+#[test]
+fn reported_task_that_did_not_fail_starts_before_all_workers_have_replied() {
+    let task = cell::task(1, 0, 0);
+    for outcome in [worker::Outcome::Stopped, worker::Outcome::Lapsed, worker::Outcome::Broken] {
+        let mut owner = after_claim(2, vec![cell::phase(1, 1_000)]);
+        end_reported_run(&mut owner, task, outcome);
+        assert_eq!(starts(&mut owner, 5_150), [task], "{outcome:?}");
+    }
+}
+
+/// Guards against tasks that wait without need: long-running tasks have no attempt limit.
+#[test]
+fn reported_long_running_task_that_failed_starts_before_all_workers_have_replied() {
+    let task = cell::task(1, 0, 0);
+    let phase = job::Phase { long_running: true, ..cell::phase(1, 1_000) };
+    let mut owner = after_claim(2, vec![phase]);
+    end_reported_run(&mut owner, task, worker::Outcome::Failed);
+    assert_eq!(starts(&mut owner, 5_150), [task]);
+}
+
+/// Guards against tasks that wait for good: the leases of workers that never reply expire.
+#[test]
+fn reported_task_that_failed_starts_once_the_leases_of_silent_workers_have_expired() {
+    let task = cell::task(1, 0, 0);
+    let mut owner = after_claim(2, vec![cell::phase(1, 1_000)]);
+    end_reported_run(&mut owner, task, worker::Outcome::Failed);
+    let first = (5_110..30_000).step_by(10).find(|now| {
+        poll(&mut owner, 0, &reply(*now), *now);
+        !starts(&mut owner, *now).is_empty()
+    });
+    let settings = owner::Settings::default();
+    let ended = settings.horizon.scaled(1.0 / 0.98) + settings.stop_time;
+    let bound = 5_000 + ended.as_millis();
+    assert!(first.is_some_and(|now| now >= bound && now < bound + 50), "{first:?}");
+}
