fix: a worker that has replied later is not ended by an earlier one of its VM

A VM whose time of day was set back starts a worker whose incarnation seems to be the older one. Each change of an entry ends the older workers of its VM if its worker has ever replied as that incarnation, also one that is dead since.

The test has a worker that replied once, a second one on its VM that replied later and has a run, and a late change of the first one's entry.

The time of day of a VM may have been set back, so that the worker that started last has the lower incarnation. Each change of an entry ended the workers of the VM with lower ones, if the worker of the entry had ever replied as the incarnation in it. A late change of a dead worker's entry ended all runs of the one at work, and they started elsewhere.

A worker now counts as ended only if it has not replied after the other one did. At a reply that is so in any case.

--- a/gl-jobs/src/owner/view/lifetimes.rs
+++ b/gl-jobs/src/owner/view/lifetimes.rs
@@ -93,7 +93,7 @@
             worker.unconfirmed_since = None;
         }
         if !was_confirmed {
-            self.end_older_on_vm(id, now);
+            self.end_older_on_vm(id, now, now);
         }
         true
     }
--- a/gl-jobs/src/owner/view/polls.rs
+++ b/gl-jobs/src/owner/view/polls.rs
@@ -89,15 +89,18 @@
         if has_restarted {
             self.lifetime_listed(&entry.id, now);
         }
-        self.end_older_on_vm(&entry.id, now);
+        let replied = self.workers.get(&entry.id).map_or(now, |worker| worker.polled_at);
+        self.end_older_on_vm(&entry.id, replied, now);
     }
 
     /// Removes the older workers of a VM, which runs one worker at a time, once the worker has replied as the
-    /// incarnation in its entry. The entry alone proves nothing: others may have written it, or it may be that
-    /// of an earlier worker, if the time of day of the VM was set back.
+    /// incarnation in its entry, last at `replied`. The entry alone proves nothing: others may have written it,
+    /// or it may be that of an earlier worker, if the time of day of the VM was set back. Nor does a reply that
+    /// is followed by one of the other worker.
     pub(in crate::owner) fn end_older_on_vm(
         &mut self,
         id: &worker::WorkerId,
+        replied: time::Timestamp,
         now: time::Timestamp,
     ) {
         let Some(newer) = self.workers.get(id).filter(|worker| worker.is_confirmed()) else {
@@ -108,6 +111,7 @@
             w.registration.vm == entry.vm
                 && w.registration.id != entry.id
                 && w.newest_incarnation() < entry.incarnation
+                && w.polled_at <= replied
         };
         let older: Vec<_> =
             self.workers.values().filter(is_older).map(|w| w.registration.id.clone()).collect();
--- a/gl-jobs/tests/jobs/other_writers.rs
+++ b/gl-jobs/tests/jobs/other_writers.rs
@@ -153,3 +153,30 @@
     assert!(cell.owner.worker(&start.worker).is_none(), "it was removed from the table");
     assert_eq!(blamed, []);
 }
+
+/// Guards against second runs because of a late change of an earlier worker's entry: that one has replied once,
+/// and seems to be the later one, as the time of day of the VM was set back.
+#[test]
+fn late_entry_of_an_earlier_worker_ends_no_runs_of_the_one_that_has_replied_since() {
+    let mut cell = Cell::new(1);
+    let newer = worker::Registration {
+        id: cell::worker(1),
+        incarnation: worker::Incarnation(0),
+        ..cell::registration(0)
+    };
+    let list = |cell: &mut Cell, changed| {
+        let changes = worker::ListChanges { changed: vec![changed], removed: Vec::new() };
+        cell.owner.workers_changed(&changes, cell::at(cell.now), cell::at(cell.now));
+    };
+    cell.owner.poll_failed(&cell::worker(0), cell::at(cell.now));
+    list(&mut cell, newer);
+    cell.commit();
+    cell.now += 10;
+    cell.reply_as(1, 0);
+    let start = cell::starts(&cell.submit(1, cell::job(vec![cell::phase(1, 1_000)]))).remove(0);
+    assert_eq!(start.worker, cell::worker(1));
+    cell.start_replied(&start, worker::OrderReply::Done);
+    list(&mut cell, worker::Registration { draining: true, ..cell::registration(0) });
+    assert!(cell.owner.worker(&start.worker).is_some());
+    assert_eq!(cell.owner.runs().count(), 1, "it is at work");
+}
