fix: a new owner waits for leases beyond its own horizon

In a rollout, the last owner may be of the version before, and its lease row says 8 s, from which a new owner derives how long leases may last. It then shortens that to its own horizon.

What a new owner knows of leases follows from the lease row of the last owner, and was shortened to the horizon of the new one. Since that is 7.2 s in place of 8 s, a rollout has owners whose leases last longer than the next one waits.

They are shortened to HoldMaxMs, as workers do with leases, and to nothing else. Within one version the wait grows by the drift at most, 2% of the horizon.

Where nothing bounds the leases of the last owner, its own horizon counts if that is longer. Left: a claim that took effect at an unknown time, as its owner has not read the row (predecessors::UNKNOWN).

--- a/geraniumlatchd/src/jobs/predecessors.rs
+++ b/geraniumlatchd/src/jobs/predecessors.rs
@@ -61,8 +61,10 @@
     };
     let drift = node.settings.owner.clock_drift;
     let outstanding = election::shortest_bound(&last, row.horizon, drift, now);
+    let own = node.settings.owner.horizon;
+    let longer = (row.horizon > own).then_some(row.horizon);
     let predecessors = election::Predecessors {
-        outstanding: outstanding.map(|outstanding| outstanding.left),
+        outstanding: outstanding.map(|outstanding| outstanding.left).or(longer),
         starts: election::starts_left(&last, lease::DURATION, drift, now),
     };
     let bound = outstanding.map(|outstanding| outstanding.bound);
--- a/gl-jobs/src/owner/recovery/mod.rs
+++ b/gl-jobs/src/owner/recovery/mod.rs
@@ -113,7 +113,8 @@
     pub fn recover(&mut self, takeover: Takeover, moment: &Moment) {
         let settings = self.settings;
         let outstanding = takeover.outstanding.unwrap_or(settings.horizon);
-        self.inherited_lease = outstanding.min(settings.horizon);
+        // An owner of another version may have a longer horizon.
+        self.inherited_lease = outstanding.min(settings.max_lease);
         self.superseded_at = takeover.superseded_at;
         for entry in takeover.roster {
             self.add_enrolled(entry, moment.now);
--- a/gl-jobs/tests/jobs/takeover.rs
+++ b/gl-jobs/tests/jobs/takeover.rs
@@ -1,6 +1,7 @@
 //! What a new owner learns late: from workers that reply one after the other, and list their ends in parts.
 
 use gl_jobs::{job, owner, record, task, worker};
+use gl_model::time;
 
 use crate::cell;
 
@@ -163,3 +164,23 @@
     let bound = 5_000 + ended.as_millis();
     assert!(first.is_some_and(|now| now >= bound && now < bound + 50), "{first:?}");
 }
+
+/// Guards against second runs in a rollout: an owner of an earlier version has extended leases further than this
+/// one would.
+#[test]
+fn recovery_waits_for_leases_beyond_its_own_horizon() {
+    let horizon = time::Span::millis(7_200);
+    let stop_time = time::Span::millis(200);
+    let settings = owner::Settings { horizon, stop_time, ..owner::Settings::default() };
+    let mut owner = owner::Owner::new(settings, 9, cell::at(5_000));
+    let list = [cell::registration(0), cell::registration(1)];
+    owner.workers_listed(&list, cell::at(5_000), cell::at(5_000));
+    owner.store_clock_read(cell::store_clock(5_000));
+    let jobs =
+        vec![cell::stored(1, cell::job(vec![cell::phase(1, 1_000)]), record::Progress::default())];
+    let (roster, outstanding) = (cell::roster(list), Some(time::Span::seconds(8)));
+    let takeover = owner::Takeover { jobs, roster, outstanding, ..owner::Takeover::default() };
+    owner.recover(takeover, &cell::moment(5_000));
+    let after = cell::first_start(owner, 5_000, &[0]);
+    assert!(after.is_some_and(|ms| ms >= 8_163 + 200), "{after:?} ms");
+}
